--- /dev/null
+++ b/crates/cuminramp-batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs: chunks, their leases and their commits.
--- /dev/null
+++ b/crates/cuminramp-core/src/rendezvous.rs
@@ -0,0 +1,48 @@
+//! Rendezvous hashing: each key ranks the members, and a member that comes or goes moves only the
+//! keys that it wins or had won.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Ends each part, so that `ab` + `c` and `a` + `bc` differ.
+const PART_END: u8 = 0xff;
+
+/// Hashes the parts in order.
+///
+/// ```
+/// use cuminramp_core::hash_parts;
+/// assert_ne!(hash_parts(&["ab", "c"]), hash_parts(&["a", "bc"]));
+/// ```
+pub fn hash_parts(parts: &[&str]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.update(part.as_bytes());
+        hasher.update(&[PART_END]);
+    }
+    hasher.digest()
+}
+
+/// How strongly `key` is drawn to `member`.
+///
+/// ```
+/// use cuminramp_core::rendezvous_score;
+/// assert_eq!(rendezvous_score("team", "host"), rendezvous_score("team", "host"));
+/// ```
+pub fn rendezvous_score(key: &str, member: &str) -> u64 {
+    hash_parts(&[key, member])
+}
+
+/// Sorts members by falling score.
+///
+/// ```
+/// let mut members = vec!["a", "b", "c"];
+/// cuminramp_core::rank_by_score("team", &mut members, |member| *member);
+/// let first = members[0];
+/// members.retain(|member| *member != members[1]);
+/// cuminramp_core::rank_by_score("team", &mut members, |member| *member);
+/// assert_eq!(members[0], first);
+/// ```
+pub fn rank_by_score<T>(key: &str, members: &mut [T], name_of: impl Fn(&T) -> &str) {
+    members.sort_by_cached_key(|member| Reverse(rendezvous_score(key, name_of(member))));
+}
--- /dev/null
+++ b/crates/cuminramp-core/src/sorted_map.rs
@@ -0,0 +1,170 @@
+//! A map kept as a sorted vector.
+
+/// A map from `K` to `V` in one sorted vector, searched by bisection.
+///
+/// Tables here are read far more often than changed, and a vector is compact and quick to walk.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SortedMap<K, V> {
+    entries: Vec<(K, V)>,
+}
+
+impl<K, V> Default for SortedMap<K, V> {
+    fn default() -> Self {
+        SortedMap {
+            entries: Vec::new(),
+        }
+    }
+}
+
+impl<K: Ord, V> SortedMap<K, V> {
+    /// An empty map.
+    ///
+    /// ```
+    /// let mut map = cuminramp_core::SortedMap::new();
+    /// map.insert("b", 2);
+    /// map.insert("a", 1);
+    /// assert_eq!(map.get("a"), Some(&1));
+    /// assert_eq!(map.keys().copied().collect::<Vec<_>>(), ["a", "b"]);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn position<Q: Ord + ?Sized>(&self, key: &Q) -> Result<usize, usize>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.entries
+            .binary_search_by(|(entry, _)| entry.borrow().cmp(key))
+    }
+
+    /// The value at `key`.
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key).ok().map(|index| &self.entries[index].1)
+    }
+
+    /// The entry at `key`, with the key as it is kept.
+    pub fn get_entry<Q: Ord + ?Sized>(&self, key: &Q) -> Option<(&K, &V)>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key)
+            .ok()
+            .map(|index| (&self.entries[index].0, &self.entries[index].1))
+    }
+
+    /// The value at `key`, to change.
+    pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key)
+            .ok()
+            .map(|index| &mut self.entries[index].1)
+    }
+
+    /// Whether `key` has a value.
+    pub fn contains_key<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key).is_ok()
+    }
+
+    /// Puts `value` at `key` and returns what stood there.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.position(&key) {
+            Ok(index) => Some(std::mem::replace(&mut self.entries[index].1, value)),
+            Err(index) => {
+                self.entries.insert(index, (key, value));
+                None
+            }
+        }
+    }
+
+    /// The value at `key`, made by `make` where there is none.
+    pub fn get_or_insert_with(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let index = match self.position(&key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, (key, make()));
+                index
+            }
+        };
+        &mut self.entries[index].1
+    }
+
+    /// Takes the value at `key` out.
+    pub fn remove<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<V>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key)
+            .ok()
+            .map(|index| self.entries.remove(index).1)
+    }
+
+    /// Keeps the entries that `keep` says.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.entries.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// The entries in order.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> + ExactSizeIterator {
+        self.entries.iter().map(|(key, value)| (key, value))
+    }
+
+    /// The entries in order, values to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// The keys in order.
+    pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> + ExactSizeIterator {
+        self.entries.iter().map(|(key, _)| key)
+    }
+
+    /// The values in the order of their keys.
+    pub fn values(&self) -> impl DoubleEndedIterator<Item = &V> + ExactSizeIterator {
+        self.entries.iter().map(|(_, value)| value)
+    }
+
+    /// How many entries there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for SortedMap<K, V> {
+    /// Sorts once; of entries with one key the last stays.
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(iter: I) -> Self {
+        let mut entries: Vec<(K, V)> = iter.into_iter().collect();
+        entries.sort_by(|left, right| left.0.cmp(&right.0));
+        entries.reverse();
+        entries.dedup_by(|left, right| left.0 == right.0);
+        entries.reverse();
+        SortedMap { entries }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::SortedMap;
+
+    #[test]
+    fn the_last_of_equal_keys_stays() {
+        let pairs = [("b", 1), ("a", 2), ("b", 3)];
+
+        let map: SortedMap<_, _> = pairs.into_iter().collect();
+
+        assert_eq!(map.iter().collect::<Vec<_>>(), [(&"a", &2), (&"b", &3)]);
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon that runs on every entry host.
--- /dev/null
+++ b/crates/cuminramp-http/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP client and server plumbing with a liveness rule for each connection.
+
+mod client;
+mod server;
+
+pub use client::{CallError, CallLimits, HttpClient, read_body};
+pub use server::{ServeLimits, serve_router};
--- /dev/null
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -0,0 +1,567 @@
+//! The buckets of one host: it admits, lends and borrows.
+
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name, SortedMap};
+use tokio::time::Instant;
+
+use crate::allotment::{Allotment, SliceLimits};
+use crate::{Millitokens, ShardMap, TOKEN, TeamLimits, TokenBucket, slice_shards};
+
+/// Demand is averaged over about this time.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+/// The shortest time for which lent tokens are valid.
+const LEAST_VALID: Duration = Duration::from_millis(20);
+/// Of a slice's burst, at most this part may be out on loans at full rate.
+const LOAN_SHARE: u64 = 4;
+/// The shortest wait a caller is told.
+const LEAST_WAIT: Duration = Duration::from_millis(10);
+/// The longest wait a caller is told.
+const MOST_WAIT: Duration = Duration::from_secs(60);
+
+/// How the ledger works; the same on every host.
+#[derive(Clone, Debug)]
+pub struct LedgerPolicy {
+    /// Shards in all.
+    pub shards: u32,
+    /// Slices of a small team.
+    pub slices: u32,
+    /// One more slice for each so many millitokens a second.
+    pub slice_rate: Millitokens,
+    /// Most slices of a team.
+    pub max_slices: u32,
+    /// The longest time for which lent tokens are valid.
+    pub borrow_valid: Duration,
+    /// How far ahead a host borrows for the demand it sees.
+    pub borrow_ahead: Duration,
+    /// How many owners are asked for one request.
+    pub borrow_attempts: usize,
+    /// Within which time a generation is in force on every host.
+    pub settle: Duration,
+    /// How long a host may not have run before it doubts what it owns.
+    pub pause_limit: Duration,
+    /// After how long without use a team's buckets are dropped.
+    pub forget_after: Duration,
+}
+
+impl Default for LedgerPolicy {
+    fn default() -> Self {
+        LedgerPolicy {
+            shards: 128,
+            slices: 3,
+            slice_rate: 100 * TOKEN,
+            max_slices: 32,
+            borrow_valid: Duration::from_secs(1),
+            borrow_ahead: Duration::from_millis(100),
+            borrow_attempts: 3,
+            settle: Duration::from_secs(7),
+            pause_limit: Duration::from_secs(2),
+            forget_after: Duration::from_secs(600),
+        }
+    }
+}
+
+/// An owner to ask.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Lender {
+    /// The shard whose tokens are asked for.
+    pub shard: u32,
+    /// Its owner.
+    pub owner: HostId,
+}
+
+/// Whom to ask for how much.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BorrowPlan {
+    /// In this order, until the amount is there.
+    pub lenders: Vec<Lender>,
+    /// What is missing for the request.
+    pub missing: Millitokens,
+    /// What to ask for beyond that, for the requests that follow.
+    pub ahead: Millitokens,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may run. With a plan, tokens should be borrowed in the background for those that follow.
+    Admitted(Option<BorrowPlan>),
+    /// Tokens are missing here; others may have them.
+    Borrow(BorrowPlan),
+    /// The team is above its rate and burst; it may come back after this time.
+    Refused(Duration),
+}
+
+/// A peer's wish for tokens of a shard that this host owns.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoanRequest {
+    /// The team.
+    pub team: Name,
+    /// The shard.
+    pub shard: u32,
+    /// How many millitokens.
+    pub amount: Millitokens,
+}
+
+/// The answer to it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoanAnswer {
+    /// Debited here already.
+    pub amount: Millitokens,
+    /// Whether this run owns the shard.
+    pub is_owner: bool,
+    /// How long they may be spent, counted from when they were asked for.
+    pub valid: Duration,
+    /// When a token will be here again.
+    pub wait: Duration,
+}
+
+/// Borrowed tokens that may still be spent.
+#[derive(Clone, Copy, Debug)]
+struct Stash {
+    until: Instant,
+    amount: Millitokens,
+}
+
+/// One team on this host.
+#[derive(Debug)]
+struct TeamQuota {
+    allotment: Allotment,
+    /// By slice: the bucket and the epoch of the shard under which it was filled.
+    buckets: SortedMap<u32, SliceBucket>,
+    stashes: Vec<Stash>,
+    /// By shard: before this moment its owner has none to lend.
+    dry: SortedMap<u32, Instant>,
+    /// Millitokens a second asked for here, averaged.
+    demand: f64,
+    demand_at: Instant,
+    used_at: Instant,
+}
+
+#[derive(Debug)]
+struct SliceBucket {
+    epoch: u64,
+    limits: SliceLimits,
+    bucket: TokenBucket,
+}
+
+/// All teams on this host.
+#[derive(Debug)]
+pub struct QuotaLedger {
+    policy: LedgerPolicy,
+    shards: ShardMap,
+    teams: SortedMap<Name, TeamQuota>,
+    ticked_at: Instant,
+    doubtful: bool,
+}
+
+impl QuotaLedger {
+    /// A ledger of the run `me` that owns nothing yet.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")] async fn main() {
+    /// use cuminramp_core::HostId;
+    /// use cuminramp_quota::{LedgerPolicy, QuotaLedger};
+    /// let me = HostId { address: "127.0.0.1:1".into(), incarnation: 1 };
+    /// let ledger = QuotaLedger::new(me, LedgerPolicy::default(), tokio::time::Instant::now());
+    /// assert!(!ledger.is_doubtful());
+    /// # }
+    /// ```
+    pub fn new(me: HostId, policy: LedgerPolicy, now: Instant) -> Self {
+        let shards = ShardMap::new(me, policy.shards);
+        QuotaLedger {
+            policy,
+            shards,
+            teams: SortedMap::new(),
+            ticked_at: now,
+            doubtful: false,
+        }
+    }
+
+    /// Who owns what.
+    pub fn shards(&self) -> &ShardMap {
+        &self.shards
+    }
+
+    /// Who owns what, to change.
+    pub fn shards_mut(&mut self) -> &mut ShardMap {
+        &mut self.shards
+    }
+
+    /// The policy in force.
+    pub fn policy(&self) -> &LedgerPolicy {
+        &self.policy
+    }
+
+    /// Called some times a second. A gap shows that this process was paused: others may have found
+    /// it dead and taken its shards, so it spends none until it has read the map anew.
+    pub fn tick(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.ticked_at) > self.policy.pause_limit {
+            self.doubtful = true;
+        }
+        self.ticked_at = now;
+    }
+
+    /// Says that this host can't know what it owns, as when it is cut off from all others.
+    pub fn doubt(&mut self) {
+        self.doubtful = true;
+    }
+
+    /// Says that the whole map was read after the last doubt.
+    pub fn trust(&mut self, now: Instant) {
+        self.doubtful = false;
+        self.ticked_at = now;
+    }
+
+    /// Whether it spends nothing of its own for now.
+    pub fn is_doubtful(&self) -> bool {
+        self.doubtful
+    }
+
+    /// Drops teams that were not used for long; their buckets would be full by now.
+    pub fn forget_unused(&mut self, now: Instant) {
+        let limit = self.policy.forget_after;
+        self.teams
+            .retain(|_, team| now.saturating_duration_since(team.used_at) < limit);
+    }
+
+    /// How many teams have buckets here.
+    pub fn team_count(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Decides on a request of `team` that costs `cost`. `borrowed` says that owners were asked for
+    /// it already, so that a shortage is a refusal.
+    pub fn admit(
+        &mut self,
+        team: &Name,
+        limits: TeamLimits,
+        cost: Millitokens,
+        borrowed: bool,
+        now: Instant,
+    ) -> Admission {
+        self.prepare(team, limits, now);
+        let trusted = self.trusts_itself(now);
+        let Some(quota) = self.teams.get_mut(team) else {
+            return Admission::Refused(MOST_WAIT);
+        };
+        let cost = cost.min(quota.allotment.burst()).max(1);
+        if !borrowed {
+            quota.note_demand(cost, now);
+        }
+        let taken = quota.take(cost, trusted, now);
+        if taken.total() == cost {
+            let ahead = quota.plan_ahead(team, &self.shards, &self.policy, trusted, now);
+            return Admission::Admitted(ahead);
+        }
+        let missing = cost - taken.total();
+        quota.put_back(taken, now);
+        if borrowed {
+            return Admission::Refused(quota.wait_for(missing, trusted, now));
+        }
+        match quota.plan_borrow(team, missing, &self.shards, &self.policy, now) {
+            Some(plan) => Admission::Borrow(plan),
+            None => Admission::Refused(quota.wait_for(missing, trusted, now)),
+        }
+    }
+
+    /// Lends tokens of an own shard: debits first, so that a lost answer loses tokens and mints none.
+    pub fn lend(&mut self, request: &LoanRequest, limits: TeamLimits, now: Instant) -> LoanAnswer {
+        self.prepare(&request.team, limits, now);
+        let trusted = self.trusts_itself(now);
+        let valid = loan_validity(limits, &self.policy);
+        let nothing = LoanAnswer {
+            amount: 0,
+            is_owner: false,
+            valid,
+            wait: LEAST_WAIT,
+        };
+        if !trusted || !self.shards.is_mine(request.shard) {
+            return nothing;
+        }
+        let slice = slice_number(&request.team, request.shard, &self.policy);
+        let Some(quota) = self.teams.get_mut(&request.team) else {
+            return nothing;
+        };
+        let Some(slice) = quota.buckets.get_mut(&slice) else {
+            return nothing;
+        };
+        let amount = slice.bucket.lend(request.amount, valid, now);
+        let wait = slice.bucket.wait_for(request.amount.min(TOKEN), now);
+        LoanAnswer {
+            amount,
+            is_owner: true,
+            valid,
+            wait: wait.clamp(LEAST_WAIT, MOST_WAIT),
+        }
+    }
+
+    /// Credits tokens that an owner lent; they count from the moment the request left, which comes
+    /// before the owner's debit, so they end here before the owner's bucket fills up for them.
+    pub fn credit(
+        &mut self,
+        team: &Name,
+        lender: &Lender,
+        answer: LoanAnswer,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let Some(quota) = self.teams.get_mut(team) else {
+            return;
+        };
+        let until = asked_at + answer.valid;
+        if answer.amount > 0 && until > now {
+            quota.stashes.push(Stash {
+                until,
+                amount: answer.amount,
+            });
+        } else {
+            quota.dry.insert(lender.shard, now + answer.wait);
+        }
+    }
+
+    /// Notes that an owner gave no answer, so that it isn't asked again at once.
+    pub fn note_silent(&mut self, team: &Name, lender: &Lender, now: Instant) {
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota
+                .dry
+                .insert(lender.shard, now + self.policy.borrow_valid);
+        }
+    }
+
+    fn trusts_itself(&self, now: Instant) -> bool {
+        let paused = now.saturating_duration_since(self.ticked_at) > self.policy.pause_limit;
+        !self.doubtful && !paused
+    }
+
+    /// Brings a team's buckets in line with its limits and with the shards owned here.
+    fn prepare(&mut self, team: &Name, limits: TeamLimits, now: Instant) {
+        let policy = &self.policy;
+        let quota = self
+            .teams
+            .get_or_insert_with(team.clone(), || TeamQuota::new(limits, now));
+        quota.allotment.update(limits, policy.settle, now);
+        quota.used_at = now;
+        let count = quota.allotment.slices(policy);
+        for (index, shard) in (0..count).zip(slice_shards(team, count, policy.shards)) {
+            if self.shards.is_mine(shard) {
+                let record = self.shards.record(shard);
+                let since = record.since.unwrap_or(now);
+                let limits = quota.allotment.slice(index, policy);
+                quota.hold_slice(index, record.epoch, since, limits, now);
+            } else {
+                quota.buckets.remove(&index);
+            }
+        }
+    }
+}
+
+/// How long lent tokens are valid: so short that loans at the full rate leave most of the burst.
+fn loan_validity(limits: TeamLimits, policy: &LedgerPolicy) -> Duration {
+    let millis = limits.burst * 1_000 / (limits.rate.max(1) * LOAN_SHARE);
+    Duration::from_millis(millis).clamp(LEAST_VALID, policy.borrow_valid.max(LEAST_VALID))
+}
+
+/// Which slice of a team lies in a shard.
+fn slice_number(team: &str, shard: u32, policy: &LedgerPolicy) -> u32 {
+    let first = slice_shards(team, 1, policy.shards).next().unwrap_or(0);
+    (shard + policy.shards - first) % policy.shards
+}
+
+/// What was taken for one request, and from where.
+struct Taken {
+    from_buckets: Vec<(u32, Millitokens)>,
+    from_stashes: Vec<Stash>,
+}
+
+impl Taken {
+    fn total(&self) -> Millitokens {
+        let buckets: Millitokens = self.from_buckets.iter().map(|(_, amount)| amount).sum();
+        let stashes: Millitokens = self.from_stashes.iter().map(|stash| stash.amount).sum();
+        buckets + stashes
+    }
+}
+
+impl TeamQuota {
+    fn new(limits: TeamLimits, now: Instant) -> Self {
+        TeamQuota {
+            allotment: Allotment::new(limits),
+            buckets: SortedMap::new(),
+            stashes: Vec::new(),
+            dry: SortedMap::new(),
+            demand: 0.0,
+            demand_at: now,
+            used_at: now,
+        }
+    }
+
+    /// Has a bucket for a slice of an own shard.
+    ///
+    /// What an earlier owner left unspent is unknown, and it may have spent all just now: so the
+    /// bucket starts empty when the shard was taken. Only the first owner of all starts full.
+    fn hold_slice(
+        &mut self,
+        index: u32,
+        epoch: u64,
+        since: Instant,
+        limits: SliceLimits,
+        now: Instant,
+    ) {
+        let make = || {
+            let bucket = if epoch == 1 {
+                TokenBucket::full(limits.rate, limits.burst, since)
+            } else {
+                TokenBucket::empty(limits.rate, limits.burst, since)
+            };
+            SliceBucket {
+                epoch,
+                limits,
+                bucket,
+            }
+        };
+        let slice = self.buckets.get_or_insert_with(index, make);
+        if slice.epoch != epoch {
+            *slice = make();
+        }
+        if slice.limits != limits {
+            slice.bucket.set_limits(limits.rate, limits.burst, now);
+            slice.limits = limits;
+        }
+    }
+
+    fn note_demand(&mut self, cost: Millitokens, now: Instant) {
+        let passed = now.saturating_duration_since(self.demand_at).as_secs_f64();
+        self.demand_at = now;
+        let kept = (-passed / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.demand = self.demand * kept + cost as f64 / DEMAND_WINDOW.as_secs_f64();
+    }
+
+    /// Takes from the stash that ends first, then from own buckets.
+    fn take(&mut self, cost: Millitokens, trusted: bool, now: Instant) -> Taken {
+        self.stashes
+            .retain(|stash| stash.until > now && stash.amount > 0);
+        self.stashes.sort_by_key(|stash| stash.until);
+        let mut taken = Taken {
+            from_buckets: Vec::new(),
+            from_stashes: Vec::new(),
+        };
+        let mut missing = cost;
+        for stash in &mut self.stashes {
+            let amount = missing.min(stash.amount);
+            stash.amount -= amount;
+            missing -= amount;
+            taken.from_stashes.push(Stash {
+                until: stash.until,
+                amount,
+            });
+        }
+        if !trusted {
+            return taken;
+        }
+        for (index, slice) in self.buckets.iter_mut() {
+            let amount = slice.bucket.take(missing, now);
+            missing -= amount;
+            taken.from_buckets.push((*index, amount));
+        }
+        taken
+    }
+
+    fn put_back(&mut self, taken: Taken, now: Instant) {
+        for (index, amount) in taken.from_buckets {
+            if let Some(slice) = self.buckets.get_mut(&index) {
+                slice.bucket.put_back(amount);
+            }
+        }
+        let returned = taken.from_stashes.into_iter();
+        self.stashes
+            .extend(returned.filter(|stash| stash.amount > 0 && stash.until > now));
+    }
+
+    fn level(&mut self, trusted: bool, now: Instant) -> Millitokens {
+        let stashed: Millitokens = self.stashes.iter().map(|stash| stash.amount).sum();
+        let buckets = self.buckets.iter_mut();
+        let own: Millitokens = buckets.map(|(_, slice)| slice.bucket.level(now)).sum();
+        if trusted { stashed + own } else { stashed }
+    }
+
+    fn wait_for(&mut self, missing: Millitokens, trusted: bool, now: Instant) -> Duration {
+        let buckets = self.buckets.iter_mut();
+        let own = buckets
+            .map(|(_, slice)| slice.bucket.wait_for(missing, now))
+            .min();
+        let own = own.filter(|_| trusted);
+        let others = self
+            .dry
+            .values()
+            .map(|until| until.saturating_duration_since(now))
+            .min();
+        let wait = own.into_iter().chain(others).min().unwrap_or(LEAST_WAIT);
+        wait.clamp(LEAST_WAIT, MOST_WAIT)
+    }
+
+    /// Owners of this team's other slices that may have tokens.
+    fn lenders(
+        &self,
+        team: &Name,
+        shards: &ShardMap,
+        policy: &LedgerPolicy,
+        now: Instant,
+    ) -> Vec<Lender> {
+        let count = self.allotment.slices(policy);
+        let others =
+            slice_shards(team, count, policy.shards).filter(|shard| !shards.is_mine(*shard));
+        let ready = others.filter(|shard| self.dry.get(shard).is_none_or(|until| *until <= now));
+        let owned = ready.filter_map(|shard| {
+            Some(Lender {
+                shard,
+                owner: shards.owner(shard)?.clone(),
+            })
+        });
+        owned.take(policy.borrow_attempts).collect()
+    }
+
+    fn ahead(&self, policy: &LedgerPolicy) -> Millitokens {
+        (self.demand * policy.borrow_ahead.as_secs_f64()) as Millitokens
+    }
+
+    fn plan_borrow(
+        &self,
+        team: &Name,
+        missing: Millitokens,
+        shards: &ShardMap,
+        policy: &LedgerPolicy,
+        now: Instant,
+    ) -> Option<BorrowPlan> {
+        let lenders = self.lenders(team, shards, policy, now);
+        let ahead = self.ahead(policy);
+        (!lenders.is_empty()).then_some(BorrowPlan {
+            lenders,
+            missing,
+            ahead,
+        })
+    }
+
+    /// Plans to borrow before the tokens here run out, so that no request waits for a round trip.
+    fn plan_ahead(
+        &mut self,
+        team: &Name,
+        shards: &ShardMap,
+        policy: &LedgerPolicy,
+        trusted: bool,
+        now: Instant,
+    ) -> Option<BorrowPlan> {
+        let ahead = self.ahead(policy);
+        if ahead < TOKEN || self.level(trusted, now) > ahead {
+            return None;
+        }
+        let lenders = self.lenders(team, shards, policy, now);
+        let first = lenders.into_iter().next()?;
+        // Until it has answered it isn't asked again.
+        self.dry.insert(first.shard, now + LEAST_VALID);
+        Some(BorrowPlan {
+            lenders: vec![first],
+            missing: 0,
+            ahead,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-quota/src/shards.rs
@@ -0,0 +1,377 @@
+//! Who owns which shard.
+
+use std::cmp::Reverse;
+
+use cuminramp_core::{Host, HostId, Name, hash_parts, rendezvous_score};
+use cuminramp_wire::rows::ShardRow;
+use tokio::time::Instant;
+
+/// What is known of one shard.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ShardRecord {
+    /// The run that owns it.
+    pub owner: Option<HostId>,
+    /// The number of that ownership; 0: nobody ever owned it.
+    pub epoch: u64,
+    /// When this host learnt of it.
+    pub since: Option<Instant>,
+    /// Whether this host has stopped spending it so as to give it away.
+    pub released: bool,
+}
+
+/// A change of ownership to write, on the condition that the row still has `from_epoch`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShardMove {
+    /// The shard.
+    pub shard: u32,
+    /// The epoch that the row must have.
+    pub from_epoch: u64,
+    /// The new owner.
+    pub owner: HostId,
+}
+
+impl ShardMove {
+    /// The row to write.
+    pub fn to_row(&self) -> ShardRow {
+        ShardRow {
+            shard: self.shard,
+            owner: self.owner.address.to_string(),
+            owner_incarnation: self.owner.incarnation,
+            epoch: self.from_epoch + 1,
+        }
+    }
+}
+
+/// The rows of all shards as this host knows them.
+#[derive(Clone, Debug)]
+pub struct ShardMap {
+    me: HostId,
+    records: Vec<ShardRecord>,
+}
+
+impl ShardMap {
+    /// A map of `shards` shards that nobody is known to own.
+    ///
+    /// ```
+    /// use cuminramp_core::HostId;
+    /// use cuminramp_quota::ShardMap;
+    /// let me = HostId { address: "127.0.0.1:1".into(), incarnation: 1 };
+    /// assert_eq!(ShardMap::new(me, 8).owned_count(), 0);
+    /// ```
+    pub fn new(me: HostId, shards: u32) -> Self {
+        ShardMap {
+            me,
+            records: vec![ShardRecord::default(); shards as usize],
+        }
+    }
+
+    /// The record of a shard; an empty one for a number out of range.
+    pub fn record(&self, shard: u32) -> ShardRecord {
+        self.records
+            .get(shard as usize)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// The run that owns a shard.
+    pub fn owner(&self, shard: u32) -> Option<&HostId> {
+        self.records.get(shard as usize)?.owner.as_ref()
+    }
+
+    /// Whether this run owns a shard and has not begun to give it away.
+    pub fn is_mine(&self, shard: u32) -> bool {
+        let record = self.records.get(shard as usize);
+        record.is_some_and(|record| !record.released && record.owner.as_ref() == Some(&self.me))
+    }
+
+    /// How many shards this run owns.
+    pub fn owned_count(&self) -> usize {
+        (0..self.records.len() as u32)
+            .filter(|shard| self.is_mine(*shard))
+            .count()
+    }
+
+    /// Takes in a row, from the table or from a peer, which only passes on rows that it read or
+    /// wrote; says whether it was news. A row with a lower epoch came late and is ignored.
+    ///
+    /// Reading an own row of the epoch at hand again shows that giving it away did not happen.
+    pub fn observe(&mut self, row: &ShardRow, from_table: bool, now: Instant) -> bool {
+        let Some(record) = self.records.get_mut(row.shard as usize) else {
+            return false;
+        };
+        if row.epoch == record.epoch && from_table {
+            record.released = false;
+        }
+        if row.epoch <= record.epoch {
+            return false;
+        }
+        let address = Name::from(row.owner.as_str());
+        let owner = HostId {
+            address,
+            incarnation: row.owner_incarnation,
+        };
+        *record = ShardRecord {
+            owner: Some(owner),
+            epoch: row.epoch,
+            since: Some(now),
+            released: false,
+        };
+        true
+    }
+
+    /// All known rows, for a peer.
+    pub fn to_rows(&self) -> Vec<ShardRow> {
+        let records = self.records.iter().enumerate();
+        records
+            .filter_map(|(shard, record)| {
+                let owner = record.owner.as_ref()?;
+                Some(ShardRow {
+                    shard: shard as u32,
+                    owner: owner.address.to_string(),
+                    owner_incarnation: owner.incarnation,
+                    epoch: record.epoch,
+                })
+            })
+            .collect()
+    }
+
+    /// A number that differs where two maps do.
+    pub fn digest_hash(&self) -> u64 {
+        let epochs: Vec<String> = self
+            .records
+            .iter()
+            .map(|shard| shard.epoch.to_string())
+            .collect();
+        let parts: Vec<&str> = epochs.iter().map(String::as_str).collect();
+        hash_parts(&parts)
+    }
+
+    /// Shards to take: those meant for this host that nobody owns or whose owner is surely dead.
+    ///
+    /// `hosts` are the live hosts that stay, this one among them. `is_surely_dead` must say `false`
+    /// on any doubt: suspicion never moves ownership, since a live owner would go on spending.
+    pub fn plan_claims(
+        &self,
+        hosts: &[Host],
+        is_surely_dead: impl Fn(&HostId) -> bool,
+    ) -> Vec<ShardMove> {
+        let zones = zones_of(hosts);
+        let free = self.numbered().filter(|(_, record)| match &record.owner {
+            None => true,
+            Some(owner) => *owner != self.me && is_surely_dead(owner),
+        });
+        let mine = free.filter(|(shard, _)| {
+            desired_owner(*shard, hosts, &zones).is_some_and(|host| host.id == self.me)
+        });
+        mine.map(|(shard, record)| ShardMove {
+            shard,
+            from_epoch: record.epoch,
+            owner: self.me.clone(),
+        })
+        .collect()
+    }
+
+    /// Releases up to `most` own shards that are meant for another host, and says where to.
+    ///
+    /// From this call on this run spends none of them, whatever becomes of the write.
+    pub fn release_moves(&mut self, hosts: &[Host], most: usize) -> Vec<ShardMove> {
+        let zones = zones_of(hosts);
+        let mut moves = Vec::new();
+        for shard in 0..self.records.len() as u32 {
+            if moves.len() >= most {
+                break;
+            }
+            if !self.is_mine(shard) {
+                continue;
+            }
+            let Some(host) = desired_owner(shard, hosts, &zones) else {
+                continue;
+            };
+            if host.id == self.me {
+                continue;
+            }
+            let record = &mut self.records[shard as usize];
+            record.released = true;
+            let owner = host.id.clone();
+            moves.push(ShardMove {
+                shard,
+                from_epoch: record.epoch,
+                owner,
+            });
+        }
+        moves
+    }
+
+    fn numbered(&self) -> impl Iterator<Item = (u32, &ShardRecord)> {
+        self.records
+            .iter()
+            .enumerate()
+            .map(|(shard, record)| (shard as u32, record))
+    }
+}
+
+fn zones_of(hosts: &[Host]) -> Vec<Name> {
+    let mut zones: Vec<Name> = hosts.iter().map(|host| host.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
+/// The host that a shard is meant for: in the zone whose turn it is, the one drawn most strongly.
+///
+/// Neighbouring shards lie in different zones, so a team's slices do too, and the loss of a zone
+/// costs a team only a part.
+fn desired_owner<'h>(shard: u32, hosts: &'h [Host], zones: &[Name]) -> Option<&'h Host> {
+    let zone = zones.get(shard as usize % zones.len().max(1))?;
+    let key = format!("shard-{shard}");
+    let in_zone = hosts.iter().filter(|host| host.zone == *zone);
+    in_zone.min_by_key(|host| Reverse(rendezvous_score(&key, &host.id.address)))
+}
+
+#[cfg(test)]
+mod tests {
+    use cuminramp_core::{Host, HostId};
+    use cuminramp_wire::rows::ShardRow;
+    use tokio::time::Instant;
+
+    use super::ShardMap;
+
+    const SHARDS: u32 = 96;
+
+    fn host(number: u64) -> Host {
+        Host {
+            id: HostId {
+                address: format!("10.0.0.{number}:1").into(),
+                incarnation: 1,
+            },
+            caller_address: format!("10.0.0.{number}:2").into(),
+            zone: format!("zone-{}", number % 3).into(),
+        }
+    }
+
+    fn hosts(count: u64) -> Vec<Host> {
+        (0..count).map(host).collect()
+    }
+
+    /// Claims everything that is free, host by host, as the table would let them.
+    fn settle(maps: &mut [ShardMap], hosts: &[Host], dead: &[HostId]) {
+        let now = Instant::now();
+        for index in 0..maps.len() {
+            let moves = maps[index].plan_claims(hosts, |owner| dead.contains(owner));
+            for change in moves {
+                for map in maps.iter_mut() {
+                    map.observe(&change.to_row(), true, now);
+                }
+            }
+        }
+    }
+
+    fn settled(hosts: &[Host]) -> Vec<ShardMap> {
+        let mut maps: Vec<ShardMap> = hosts
+            .iter()
+            .map(|host| ShardMap::new(host.id.clone(), SHARDS))
+            .collect();
+        settle(&mut maps, hosts, &[]);
+        maps
+    }
+
+    #[test]
+    fn every_shard_has_one_owner_and_neighbours_lie_in_other_zones() {
+        let hosts = hosts(11);
+
+        let maps = settled(&hosts);
+
+        let zone = |shard: u32| {
+            let owner = maps[0].owner(shard).unwrap();
+            hosts
+                .iter()
+                .find(|host| host.id == *owner)
+                .unwrap()
+                .zone
+                .clone()
+        };
+        let owned: usize = maps.iter().map(ShardMap::owned_count).sum();
+        assert_eq!(owned, SHARDS as usize);
+        assert!((1..SHARDS).all(|shard| zone(shard) != zone(shard - 1)));
+    }
+
+    // A host is suspected since a link is cut, yet goes on serving. If suspicion moved its shards,
+    // two hosts would spend the same tokens and teams would get more than their rate.
+    #[test]
+    fn a_suspect_keeps_its_shards() {
+        let hosts = hosts(11);
+        let maps = settled(&hosts);
+
+        let claims = maps[0].plan_claims(&hosts[..10], |_| false);
+
+        assert!(claims.is_empty());
+    }
+
+    #[test]
+    fn a_dead_host_is_replaced_and_nothing_else_moves() {
+        let hosts = hosts(11);
+        let mut maps = settled(&hosts);
+        let before = maps[0].clone();
+
+        settle(&mut maps[..10], &hosts[..10], &[hosts[10].id.clone()]);
+
+        for shard in 0..SHARDS {
+            let owner = maps[0].owner(shard).unwrap();
+            assert_ne!(*owner, hosts[10].id);
+            if before.owner(shard) != Some(&hosts[10].id) {
+                assert_eq!(before.owner(shard), Some(owner));
+            }
+        }
+    }
+
+    // The write that gives a shard away loses its answer. If the giver went on spending, both it
+    // and the new owner would; if it never looked again, nobody might.
+    #[test]
+    fn a_released_shard_is_not_spent_until_the_table_says_it_is_still_owned() {
+        let hosts = hosts(6);
+        let mut map = settled(&hosts[..5]).remove(0);
+        let now = Instant::now();
+        let moves = map.release_moves(&hosts[1..], usize::MAX);
+        let given = moves[0].clone();
+        assert!(!map.is_mine(given.shard));
+
+        let unchanged = ShardRow {
+            shard: given.shard,
+            owner: hosts[0].id.address.to_string(),
+            owner_incarnation: 1,
+            epoch: given.from_epoch,
+        };
+        map.observe(&unchanged, false, now);
+        let after_peer = map.is_mine(given.shard);
+        map.observe(&unchanged, true, now);
+
+        assert!(!after_peer);
+        assert!(map.is_mine(given.shard));
+    }
+
+    // A peer passes on a row that it read long ago. A host that took it back would spend a shard
+    // that another one owns by now.
+    #[test]
+    fn a_late_row_changes_nothing() {
+        let hosts = hosts(5);
+        let mut map = settled(&hosts).remove(0);
+        let now = Instant::now();
+        let newer = ShardRow {
+            shard: 1,
+            owner: "10.0.0.9:1".into(),
+            owner_incarnation: 4,
+            epoch: 9,
+        };
+        map.observe(&newer, false, now);
+
+        let late = ShardRow {
+            epoch: 8,
+            owner: hosts[0].id.address.to_string(),
+            ..newer
+        };
+        let news = map.observe(&late, true, now);
+
+        assert!(!news);
+        assert!(!map.is_mine(1));
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-routes/src/configuration.rs
@@ -0,0 +1,218 @@
+//! What a host has in force.
+
+use std::fmt;
+
+use cuminramp_core::{KeyDigest, Name, SortedMap};
+use cuminramp_wire::rows::change::Entry;
+use cuminramp_wire::rows::{ChangeSet, KeyEntry, PoolEntry, RouteEntry, Snapshot, TeamEntry};
+
+use crate::declarations::{DeclarationFault, Declarations, Pool, Route, Team};
+
+/// To which team a key belongs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyGrant {
+    /// The team.
+    pub team: Name,
+    /// What operators call the key.
+    pub label: Name,
+}
+
+/// Why a change set can't follow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ApplyError {
+    /// Its generation is not above the one in force.
+    Stale,
+    /// Changes before it are missing.
+    Gap,
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            ApplyError::Stale => "the generation is not above the one in force",
+            ApplyError::Gap => "changes before this one are missing",
+        })
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+/// Routes, pools, teams and keys at one generation; generation 0 is empty.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its number.
+    pub generation: u64,
+    /// Routes by name.
+    pub routes: SortedMap<Name, Route>,
+    /// Pools by name.
+    pub pools: SortedMap<Name, Pool>,
+    /// Teams by name.
+    pub teams: SortedMap<Name, Team>,
+    /// Keys by digest.
+    pub keys: SortedMap<KeyDigest, KeyGrant>,
+}
+
+impl Configuration {
+    /// The configuration that `set` makes of this one.
+    ///
+    /// Only the next generation follows: a set that came late, twice or out of order changes
+    /// nothing, so what is in force never goes back.
+    ///
+    /// ```
+    /// use cuminramp_routes::{ApplyError, Configuration};
+    /// use cuminramp_wire::rows::ChangeSet;
+    /// let set = ChangeSet { generation: 1, ..ChangeSet::default() };
+    /// let next = Configuration::default().apply(&set).unwrap();
+    /// assert_eq!(next.generation, 1);
+    /// assert_eq!(next.apply(&set), Err(ApplyError::Stale));
+    /// ```
+    pub fn apply(&self, set: &ChangeSet) -> Result<Configuration, ApplyError> {
+        if set.generation <= self.generation {
+            return Err(ApplyError::Stale);
+        }
+        if set.generation > self.generation + 1 {
+            return Err(ApplyError::Gap);
+        }
+        let mut next = self.clone();
+        next.generation = set.generation;
+        for change in &set.changes {
+            if let Some(entry) = &change.entry {
+                next.apply_entry(entry);
+            }
+        }
+        Ok(next)
+    }
+
+    fn apply_entry(&mut self, entry: &Entry) {
+        match entry {
+            Entry::Route(entry) => self.put_route(entry),
+            Entry::Pool(entry) => self.put_pool(entry),
+            Entry::Team(entry) => self.put_team(entry),
+            Entry::Key(entry) => self.put_key(entry),
+            Entry::RemovedRoute(name) => drop(self.routes.remove(name.as_str())),
+            Entry::RemovedPool(name) => drop(self.pools.remove(name.as_str())),
+            Entry::RemovedTeam(name) => drop(self.teams.remove(name.as_str())),
+            Entry::WithdrawnKey(bytes) => {
+                if let Some(digest) = KeyDigest::from_bytes(bytes) {
+                    self.keys.remove(&digest);
+                }
+            }
+        }
+    }
+
+    fn put_route(&mut self, entry: &RouteEntry) {
+        let route = Route::from(entry);
+        self.routes.insert(route.name.clone(), route);
+    }
+
+    fn put_pool(&mut self, entry: &PoolEntry) {
+        let pool = Pool::from(entry);
+        self.pools.insert(pool.name.clone(), pool);
+    }
+
+    fn put_team(&mut self, entry: &TeamEntry) {
+        let team = Team::from(entry);
+        self.teams.insert(team.name.clone(), team);
+    }
+
+    fn put_key(&mut self, entry: &KeyEntry) {
+        if let Some((digest, grant)) = self.read_key(entry) {
+            self.keys.insert(digest, grant);
+        }
+    }
+
+    /// Reads a key's entry, sharing the name with the team where the team is known.
+    fn read_key(&self, entry: &KeyEntry) -> Option<(KeyDigest, KeyGrant)> {
+        let digest = KeyDigest::from_bytes(&entry.digest)?;
+        let team = match self.teams.get(entry.team.as_str()) {
+            Some(team) => team.name.clone(),
+            None => Name::from(entry.team.as_str()),
+        };
+        Some((
+            digest,
+            KeyGrant {
+                team,
+                label: Name::from(entry.label.as_str()),
+            },
+        ))
+    }
+
+    /// Everything in force, as one message.
+    pub fn to_snapshot(&self) -> Snapshot {
+        Snapshot {
+            generation: self.generation,
+            routes: self.routes.values().map(RouteEntry::from).collect(),
+            pools: self.pools.values().map(PoolEntry::from).collect(),
+            teams: self.teams.values().map(TeamEntry::from).collect(),
+            keys: self
+                .keys
+                .iter()
+                .map(|(digest, grant)| grant.to_entry(digest))
+                .collect(),
+        }
+    }
+
+    /// The configuration of a snapshot.
+    ///
+    /// ```
+    /// use cuminramp_routes::Configuration;
+    /// let configuration = Configuration::default();
+    /// assert_eq!(Configuration::from_snapshot(&configuration.to_snapshot()), configuration);
+    /// ```
+    pub fn from_snapshot(snapshot: &Snapshot) -> Configuration {
+        let routes = snapshot.routes.iter().map(Route::from);
+        let pools = snapshot.pools.iter().map(Pool::from);
+        let teams = snapshot.teams.iter().map(Team::from);
+        let mut configuration = Configuration {
+            generation: snapshot.generation,
+            routes: routes.map(|route| (route.name.clone(), route)).collect(),
+            pools: pools.map(|pool| (pool.name.clone(), pool)).collect(),
+            teams: teams.map(|team| (team.name.clone(), team)).collect(),
+            keys: SortedMap::new(),
+        };
+        let keys = snapshot
+            .keys
+            .iter()
+            .filter_map(|entry| configuration.read_key(entry))
+            .collect();
+        configuration.keys = keys;
+        configuration
+    }
+
+    /// The declarations that describe it; keys are left out.
+    pub fn to_declarations(&self) -> Declarations {
+        Declarations {
+            routes: self.routes.values().cloned().collect(),
+            pools: self.pools.values().cloned().collect(),
+            teams: self.teams.values().cloned().collect(),
+        }
+    }
+
+    /// What is wrong with it as a whole: as in a declaration, and keys of unknown teams.
+    pub fn check(&self) -> Vec<DeclarationFault> {
+        let mut faults = self.to_declarations().check();
+        for grant in self
+            .keys
+            .values()
+            .filter(|grant| !self.teams.contains_key(&*grant.team))
+        {
+            faults.push(DeclarationFault {
+                place: format!("keys[{}]", grant.label),
+                reason: format!(
+                    "its team {:?} is not declared; withdraw the key first",
+                    grant.team
+                ),
+            });
+        }
+        faults
+    }
+
+    /// The team whose key has `digest`.
+    ///
+    /// The search bisects digests, which tell nothing of the key; the last comparison takes the
+    /// same time wherever the digests differ.
+    pub fn find_key(&self, digest: &KeyDigest) -> Option<&KeyGrant> {
+        let (found, grant) = self.keys.get_entry(digest)?;
+        found.matches(digest).then_some(grant)
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-routes/src/planner.rs
@@ -0,0 +1,121 @@
+//! Which route a request takes.
+
+use cuminramp_core::{Name, SortedMap};
+
+use crate::{Configuration, Route};
+
+/// What a request is matched by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteQuery<'a> {
+    /// The model that the body names.
+    Model(&'a str),
+    /// The path of a call to a plain service.
+    Path(&'a str),
+}
+
+/// Routes indexed by what they match.
+#[derive(Clone, Debug, Default)]
+pub struct RoutePlanner {
+    by_model: SortedMap<Name, Name>,
+    by_prefix: SortedMap<Name, Name>,
+}
+
+impl RoutePlanner {
+    /// Indexes the routes of `configuration`.
+    pub fn new(configuration: &Configuration) -> Self {
+        let routes = || configuration.routes.values();
+        let models = routes().filter_map(|route| Some((route.model.clone()?, route.name.clone())));
+        let prefixes =
+            routes().filter_map(|route| Some((route.path_prefix.clone()?, route.name.clone())));
+        RoutePlanner {
+            by_model: models.collect(),
+            by_prefix: prefixes.collect(),
+        }
+    }
+
+    /// The route for `query`: the model's own, or the one with the longest matching prefix.
+    ///
+    /// A prefix matches whole segments: `/bookings` matches `/bookings/7` and not `/bookings2`.
+    ///
+    /// ```
+    /// use cuminramp_routes::{Configuration, RoutePlanner, RouteQuery};
+    /// let configuration = Configuration::default();
+    /// let planner = RoutePlanner::new(&configuration);
+    /// assert!(planner.plan(&configuration, RouteQuery::Model("m")).is_none());
+    /// ```
+    pub fn plan<'c>(
+        &self,
+        configuration: &'c Configuration,
+        query: RouteQuery<'_>,
+    ) -> Option<&'c Route> {
+        let name = match query {
+            RouteQuery::Model(model) => self.by_model.get(model)?,
+            RouteQuery::Path(path) => self.longest_prefix(path)?,
+        };
+        configuration.routes.get(&**name)
+    }
+
+    /// The models that have a route, sorted.
+    pub fn models(&self) -> impl Iterator<Item = &Name> {
+        self.by_model.keys()
+    }
+
+    fn longest_prefix(&self, path: &str) -> Option<&Name> {
+        let mut end = path.len();
+        loop {
+            let candidate = &path[..end];
+            let found = self.by_prefix.get(candidate);
+            if found.is_some() {
+                return found;
+            }
+            end = candidate.rfind('/')?;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use test_case::test_case;
+
+    use super::{RoutePlanner, RouteQuery};
+    use crate::{Configuration, Route};
+
+    fn route(name: &str, model: Option<&str>, prefix: Option<&str>) -> Route {
+        Route {
+            name: name.into(),
+            model: model.map(Into::into),
+            path_prefix: prefix.map(Into::into),
+            pool: "p".into(),
+            repeatable: None,
+            timeout_ms: 1,
+        }
+    }
+
+    fn configuration() -> Configuration {
+        let mut configuration = Configuration::default();
+        for row in [
+            route("chat", Some("llm"), None),
+            route("bookings", None, Some("/bookings")),
+            route("seats", None, Some("/bookings/seats")),
+        ] {
+            configuration.routes.insert(row.name.clone(), row);
+        }
+        configuration
+    }
+
+    #[test_case(RouteQuery::Model("llm"), Some("chat"))]
+    #[test_case(RouteQuery::Model("other"), None)]
+    #[test_case(RouteQuery::Path("/bookings"), Some("bookings"))]
+    #[test_case(RouteQuery::Path("/bookings/7"), Some("bookings"))]
+    #[test_case(RouteQuery::Path("/bookings/seats/7"), Some("seats"))]
+    #[test_case(RouteQuery::Path("/bookings2"), None)]
+    #[test_case(RouteQuery::Path("/"), None)]
+    fn a_query_takes_the_route_that_matches_most(query: RouteQuery<'_>, expected: Option<&str>) {
+        let configuration = configuration();
+        let planner = RoutePlanner::new(&configuration);
+
+        let planned = planner.plan(&configuration, query);
+
+        assert_eq!(planned.map(|route| &*route.name), expected);
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-standin/src/engine_core.rs
@@ -0,0 +1,237 @@
+//! Continuous batching: every step gives each running sequence one token.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cuminramp_core::SortedMap;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use crate::EngineSettings;
+use crate::text::expected_token;
+
+/// Characters of a prompt that make up one prefix of the cache.
+const PREFIX_CHARS: usize = 64;
+
+/// What an engine says of its load, some time late.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct LoadReport {
+    /// Sequences that get a token each step.
+    pub running: u32,
+    /// Sequences that wait to be admitted.
+    pub waiting: u32,
+    /// How many sequences may run at once.
+    pub slots: u32,
+    /// Milliseconds since the report was true.
+    pub age_ms: u64,
+}
+
+/// What an engine has done since it started.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct EngineStats {
+    /// Requests taken in.
+    pub requests: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Sequences whose caller went away.
+    pub cancelled: u64,
+    /// Times the engine crashed.
+    pub crashes: u64,
+    /// Milliseconds in which at least one sequence ran, weighted by the share of slots in use.
+    pub busy_slot_ms: u64,
+    /// Requests whose prefix was in the cache.
+    pub prefix_hits: u64,
+}
+
+pub(crate) struct SequenceRequest {
+    pub(crate) prompt: String,
+    pub(crate) start: usize,
+    pub(crate) tokens: usize,
+}
+
+struct Sequence {
+    request: SequenceRequest,
+    emitted: usize,
+    prefill_steps: usize,
+    sender: mpsc::UnboundedSender<String>,
+}
+
+#[derive(Default)]
+struct CoreState {
+    running: Vec<Sequence>,
+    waiting: VecDeque<Sequence>,
+    prefixes: VecDeque<String>,
+    stats: EngineStats,
+    runs: SortedMap<String, u32>,
+    reports: VecDeque<(Instant, LoadReport)>,
+}
+
+/// The batching loop of one engine and its counters; it outlives crashes.
+pub(crate) struct EngineCore {
+    settings: EngineSettings,
+    state: Mutex<CoreState>,
+    arrived: Notify,
+}
+
+impl EngineCore {
+    pub(crate) fn new(settings: EngineSettings) -> Self {
+        EngineCore {
+            settings,
+            state: Mutex::default(),
+            arrived: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, CoreState> {
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes a sequence in; its tokens come through the receiver.
+    pub(crate) fn submit(&self, request: SequenceRequest) -> mpsc::UnboundedReceiver<String> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut state = self.lock();
+        state.stats.requests += 1;
+        let prefix: String = request.prompt.chars().take(PREFIX_CHARS).collect();
+        let cached = state.prefixes.contains(&prefix);
+        if cached {
+            state.stats.prefix_hits += 1;
+        } else {
+            state.prefixes.push_back(prefix);
+            if state.prefixes.len() > self.settings.prefix_entries {
+                state.prefixes.pop_front();
+            }
+        }
+        let prefill_steps = if cached {
+            0
+        } else {
+            self.settings.prefill_steps
+        };
+        state.waiting.push_back(Sequence {
+            request,
+            emitted: 0,
+            prefill_steps,
+            sender,
+        });
+        drop(state);
+        self.arrived.notify_one();
+        receiver
+    }
+
+    /// Counts a run of work that is told apart by `key`.
+    pub(crate) fn count_run(&self, key: &str) -> u32 {
+        let mut state = self.lock();
+        let runs = state.runs.get_or_insert_with(key.to_owned(), || 0);
+        *runs += 1;
+        *runs
+    }
+
+    pub(crate) fn runs(&self) -> Vec<(String, u32)> {
+        self.lock()
+            .runs
+            .iter()
+            .map(|(key, count)| (key.clone(), *count))
+            .collect()
+    }
+
+    pub(crate) fn stats(&self) -> EngineStats {
+        self.lock().stats.clone()
+    }
+
+    /// Drops all sequences, as a crash does.
+    pub(crate) fn crash(&self) {
+        let mut state = self.lock();
+        state.stats.crashes += 1;
+        state.running.clear();
+        state.waiting.clear();
+        state.prefixes.clear();
+        state.reports.clear();
+    }
+
+    /// The report that is `report_lag_ms` old.
+    pub(crate) fn late_report(&self) -> LoadReport {
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        let now = Instant::now();
+        let mut state = self.lock();
+        let current = (now, self.current_report(&state));
+        state.reports.push_back(current);
+        while state.reports.len() > 1 && now.saturating_duration_since(state.reports[1].0) >= lag {
+            state.reports.pop_front();
+        }
+        let (at, report) = state.reports[0].clone();
+        let age_ms = now.saturating_duration_since(at).as_millis() as u64;
+        LoadReport { age_ms, ..report }
+    }
+
+    fn current_report(&self, state: &CoreState) -> LoadReport {
+        LoadReport {
+            running: state.running.len() as u32,
+            waiting: state.waiting.len() as u32,
+            slots: self.settings.slots as u32,
+            age_ms: 0,
+        }
+    }
+
+    /// Runs steps for ever.
+    pub(crate) async fn run(&self) {
+        loop {
+            let Some(step) = self.begin_step() else {
+                self.arrived.notified().await;
+                continue;
+            };
+            tokio::time::sleep(step).await;
+            self.end_step(step);
+        }
+    }
+
+    /// Admits what fits and says how long the step takes; `None` where nothing is to do.
+    fn begin_step(&self) -> Option<Duration> {
+        let mut state = self.lock();
+        while state.running.len() < self.settings.slots {
+            let Some(sequence) = state.waiting.pop_front() else {
+                break;
+            };
+            state.running.push(sequence);
+        }
+        let count = state.running.len() as u64;
+        let micros = self.settings.step_base_us + self.settings.step_sequence_us * count;
+        (count > 0).then(|| Duration::from_micros(micros))
+    }
+
+    fn end_step(&self, step: Duration) {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let share = state.running.len() as u64 * step.as_micros() as u64;
+        state.stats.busy_slot_ms += share / self.settings.slots as u64 / 1_000;
+        let stats = &mut state.stats;
+        state
+            .running
+            .retain_mut(|sequence| advance(sequence, stats));
+    }
+}
+
+/// Gives a sequence its token; says whether it goes on.
+fn advance(sequence: &mut Sequence, stats: &mut EngineStats) -> bool {
+    if sequence.sender.is_closed() {
+        stats.cancelled += 1;
+        return false;
+    }
+    if sequence.prefill_steps > 0 {
+        sequence.prefill_steps -= 1;
+        return true;
+    }
+    let position = sequence.request.start + sequence.emitted;
+    if position < sequence.request.tokens {
+        stats.tokens += 1;
+        sequence.emitted += 1;
+        let _ = sequence
+            .sender
+            .send(expected_token(&sequence.request.prompt, position));
+    }
+    position + 1 < sequence.request.tokens
+}
--- /dev/null
+++ b/crates/cuminramp-standin/src/engine_http.rs
@@ -0,0 +1,222 @@
+//! The HTTP interface of an engine: chat completions, load, orders, faults, and a plain service.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures_util::StreamExt;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+use crate::engine::EngineShared;
+use crate::engine_core::{LoadReport, SequenceRequest};
+
+/// Tokens of an answer where the caller names no number.
+const DEFAULT_TOKENS: usize = 16;
+/// Asks for an answer from this token on.
+const RESUME_HEADER: &str = "x-resume-position";
+/// Largest body of a service call.
+const MAX_SERVICE_BYTES: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    max_tokens: Option<usize>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+/// An order to load something or change role.
+#[derive(Deserialize)]
+struct OrderBody {
+    fence: u64,
+}
+
+/// Faults that can be set while the engine runs.
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Default)]
+struct FaultBody {
+    silent: Option<bool>,
+    failing: Option<bool>,
+    crash: bool,
+}
+
+type Shared = State<Arc<EngineShared>>;
+
+pub(crate) fn build_router(shared: Arc<EngineShared>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(complete_chat))
+        .route("/load", get(show_load))
+        .route("/orders", post(take_order))
+        .route("/faults", post(set_faults))
+        .route("/stats", get(show_stats))
+        .route("/runs", get(show_runs))
+        .fallback(serve_call)
+        .with_state(shared)
+}
+
+/// Waits for ever where the engine is silent.
+async fn be_silent(shared: &EngineShared) {
+    if shared.switches.silent.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn complete_chat(
+    State(shared): Shared,
+    headers: HeaderMap,
+    Json(body): Json<ChatBody>,
+) -> Response {
+    be_silent(&shared).await;
+    if shared.switches.failing.load(Ordering::Relaxed) {
+        return (StatusCode::INTERNAL_SERVER_ERROR, "the engine is failing").into_response();
+    }
+    let prompt = body
+        .messages
+        .iter()
+        .map(|message| message.content.as_str())
+        .collect::<String>();
+    shared.core.count_run(&prompt);
+    let marker = &shared.settings.crash_marker;
+    if !marker.is_empty() && prompt.contains(marker.as_str()) {
+        shared.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
+    let start = headers
+        .get(RESUME_HEADER)
+        .and_then(|value| value.to_str().ok());
+    let start = start.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let tokens = body.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let receiver = shared.core.submit(SequenceRequest {
+        prompt,
+        start,
+        tokens,
+    });
+    if body.stream {
+        stream_answer(&body.model, receiver)
+    } else {
+        whole_answer(&body.model, receiver, tokens).await
+    }
+}
+
+fn chunk_line(model: &str, content: &str, finish: Option<&str>) -> Bytes {
+    let chunk = json!({
+        "id": "chatcmpl-standin",
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": finish}],
+    });
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
+
+fn stream_answer(model: &str, receiver: mpsc::UnboundedReceiver<String>) -> Response {
+    let model = model.to_owned();
+    let last = chunk_line(&model, "", Some("stop"));
+    let tokens =
+        UnboundedReceiverStream::new(receiver).map(move |token| chunk_line(&model, &token, None));
+    let end = futures_util::stream::iter([last, Bytes::from_static(b"data: [DONE]\n\n")]);
+    let body = Body::from_stream(tokens.chain(end).map(Ok::<Bytes, Infallible>));
+    ([("content-type", "text/event-stream")], body).into_response()
+}
+
+async fn whole_answer(
+    model: &str,
+    mut receiver: mpsc::UnboundedReceiver<String>,
+    tokens: usize,
+) -> Response {
+    let mut content = String::new();
+    while let Some(token) = receiver.recv().await {
+        content.push_str(&token);
+    }
+    Json(json!({
+        "id": "chatcmpl-standin",
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": "stop",
+        }],
+        "usage": {"prompt_tokens": 0, "completion_tokens": tokens, "total_tokens": tokens},
+    }))
+    .into_response()
+}
+
+async fn show_load(State(shared): Shared) -> Json<LoadReport> {
+    be_silent(&shared).await;
+    Json(shared.core.late_report())
+}
+
+async fn take_order(State(shared): Shared, Json(order): Json<OrderBody>) -> Response {
+    let highest = shared
+        .switches
+        .fence
+        .fetch_max(order.fence, Ordering::Relaxed);
+    if order.fence < highest {
+        shared.switches.late_orders.fetch_add(1, Ordering::Relaxed);
+        if shared.settings.checks_fencing {
+            return (StatusCode::CONFLICT, Json(json!({"fence": highest}))).into_response();
+        }
+    }
+    Json(json!({"fence": order.fence})).into_response()
+}
+
+async fn set_faults(State(shared): Shared, Json(faults): Json<FaultBody>) -> StatusCode {
+    if let Some(silent) = faults.silent {
+        shared.switches.silent.store(silent, Ordering::Relaxed);
+    }
+    if let Some(failing) = faults.failing {
+        shared.switches.failing.store(failing, Ordering::Relaxed);
+    }
+    if faults.crash {
+        shared.crash.notify_one();
+    }
+    StatusCode::OK
+}
+
+async fn show_stats(State(shared): Shared) -> Response {
+    let late_orders = shared.switches.late_orders.load(Ordering::Relaxed);
+    Json(json!({"engine": shared.core.stats(), "late-orders": late_orders})).into_response()
+}
+
+async fn show_runs(State(shared): Shared) -> Response {
+    Json(shared.core.runs()).into_response()
+}
+
+/// A plain service: it echoes the call and counts how often the same body came.
+async fn serve_call(State(shared): Shared, request: Request) -> Response {
+    be_silent(&shared).await;
+    let (head, body) = request.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, MAX_SERVICE_BYTES).await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let runs = shared
+        .core
+        .count_run(&format!("{} {} {body}", head.method, head.uri));
+    let saw_key = head.headers.contains_key("authorization");
+    Json(json!({
+        "method": head.method.as_str(),
+        "path": head.uri.to_string(),
+        "body": body,
+        "runs": runs,
+        "saw-key": saw_key,
+    }))
+    .into_response()
+}
--- /dev/null
+++ b/crates/cuminramp-standin/src/lib.rs
@@ -0,0 +1,19 @@
+//! Small stand-ins for the platform and for engines, with settable faults.
+//!
+//! They run inside a daemon for the quickstart, inside tests, and as processes of their own. What
+//! they do is plain on purpose; what goes wrong with them is settable and follows a fixed seed.
+
+mod engine;
+mod engine_core;
+mod engine_http;
+mod faulty_link;
+mod memory_platform;
+mod platform_http;
+mod text;
+
+pub use engine::{Engine, EngineSettings};
+pub use engine_core::{EngineStats, LoadReport};
+pub use faulty_link::{FaultyLink, LinkMode};
+pub use memory_platform::{MemoryPlatform, PlatformFaults, PlatformSettings, PlatformStats};
+pub use platform_http::serve_platform;
+pub use text::{expected_answer, expected_token};
--- /dev/null
+++ b/crates/cuminramp-targets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of target, ejection, retries, and the windows of batch.
--- /dev/null
+++ b/crates/cuminramp-wire/src/encoded.rs
@@ -0,0 +1,41 @@
+//! Protobuf messages inside the service's own encoding.
+
+use prost::{DecodeError, Message};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// A protobuf message that travels as bytes, so that fields can be added without breaking a peer
+/// of an older version, which the service's own positional encoding would.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Encoded<M>(pub M);
+
+impl<M: Message> Serialize for Encoded<M> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0.encode_to_vec())
+    }
+}
+
+impl<'de, M: Message + Default> Deserialize<'de> for Encoded<M> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let bytes = Vec::<u8>::deserialize(deserializer)?;
+        M::decode(bytes.as_slice())
+            .map(Encoded)
+            .map_err(serde::de::Error::custom)
+    }
+}
+
+/// The bytes of a row.
+///
+/// ```
+/// use cuminramp_wire::rows::HeadRow;
+/// let row = HeadRow { generation: 3, ..HeadRow::default() };
+/// let bytes = cuminramp_wire::encode_row(&row);
+/// assert_eq!(cuminramp_wire::decode_row::<HeadRow>(&bytes).unwrap(), row);
+/// ```
+pub fn encode_row<M: Message>(row: &M) -> Vec<u8> {
+    row.encode_to_vec()
+}
+
+/// Reads a row back; fails where the bytes are not of that message.
+pub fn decode_row<M: Message + Default>(bytes: &[u8]) -> Result<M, DecodeError> {
+    M::decode(bytes)
+}
--- /dev/null
+++ b/crates/cuminramp-wire/src/service.rs
@@ -0,0 +1,22 @@
+//! The calls between daemons.
+
+use crate::Encoded;
+use crate::peer::{
+    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest,
+};
+
+/// What a daemon answers to another daemon.
+///
+/// Each call may arrive late, twice or never. A probe and a crash report merge, a pull only reads,
+/// and a borrow debits the owner before the requester is credited, so none does harm when repeated.
+#[tarpc::service]
+pub trait PeerService {
+    /// Are you there, and what have you in force?
+    async fn probe(request: Encoded<Probe>) -> Encoded<ProbeReply>;
+    /// Give me what I lack.
+    async fn pull(request: Encoded<PullRequest>) -> Encoded<PullReply>;
+    /// Debit tokens of a team for me.
+    async fn borrow(request: Encoded<BorrowRequest>) -> Encoded<BorrowReply>;
+    /// These fingerprints crashed a target.
+    async fn report_crash(request: Encoded<CrashReport>) -> ();
+}
--- /dev/null
+++ b/tests/testsuite/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the whole system.
