Decide on targets, retries, crashes, windows and chunks

Each is a state machine without I/O: choice by expected wait and prefix, one place for what follows a failed attempt, quarantine of requests that crash targets, deficit round robin, batch windows, and the steps of a chunk's row.

--- /dev/null
+++ b/crates/cuminramp-batch/src/input.rs
@@ -0,0 +1,123 @@
+//! The file of JSON lines that a job is made of.
+
+use cuminramp_core::{Refusal, ResultCode};
+use serde::Deserialize;
+use serde_json::Value;
+
+/// The endpoint that batch items may ask for.
+const ALLOWED_URL: &str = "/v1/chat/completions";
+/// Characters of a bad line's identifier that are kept.
+const MOST_ID_CHARS: usize = 128;
+
+/// One request of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BatchItem {
+    /// The caller's name for it.
+    pub custom_id: String,
+    /// The model it asks for.
+    pub model: String,
+    /// The body to send.
+    pub body: Value,
+}
+
+/// A line that can't run, with what is known of its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ItemFault {
+    /// The caller's name for it, or the line's number.
+    pub custom_id: String,
+    /// What is wrong.
+    pub refusal: Refusal,
+}
+
+#[derive(Deserialize)]
+struct InputLine {
+    custom_id: String,
+    method: String,
+    url: String,
+    body: Value,
+}
+
+/// Reads one line; `number` counts from 1.
+///
+/// ```
+/// let line = r#"{"custom_id": "a", "method": "POST", "url": "/v1/chat/completions", "body": {"model": "m"}}"#;
+/// assert_eq!(cuminramp_batch::parse_line(line, 1).unwrap().model, "m");
+/// assert_eq!(cuminramp_batch::parse_line("{", 7).unwrap_err().custom_id, "line-7");
+/// ```
+pub fn parse_line(line: &str, number: usize) -> Result<BatchItem, ItemFault> {
+    let fault = |custom_id: String, reason: String| ItemFault {
+        custom_id,
+        refusal: Refusal::not_run(
+            ResultCode::LineMalformed,
+            format!("line {number}: {reason}"),
+        ),
+    };
+    let nameless = format!("line-{number}");
+    let value: Value =
+        serde_json::from_str(line).map_err(|error| fault(nameless.clone(), error.to_string()))?;
+    let named = value.get("custom_id").and_then(Value::as_str);
+    let custom_id: String = named
+        .unwrap_or(&nameless)
+        .chars()
+        .take(MOST_ID_CHARS)
+        .collect();
+    let input: InputLine = serde_json::from_value(value)
+        .map_err(|error| fault(custom_id.clone(), error.to_string()))?;
+    if input.method != "POST" || input.url != ALLOWED_URL {
+        let reason = format!("only POST {ALLOWED_URL} can be asked for");
+        return Err(fault(custom_id, reason));
+    }
+    let Some(model) = input.body.get("model").and_then(Value::as_str) else {
+        return Err(fault(custom_id, "the body names no model".into()));
+    };
+    let model = model.to_owned();
+    let mut body = input.body;
+    // A batch item has one result, not a stream.
+    if let Some(fields) = body.as_object_mut() {
+        fields.remove("stream");
+    }
+    Ok(BatchItem {
+        custom_id: input.custom_id,
+        model,
+        body,
+    })
+}
+
+/// Reads all lines of a text, the first with number `first`; empty lines are passed over but
+/// counted.
+pub fn parse_input(text: &str, first: usize) -> Vec<Result<BatchItem, ItemFault>> {
+    let lines = text.lines().enumerate();
+    lines
+        .filter(|(_, line)| !line.trim().is_empty())
+        .map(|(index, line)| parse_line(line, first + index))
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+    use test_case::test_case;
+
+    use super::{parse_input, parse_line};
+
+    #[test_case("not json", "line-3"; "no json")]
+    #[test_case(r#"{"custom_id": "x"}"#, "x"; "fields missing")]
+    #[test_case(r#"{"custom_id": "x", "method": "GET", "url": "/v1/chat/completions", "body": {}}"#, "x"; "method")]
+    #[test_case(r#"{"custom_id": "x", "method": "POST", "url": "/v1/other", "body": {}}"#, "x"; "url")]
+    #[test_case(r#"{"custom_id": "x", "method": "POST", "url": "/v1/chat/completions", "body": {}}"#, "x"; "no model")]
+    fn a_bad_line_has_an_error_of_its_own(line: &str, name: &str) {
+        let fault = parse_line(line, 3).unwrap_err();
+
+        assert_eq!(fault.custom_id, name);
+        assert_eq!(fault.refusal.code.number(), 1008);
+    }
+
+    proptest! {
+        #[test]
+        fn any_text_gives_one_outcome_a_line(text in "[ -~\n]{0,400}") {
+            let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+
+            prop_assert_eq!(parse_input(&text, 1).len(), lines);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-targets/src/crashes.rs
@@ -0,0 +1,122 @@
+//! Requests that crash the targets that run them.
+
+use std::time::Duration;
+
+use cuminramp_core::SortedMap;
+use tokio::time::Instant;
+
+/// Most fingerprints remembered.
+const MOST_RECORDS: usize = 10_000;
+
+/// What is known of one fingerprint.
+#[derive(Clone, Copy, Debug)]
+struct CrashRecord {
+    crashes: u32,
+    last: Instant,
+    running: u32,
+}
+
+/// Counts crashes by the fingerprint of the request.
+///
+/// A request that kills each target that runs it takes the whole pool down if it is retried, or if
+/// its caller sends it again. One would notice targets failing one after another. So a request whose
+/// target died is a suspect: it runs no more than once at a time, and after `limit` crashes not at
+/// all for a while.
+#[derive(Clone, Debug)]
+pub struct CrashRegister {
+    limit: u32,
+    quarantine: Duration,
+    records: SortedMap<u64, CrashRecord>,
+}
+
+impl CrashRegister {
+    /// Allows `limit` crashes, then `quarantine` without a run.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")] async fn main() {
+    /// let now = tokio::time::Instant::now();
+    /// let mut register = cuminramp_targets::CrashRegister::new(2, std::time::Duration::from_secs(60));
+    /// register.on_crash(7, now);
+    /// assert!(register.begin(7, now));
+    /// register.end(7);
+    /// register.on_crash(7, now);
+    /// assert!(!register.begin(7, now));
+    /// # }
+    /// ```
+    pub fn new(limit: u32, quarantine: Duration) -> Self {
+        CrashRegister {
+            limit,
+            quarantine,
+            records: SortedMap::new(),
+        }
+    }
+
+    /// Whether an attempt may begin now. A suspect that is running on another target has to wait
+    /// for its outcome: two at once could take two targets more.
+    pub fn begin(&mut self, fingerprint: u64, now: Instant) -> bool {
+        let (limit, quarantine) = (self.limit, self.quarantine);
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return true;
+        };
+        if now.saturating_duration_since(record.last) > quarantine {
+            self.records.remove(&fingerprint);
+            return true;
+        }
+        let allowed = record.crashes < limit && record.running == 0;
+        if allowed {
+            record.running += 1;
+        }
+        allowed
+    }
+
+    /// An attempt that [`begin`](Self::begin) allowed is over, however it ended.
+    pub fn end(&mut self, fingerprint: u64) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.running = record.running.saturating_sub(1);
+        }
+    }
+
+    /// A target died under this request; the request ran alone there, or nothing tells it from its
+    /// neighbours. Returns how many it took so far.
+    pub fn on_crash(&mut self, fingerprint: u64, now: Instant) -> u32 {
+        if self.records.len() >= MOST_RECORDS {
+            let quarantine = self.quarantine;
+            self.records.retain(|_, record| {
+                now.saturating_duration_since(record.last) <= quarantine && record.crashes > 1
+            });
+        }
+        let fresh = || CrashRecord {
+            crashes: 0,
+            last: now,
+            running: 0,
+        };
+        let record = self.records.get_or_insert_with(fingerprint, fresh);
+        record.crashes += 1;
+        record.last = now;
+        record.crashes
+    }
+
+    /// It ran to its end: whatever took its target was something else.
+    pub fn on_success(&mut self, fingerprint: u64) {
+        self.records.remove(&fingerprint);
+    }
+
+    /// How many targets a fingerprint took so far.
+    pub fn crashes(&self, fingerprint: u64) -> u32 {
+        self.records
+            .get(&fingerprint)
+            .map_or(0, |record| record.crashes)
+    }
+
+    /// Takes in what another host counted.
+    pub fn merge(&mut self, fingerprint: u64, crashes: u32, now: Instant) {
+        let fresh = || CrashRecord {
+            crashes: 0,
+            last: now,
+            running: 0,
+        };
+        let record = self.records.get_or_insert_with(fingerprint, fresh);
+        record.crashes = record.crashes.max(crashes);
+        record.last = now;
+    }
+}
--- a/crates/cuminramp-targets/src/lib.rs
+++ b/crates/cuminramp-targets/src/lib.rs
@@ -1,1 +1,26 @@
 //! Choice of target, ejection, retries, and the windows of batch.
+//!
+//! Everything here is a decision: it takes what is known and the time, and returns what to do.
+//!
+//! - [`TargetTable`] chooses a target by expected wait and prefix, and sets failing ones aside.
+//! - [`decide_retry`] is the one place that says what follows a failed attempt.
+//! - [`CrashRegister`] keeps a request that crashes targets from taking more than a few.
+//! - [`FairQueue`] serves waiting teams by weight.
+//! - [`BatchWindow`] says how much batch work an engine may have.
+
+mod choice;
+mod crashes;
+mod fair_queue;
+mod retry;
+mod window;
+
+pub use choice::{
+    AttemptEnd, ChoiceQuery, ChoiceReason, LoadSnapshot, TargetChoice, TargetPolicy, TargetSpec,
+    TargetTable, WorkKind,
+};
+pub use crashes::CrashRegister;
+pub use fair_queue::FairQueue;
+pub use retry::{
+    AttemptFailure, FailureStage, RequestTraits, RetryBudget, RetryDecision, decide_retry,
+};
+pub use window::{BatchWindow, WindowPolicy};
--- /dev/null
+++ b/crates/cuminramp-targets/src/retry.rs
@@ -0,0 +1,270 @@
+//! What follows a failed attempt: the one place that decides it.
+
+use std::time::Duration;
+
+use cuminramp_core::{Execution, ResultCode};
+use tokio::time::Instant;
+
+/// How far an attempt had come when it failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureStage {
+    /// No byte had reached the target.
+    NotSent,
+    /// The target refused it with a status that says it did not run it.
+    Refused,
+    /// It was sent and no answer came.
+    Sent,
+    /// The target answered that it failed.
+    Failed,
+    /// Part of the answer had come; for a stream, so many events were passed on.
+    Partial {
+        /// Events that the caller has.
+        events: usize,
+    },
+}
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AttemptFailure {
+    /// How far it had come.
+    pub stage: FailureStage,
+    /// Whether the connection broke or was refused, as it is when a target dies.
+    pub is_crash: bool,
+}
+
+/// What matters of the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestTraits {
+    /// Whether it may run twice.
+    pub is_repeatable: bool,
+    /// Whether a target can go on with its answer from a position.
+    pub is_resumable: bool,
+    /// Until when it makes sense.
+    pub deadline: Instant,
+    /// Attempts in all.
+    pub max_attempts: u32,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryDecision {
+    /// Send it again, to another target first.
+    Resend,
+    /// Ask another target to go on after this many events.
+    Resume {
+        /// Events that the caller has.
+        events: usize,
+    },
+    /// Give up and say so.
+    GiveUp {
+        /// The code.
+        code: ResultCode,
+        /// Whether it ran.
+        execution: Execution,
+    },
+}
+
+/// Decides what follows a failure of attempt number `attempt` (from 1).
+///
+/// `may_retry` asks the budget, and only when a retry would follow.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")] async fn main() {
+/// use cuminramp_core::Execution;
+/// use cuminramp_targets::*;
+/// let now = tokio::time::Instant::now();
+/// let traits = RequestTraits {
+///     is_repeatable: false,
+///     is_resumable: false,
+///     deadline: now + std::time::Duration::from_secs(1),
+///     max_attempts: 3,
+/// };
+/// let failure = AttemptFailure { stage: FailureStage::Sent, is_crash: false };
+/// let decision = decide_retry(&traits, failure, 1, now, || true);
+/// assert!(matches!(decision, RetryDecision::GiveUp { execution: Execution::MayHaveRun, .. }));
+/// # }
+/// ```
+pub fn decide_retry(
+    traits: &RequestTraits,
+    failure: AttemptFailure,
+    attempt: u32,
+    now: Instant,
+    may_retry: impl FnOnce() -> bool,
+) -> RetryDecision {
+    let execution = execution_after(failure.stage);
+    let give_up = |code| RetryDecision::GiveUp { code, execution };
+    if let FailureStage::Partial { events } = failure.stage
+        && events > 0
+        && !traits.is_resumable
+    {
+        return give_up(ResultCode::StreamBroken);
+    }
+    if execution != Execution::NotRun && !traits.is_repeatable {
+        return give_up(ResultCode::TargetFailed);
+    }
+    if now >= traits.deadline {
+        return give_up(ResultCode::DeadlineExceeded);
+    }
+    if attempt >= traits.max_attempts || !may_retry() {
+        return give_up(match failure.stage {
+            FailureStage::NotSent | FailureStage::Refused => ResultCode::TargetsUnavailable,
+            FailureStage::Partial { events } if events > 0 => ResultCode::StreamBroken,
+            _ => ResultCode::TargetFailed,
+        });
+    }
+    match failure.stage {
+        FailureStage::Partial { events } if events > 0 => RetryDecision::Resume { events },
+        _ => RetryDecision::Resend,
+    }
+}
+
+fn execution_after(stage: FailureStage) -> Execution {
+    match stage {
+        FailureStage::NotSent | FailureStage::Refused => Execution::NotRun,
+        FailureStage::Sent => Execution::MayHaveRun,
+        FailureStage::Failed | FailureStage::Partial { .. } => Execution::Ran,
+    }
+}
+
+/// A bound on retries as a share of requests.
+///
+/// When a pool fails as a whole, each request failing over to the next target multiplies the load on
+/// what is left until that fails too. Each request earns a part of a retry, and no more are made.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    burst: f64,
+    level: f64,
+}
+
+impl RetryBudget {
+    /// A full budget of `burst` retries that earns `share` of a retry with each request.
+    ///
+    /// ```
+    /// let mut budget = cuminramp_targets::RetryBudget::new(0.5, 1.0);
+    /// assert!(budget.spend());
+    /// assert!(!budget.spend());
+    /// budget.earn();
+    /// budget.earn();
+    /// assert!(budget.spend());
+    /// ```
+    pub fn new(share: f64, burst: f64) -> Self {
+        RetryBudget {
+            share,
+            burst,
+            level: burst,
+        }
+    }
+
+    /// A request came.
+    pub fn earn(&mut self) {
+        self.level = (self.level + self.share).min(self.burst);
+    }
+
+    /// Takes one retry, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let enough = self.level >= 1.0;
+        if enough {
+            self.level -= 1.0;
+        }
+        enough
+    }
+
+    /// How long a caller should wait before it tries again itself.
+    pub fn pause(&self) -> Duration {
+        if self.level >= 1.0 {
+            Duration::from_millis(200)
+        } else {
+            Duration::from_secs(1)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use cuminramp_core::{Execution, ResultCode};
+    use test_case::test_case;
+    use tokio::time::Instant;
+
+    use super::*;
+
+    fn traits(is_repeatable: bool, is_resumable: bool, now: Instant) -> RequestTraits {
+        let deadline = now + Duration::from_secs(1);
+        RequestTraits {
+            is_repeatable,
+            is_resumable,
+            deadline,
+            max_attempts: 3,
+        }
+    }
+
+    const PARTIAL: FailureStage = FailureStage::Partial { events: 5 };
+
+    // A booking was sent and the connection broke. Sent again it might be confirmed twice.
+    #[test_case(FailureStage::NotSent, None; "not sent is sent again")]
+    #[test_case(FailureStage::Refused, None; "refused is sent again")]
+    #[test_case(FailureStage::Sent, Some(Execution::MayHaveRun); "sent may have run")]
+    #[test_case(FailureStage::Failed, Some(Execution::Ran); "failed ran")]
+    #[test_case(PARTIAL, Some(Execution::Ran); "partial ran")]
+    fn a_request_that_may_not_repeat_is_sent_again_only_if_it_surely_did_not_run(
+        stage: FailureStage,
+        expected: Option<Execution>,
+    ) {
+        let now = Instant::now();
+        let failure = AttemptFailure {
+            stage,
+            is_crash: true,
+        };
+
+        let decision = decide_retry(&traits(false, false, now), failure, 1, now, || true);
+
+        match expected {
+            None => assert_eq!(decision, RetryDecision::Resend),
+            Some(expected) => {
+                let RetryDecision::GiveUp { execution, .. } = decision else {
+                    panic!("{decision:?}")
+                };
+                assert_eq!(execution, expected);
+            }
+        }
+    }
+
+    // A stream breaks off in the middle. Begun anew, the caller would read its start twice.
+    #[test_case(true, RetryDecision::Resume { events: 5 }; "resumable")]
+    #[test_case(false, RetryDecision::GiveUp { code: ResultCode::StreamBroken, execution: Execution::Ran }; "not resumable")]
+    fn a_broken_stream_is_resumed_or_ends_with_an_error(resumable: bool, expected: RetryDecision) {
+        let now = Instant::now();
+        let failure = AttemptFailure {
+            stage: PARTIAL,
+            is_crash: true,
+        };
+
+        let decision = decide_retry(&traits(true, resumable, now), failure, 1, now, || true);
+
+        assert_eq!(decision, expected);
+    }
+
+    #[test_case(3, true, 0, ResultCode::TargetsUnavailable; "attempts used up")]
+    #[test_case(1, false, 0, ResultCode::TargetsUnavailable; "budget used up")]
+    #[test_case(1, true, 2, ResultCode::DeadlineExceeded; "too late")]
+    fn retries_end(attempt: u32, may_retry: bool, late_s: u64, expected: ResultCode) {
+        let now = Instant::now();
+        let failure = AttemptFailure {
+            stage: FailureStage::NotSent,
+            is_crash: true,
+        };
+        let at = now + Duration::from_secs(late_s);
+
+        let decision = decide_retry(&traits(true, true, now), failure, attempt, at, || may_retry);
+
+        assert_eq!(
+            decision,
+            RetryDecision::GiveUp {
+                code: expected,
+                execution: Execution::NotRun
+            }
+        );
+    }
+}
