--- a/crates/cuminramp-batch/src/chunk.rs
+++ b/crates/cuminramp-batch/src/chunk.rs
@@ -45,10 +45,7 @@
 
 /// The run that a row names as holder.
 fn holder_of(row: &ChunkRow) -> HostId {
-    HostId {
-        address: row.holder.as_str().into(),
-        incarnation: row.holder_incarnation,
-    }
+    HostId { address: row.holder.as_str().into(), incarnation: row.holder_incarnation }
 }
 
 /// Whether a chunk may be leased: it is free, or its holder is gone.
@@ -125,10 +122,7 @@
 /// The row after its holder gave it back undone, as a host that leaves does.
 pub fn release_chunk(row: &ChunkRow, holder: &LeaseHolder) -> Result<ChunkRow, ChunkError> {
     check_holder(row, holder)?;
-    Ok(ChunkRow {
-        state: ChunkState::Free.into(),
-        ..row.clone()
-    })
+    Ok(ChunkRow { state: ChunkState::Free.into(), ..row.clone() })
 }
 
 /// The row after targets died under items: the counts are kept, so that the next holder, too, runs
@@ -147,10 +141,7 @@
         }
     }
     merged.sort_by_key(|suspect| suspect.index);
-    Ok(ChunkRow {
-        suspects: merged,
-        ..row.clone()
-    })
+    Ok(ChunkRow { suspects: merged, ..row.clone() })
 }
 
 #[cfg(test)]
@@ -162,10 +153,7 @@
     use super::*;
 
     fn host(number: u64) -> HostId {
-        HostId {
-            address: format!("10.0.0.{number}:1").into(),
-            incarnation: 1,
-        }
+        HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 }
     }
 
     #[derive(Clone, Debug)]
@@ -230,28 +218,11 @@
     #[test]
     fn crashes_are_remembered_by_the_next_holder() {
         let row = lease_chunk(&ChunkRow::default(), &host(1)).unwrap();
-        let lease = LeaseHolder {
-            host: host(1),
-            fence: row.fence,
-        };
-        let row = note_suspects(
-            &row,
-            &lease,
-            &[SuspectItem {
-                index: 4,
-                crashes: 1,
-            }],
-        )
-        .unwrap();
+        let lease = LeaseHolder { host: host(1), fence: row.fence };
+        let row = note_suspects(&row, &lease, &[SuspectItem { index: 4, crashes: 1 }]).unwrap();
 
         let row = lease_chunk(&row, &host(2)).unwrap();
 
-        assert_eq!(
-            row.suspects,
-            [SuspectItem {
-                index: 4,
-                crashes: 1
-            }]
-        );
+        assert_eq!(row.suspects, [SuspectItem { index: 4, crashes: 1 }]);
     }
 }
--- a/crates/cuminramp-batch/src/input.rs
+++ b/crates/cuminramp-batch/src/input.rs
@@ -47,20 +47,13 @@
 pub fn parse_line(line: &str, number: usize) -> Result<BatchItem, ItemFault> {
     let fault = |custom_id: String, reason: String| ItemFault {
         custom_id,
-        refusal: Refusal::not_run(
-            ResultCode::LineMalformed,
-            format!("line {number}: {reason}"),
-        ),
+        refusal: Refusal::not_run(ResultCode::LineMalformed, format!("line {number}: {reason}")),
     };
     let nameless = format!("line-{number}");
     let value: Value =
         serde_json::from_str(line).map_err(|error| fault(nameless.clone(), error.to_string()))?;
     let named = value.get("custom_id").and_then(Value::as_str);
-    let custom_id: String = named
-        .unwrap_or(&nameless)
-        .chars()
-        .take(MOST_ID_CHARS)
-        .collect();
+    let custom_id: String = named.unwrap_or(&nameless).chars().take(MOST_ID_CHARS).collect();
     let input: InputLine = serde_json::from_value(value)
         .map_err(|error| fault(custom_id.clone(), error.to_string()))?;
     if input.method != "POST" || input.url != ALLOWED_URL {
@@ -76,11 +69,7 @@
     if let Some(fields) = body.as_object_mut() {
         fields.remove("stream");
     }
-    Ok(BatchItem {
-        custom_id: input.custom_id,
-        model,
-        body,
-    })
+    Ok(BatchItem { custom_id: input.custom_id, model, body })
 }
 
 /// Reads all lines of a text, the first with number `first`; empty lines are passed over but
--- a/crates/cuminramp-batch/src/layout.rs
+++ b/crates/cuminramp-batch/src/layout.rs
@@ -43,26 +43,13 @@
     pub fn cut(text: &str, least: u32, most: u32) -> Self {
         let items = text.lines().filter(|line| !line.trim().is_empty()).count() as u32;
         let size = (items / WANTED_CHUNKS).clamp(least.max(1), most.max(1));
-        let mut layout = ChunkLayout {
-            chunks: Vec::new(),
-            items,
-        };
-        let mut place = ChunkPlace {
-            start: 0,
-            end: 0,
-            first_line: 1,
-            items: 0,
-        };
+        let mut layout = ChunkLayout { chunks: Vec::new(), items };
+        let mut place = ChunkPlace { start: 0, end: 0, first_line: 1, items: 0 };
         for (index, line) in text.split_inclusive('\n').enumerate() {
             if place.items == size {
                 layout.chunks.push(place);
                 let first_line = index as u32 + 1;
-                place = ChunkPlace {
-                    start: place.end,
-                    end: place.end,
-                    first_line,
-                    items: 0,
-                };
+                place = ChunkPlace { start: place.end, end: place.end, first_line, items: 0 };
             }
             place.end += line.len() as u64;
             place.items += u32::from(!line.trim().is_empty());
--- a/crates/cuminramp-batch/src/picker.rs
+++ b/crates/cuminramp-batch/src/picker.rs
@@ -45,10 +45,7 @@
     pub fn order<'j>(&mut self, jobs: &'j [OpenJob]) -> Vec<&'j OpenJob> {
         self.forget_closed(jobs);
         // A team that comes back after a pause has no claim on what it did not use meanwhile.
-        let floor = jobs
-            .iter()
-            .filter_map(|job| self.served.get(&*job.team))
-            .copied();
+        let floor = jobs.iter().filter_map(|job| self.served.get(&*job.team)).copied();
         let floor = floor.fold(f64::INFINITY, f64::min);
         for job in jobs {
             self.served.get_or_insert_with(job.team.clone(), || {
@@ -59,9 +56,7 @@
         ordered.sort_by(|left, right| {
             let served = |job: &OpenJob| self.served.get(&*job.team).copied().unwrap_or(0.0);
             let picked = |job: &OpenJob| self.picked.get(&*job.id).copied().unwrap_or(0);
-            served(left)
-                .total_cmp(&served(right))
-                .then(picked(left).cmp(&picked(right)))
+            served(left).total_cmp(&served(right)).then(picked(left).cmp(&picked(right)))
         });
         ordered
     }
@@ -75,10 +70,8 @@
     }
 
     fn forget_closed(&mut self, jobs: &[OpenJob]) {
-        self.picked
-            .retain(|id, _| jobs.iter().any(|job| job.id == *id));
-        self.served
-            .retain(|team, _| jobs.iter().any(|job| job.team == *team));
+        self.picked.retain(|id, _| jobs.iter().any(|job| job.id == *id));
+        self.served.retain(|team, _| jobs.iter().any(|job| job.team == *team));
     }
 }
 
@@ -87,11 +80,7 @@
     use super::{JobPicker, OpenJob};
 
     fn job(id: &str, team: &str, weight: u32) -> OpenJob {
-        OpenJob {
-            id: id.into(),
-            team: team.into(),
-            weight,
-        }
+        OpenJob { id: id.into(), team: team.into(), weight }
     }
 
     fn serve(picker: &mut JobPicker, jobs: &[OpenJob], picks: usize) -> Vec<String> {
--- /dev/null
+++ b/crates/cuminramp-cli/src/cmd/mod.rs
@@ -0,0 +1,35 @@
+//! One module for each subcommand.
+
+mod apply;
+mod check;
+mod jobs;
+mod keys;
+mod views;
+
+use crate::bench;
+use crate::connection::{CommandError, OperatorConnection};
+use crate::flags::{Cuminramp, CuminrampCmd};
+
+/// Carries out what the command line says.
+pub(crate) async fn execute(flags: Cuminramp) -> Result<(), CommandError> {
+    let json = flags.json;
+    let operator = OperatorConnection::new(flags.operator, flags.token);
+    match flags.subcommand {
+        CuminrampCmd::Check(flags) => check::execute(&flags),
+        CuminrampCmd::Show(_) => views::show(&operator).await,
+        CuminrampCmd::Apply(flags) => apply::execute(&operator, json, flags).await,
+        CuminrampCmd::Generations(_) => views::generations(&operator, json).await,
+        CuminrampCmd::Keys(flags) => keys::execute(&operator, json, flags).await,
+        CuminrampCmd::Hosts(_) => views::hosts(&operator, json).await,
+        CuminrampCmd::Targets(_) => views::targets(&operator, json).await,
+        CuminrampCmd::Teams(_) => views::teams(&operator, json).await,
+        CuminrampCmd::Jobs(flags) => jobs::execute(&operator, json, flags).await,
+        CuminrampCmd::Bench(flags) => bench::execute(flags).await,
+    }
+}
+
+/// Reads a file that an operator named.
+fn read_file(path: &std::path::Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path)
+        .map_err(|error| CommandError::Input(format!("{}: {error}", path.display())))
+}
--- /dev/null
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -0,0 +1,125 @@
+//! The command line of `cuminramp`.
+#![allow(missing_docs, unreachable_pub)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates cuminramp. Exit status: 0 done, 1 failed, 2 wrong input, 3 conflict, 4 unreachable.
+    cmd cuminramp {
+        /// A daemon's operator address, ip:port; 127.0.0.1:8081 where not given.
+        optional -o, --operator operator: String
+        /// The operators' token; CUMINRAMP_TOKEN where not given.
+        optional --token token: String
+        /// Print JSON for machines.
+        optional --json
+
+        /// Checks a file without asking any daemon.
+        cmd check {
+            /// A declaration file.
+            optional --declarations declarations: PathBuf
+            /// A daemon's settings.
+            optional --settings settings: PathBuf
+        }
+        /// Shows the declarations in force.
+        cmd show {}
+        /// Makes a declaration file the next generation, or refuses it whole.
+        cmd apply {
+            /// The file, JSON with comments.
+            required file: PathBuf
+            /// The generation the file was made for; a later one is a conflict.
+            optional --expect generation: u64
+            /// Only say what would change.
+            optional --dry-run
+            /// Wait until every live host has it in force, at most so many seconds.
+            optional --wait seconds: u64
+        }
+        /// Shows which hosts have which generation in force.
+        cmd generations {}
+        /// Grants, lists and withdraws keys.
+        cmd keys {
+            /// Grants a key and prints it, this once.
+            cmd grant {
+                /// The team.
+                required team: String
+                /// What to call the key.
+                optional --label label: String
+            }
+            /// Lists keys by digest.
+            cmd list {}
+            /// Withdraws a key.
+            cmd withdraw {
+                /// The key, its label, or the first 12 digits of its digest.
+                required key: String
+            }
+        }
+        /// Shows hosts as the asked one knows them.
+        cmd hosts {}
+        /// Shows targets and their load.
+        cmd targets {}
+        /// Shows teams and which hosts own their rate.
+        cmd teams {}
+        /// Lists, shows and cancels jobs.
+        cmd jobs {
+            /// Lists open jobs.
+            cmd list {}
+            /// Shows a job; with --follow until it ends.
+            cmd show {
+                /// The team.
+                required team: String
+                /// The job.
+                required job: String
+                /// Show its progress until it ends.
+                optional --follow
+            }
+            /// Cancels a job, for good.
+            cmd cancel {
+                /// The team.
+                required team: String
+                /// The job.
+                required job: String
+            }
+        }
+        /// Measures a running system, or one role by itself, over loopback.
+        cmd bench {
+            /// Sends online requests at a steady rate.
+            cmd online {
+                /// Caller addresses, separated by commas.
+                required --callers callers: String
+                /// A key.
+                required --key key: String
+                /// The model.
+                required --model model: String
+                /// Requests a second.
+                optional --rate rate: f64
+                /// For how many seconds; 60 at most.
+                optional --seconds seconds: u64
+                /// Tokens of each answer.
+                optional --tokens tokens: usize
+                /// Compare with an engine called directly, ip:port.
+                optional --direct direct: String
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
+            /// Sends a batch job and waits for its results.
+            cmd batch {
+                /// Caller addresses, separated by commas.
+                required --callers callers: String
+                /// A key.
+                required --key key: String
+                /// The model.
+                required --model model: String
+                /// Items of the job.
+                optional --items items: usize
+                /// Tokens of each answer.
+                optional --tokens tokens: usize
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
+            /// Measures what the roles cost, as slopes over size.
+            cmd roles {
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
+        }
+    }
+}
--- a/crates/cuminramp-cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' tool.
--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -159,12 +159,7 @@
     /// assert_eq!(refusal.execution, Execution::NotRun);
     /// ```
     pub fn not_run(code: ResultCode, message: impl Into<String>) -> Self {
-        Refusal {
-            code,
-            execution: Execution::NotRun,
-            retry_after: None,
-            message: message.into(),
-        }
+        Refusal { code, execution: Execution::NotRun, retry_after: None, message: message.into() }
     }
 
     /// The same refusal with another word on whether the work ran.
@@ -182,13 +177,7 @@
 
 impl fmt::Display for Refusal {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}: {} ({})",
-            self.code,
-            self.message,
-            self.execution.as_str()
-        )
+        write!(formatter, "{}: {} ({})", self.code, self.message, self.execution.as_str())
     }
 }
 
@@ -206,16 +195,8 @@
 
         assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
         for code in ResultCode::ALL {
-            let row = format!(
-                "| {} | `{}` | {} |",
-                code.number(),
-                code.name(),
-                code.http_status()
-            );
-            assert!(
-                table.contains(&row),
-                "docs/result-codes.md lacks the row {row}"
-            );
+            let row = format!("| {} | `{}` | {} |", code.number(), code.name(), code.http_status());
+            assert!(table.contains(&row), "docs/result-codes.md lacks the row {row}");
         }
     }
 }
--- a/crates/cuminramp-core/src/digest.rs
+++ b/crates/cuminramp-core/src/digest.rs
@@ -64,9 +64,7 @@
 
 impl fmt::Display for KeyDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
 
--- a/crates/cuminramp-core/src/random.rs
+++ b/crates/cuminramp-core/src/random.rs
@@ -30,11 +30,7 @@
 
 impl RandomSource for SeededRandom {
     fn below(&mut self, bound: usize) -> usize {
-        if bound == 0 {
-            0
-        } else {
-            self.0.random_range(0..bound)
-        }
+        if bound == 0 { 0 } else { self.0.random_range(0..bound) }
     }
 
     fn fraction(&mut self) -> f64 {
--- a/crates/cuminramp-core/src/sorted_map.rs
+++ b/crates/cuminramp-core/src/sorted_map.rs
@@ -10,9 +10,7 @@
 
 impl<K, V> Default for SortedMap<K, V> {
     fn default() -> Self {
-        SortedMap {
-            entries: Vec::new(),
-        }
+        SortedMap { entries: Vec::new() }
     }
 }
 
@@ -34,8 +32,7 @@
     where
         K: std::borrow::Borrow<Q>,
     {
-        self.entries
-            .binary_search_by(|(entry, _)| entry.borrow().cmp(key))
+        self.entries.binary_search_by(|(entry, _)| entry.borrow().cmp(key))
     }
 
     /// The value at `key`.
@@ -51,9 +48,7 @@
     where
         K: std::borrow::Borrow<Q>,
     {
-        self.position(key)
-            .ok()
-            .map(|index| (&self.entries[index].0, &self.entries[index].1))
+        self.position(key).ok().map(|index| (&self.entries[index].0, &self.entries[index].1))
     }
 
     /// The value at `key`, to change.
@@ -61,9 +56,7 @@
     where
         K: std::borrow::Borrow<Q>,
     {
-        self.position(key)
-            .ok()
-            .map(|index| &mut self.entries[index].1)
+        self.position(key).ok().map(|index| &mut self.entries[index].1)
     }
 
     /// Whether `key` has a value.
@@ -102,9 +95,7 @@
     where
         K: std::borrow::Borrow<Q>,
     {
-        self.position(key)
-            .ok()
-            .map(|index| self.entries.remove(index).1)
+        self.position(key).ok().map(|index| self.entries.remove(index).1)
     }
 
     /// Keeps the entries that `keep` says.
--- /dev/null
+++ b/crates/cuminramp-daemon/src/cmd/mod.rs
@@ -0,0 +1,47 @@
+//! One module for each subcommand.
+
+pub(crate) mod check;
+pub(crate) mod quickstart;
+pub(crate) mod run;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use cuminramp_settings::{DaemonSettings, parse_settings};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The exit status for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Reads settings, or says what is wrong with them.
+fn load_settings(path: &Path) -> Result<DaemonSettings, ExitCode> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        eprintln!("1502 SettingsInvalid: {}: {error}", path.display());
+        ExitCode::from(EXIT_SETTINGS)
+    })?;
+    check_text(&text, &path.display().to_string())
+}
+
+fn check_text(text: &str, name: &str) -> Result<DaemonSettings, ExitCode> {
+    parse_settings(text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{name}: {fault}");
+        }
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn wait_for_signal() {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    match (terminate, interrupt) {
+        (Ok(mut terminate), Ok(mut interrupt)) => {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        _ => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/cmd/quickstart.rs
@@ -0,0 +1,172 @@
+//! `cuminrampd quickstart`.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_daemon::{Daemon, DaemonAddresses, PlatformBorders, start_logging};
+use cuminramp_http::{CallLimits, HttpClient, read_body};
+use cuminramp_standin::{Engine, EngineSettings, MemoryPlatform, PlatformSettings};
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use crate::cmd::{EXIT_SETTINGS, check_text, load_settings, wait_for_signal};
+use crate::flags;
+
+/// The settings that are used where none are named.
+const SETTINGS: &str = include_str!("../../../../examples/quickstart.jsonc");
+/// Engines of the quickstart.
+const ENGINES: usize = 3;
+/// How long the daemon may take to become ready.
+const READY_TRIES: u32 = 100;
+/// Waits between looks.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+/// Largest answer of the operators' interface that is read.
+const MOST_ANSWER_BYTES: usize = 1 << 20;
+
+/// Runs a daemon on embedded stand-ins and says how to use it.
+pub(crate) async fn execute(flags: flags::Quickstart) -> ExitCode {
+    let settings = match &flags.settings {
+        Some(path) => load_settings(path),
+        None => check_text(SETTINGS, "examples/quickstart.jsonc"),
+    };
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    start_logging(&settings.log_level);
+    let platform = Arc::new(MemoryPlatform::new(PlatformSettings::default()));
+    let borders =
+        PlatformBorders { table: platform.clone(), objects: platform.clone(), hosts: platform };
+    let daemon = match Daemon::start_with(settings, borders).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let engines = match set_up(daemon.addresses()).await {
+        Ok(engines) => engines,
+        Err(error) => {
+            eprintln!("cuminrampd: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    wait_for_signal().await;
+    daemon.leave().await;
+    drop(engines);
+    ExitCode::SUCCESS
+}
+
+/// Starts engines, declares them, grants a key and prints lines to try.
+async fn set_up(addresses: DaemonAddresses) -> Result<Vec<Engine>, Box<dyn Error>> {
+    let mut engines = Vec::new();
+    for _ in 0..ENGINES {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        engines.push(Engine::start(listen, EngineSettings::default()).await?);
+    }
+    let operator = OperatorClient::new(addresses.operator);
+    operator.wait_until_up().await?;
+    operator.send(Method::PUT, "/operator/declarations", &declarations(&engines)).await?;
+    let grant = json!({"team": "parish-desk", "label": "quickstart"});
+    let granted = operator.send(Method::POST, "/operator/keys", &grant).await?;
+    let key = granted["key"].as_str().ok_or("no key was granted")?;
+    print_lines(addresses, key);
+    Ok(engines)
+}
+
+fn declarations(engines: &[Engine]) -> Value {
+    let targets: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, engine)| {
+            json!({"name": format!("engine-{index}"), "address": engine.address().to_string()})
+        })
+        .collect();
+    let service = engines[0].address().to_string();
+    json!({
+        "routes": [
+            {"name": "chat", "model": "villancico-llm", "pool": "gt-engines"},
+            {"name": "bookings", "path-prefix": "/bookings", "pool": "gt-bookings"},
+        ],
+        "pools": [
+            {"name": "gt-engines", "kind": "engines", "targets": targets},
+            {"name": "gt-bookings", "kind": "services", "targets": [{"name": "booking-desk", "address": service}]},
+        ],
+        "teams": [{"name": "parish-desk", "rate": 50, "burst": 100}],
+    })
+}
+
+fn print_lines(addresses: DaemonAddresses, key: &str) {
+    let caller = addresses.caller;
+    let chat = r#"{"model":"villancico-llm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Which seats are free?"}]}"#;
+    let item = r#"{"custom_id":"card-1","method":"POST","url":"/v1/chat/completions","body":{"model":"villancico-llm","messages":[{"role":"user","content":"A greeting for Ana"}]}}"#;
+    println!("\ncuminramp is up: callers at {caller}, operators at {}\n", addresses.operator);
+    println!("key={key}\n");
+    println!(
+        "Online:\n  curl -sN http://{caller}/v1/chat/completions -H 'Authorization: Bearer {key}' -d '{chat}'\n"
+    );
+    println!("Batch:");
+    println!("  echo '{item}' > /tmp/items.jsonl");
+    println!(
+        "  file=$(curl -s http://{caller}/v1/files -H 'Authorization: Bearer {key}' -F purpose=batch -F file=@/tmp/items.jsonl | grep -o 'file-[0-9a-f]*' | head -1)"
+    );
+    println!(
+        "  job=$(curl -s http://{caller}/v1/batches -H 'Authorization: Bearer {key}' -d \"{{\\\"input_file_id\\\":\\\"$file\\\",\\\"endpoint\\\":\\\"/v1/chat/completions\\\"}}\" | grep -o 'batch_[0-9a-f]*' | head -1)"
+    );
+    println!(
+        "  sleep 3; curl -s http://{caller}/v1/files/file-${{job#batch_}}-output/content -H 'Authorization: Bearer {key}'\n"
+    );
+    println!(
+        "Operators:\n  cargo run --release --bin cuminramp -- --operator {} show\n",
+        addresses.operator
+    );
+}
+
+/// Calls the operators' interface of the daemon just started.
+struct OperatorClient {
+    client: HttpClient,
+    base: String,
+}
+
+impl OperatorClient {
+    fn new(address: SocketAddr) -> Self {
+        let limit = Duration::from_secs(10);
+        let client = HttpClient::new(CallLimits { connect: limit, first_byte: limit });
+        OperatorClient { client, base: format!("http://{address}") }
+    }
+
+    async fn wait_until_up(&self) -> Result<(), Box<dyn Error>> {
+        for _ in 0..READY_TRIES {
+            if self.send(Method::GET, "/operator/declarations", &Value::Null).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Err("the daemon did not come up".into())
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, Box<dyn Error>> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header("content-type", "application/json")
+            .body(Full::from(body.to_string()))?;
+        let response = self.client.send(request).await?;
+        let status = response.status();
+        let body =
+            read_body(response.into_body(), MOST_ANSWER_BYTES, Duration::from_secs(10)).await?;
+        if !status.is_success() {
+            return Err(String::from_utf8_lossy(&body).into_owned().into());
+        }
+        Ok(serde_json::from_slice(&body)?)
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/cmd/run.rs
@@ -0,0 +1,27 @@
+//! `cuminrampd run`.
+
+use std::process::ExitCode;
+
+use cuminramp_daemon::{Daemon, start_logging};
+
+use crate::cmd::{EXIT_SETTINGS, load_settings, wait_for_signal};
+use crate::flags;
+
+/// Runs until a signal, then leaves.
+pub(crate) async fn execute(flags: flags::Run) -> ExitCode {
+    let settings = match load_settings(&flags.settings) {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    start_logging(&settings.log_level);
+    let daemon = match Daemon::start(settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    wait_for_signal().await;
+    daemon.leave().await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/daemon.rs
@@ -0,0 +1,358 @@
+//! A running daemon.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cuminramp_core::{Host, HostId, Name, RandomSource, SeededRandom};
+use cuminramp_http::{CallLimits, ServeLimits, serve_router};
+use cuminramp_membership::{MemberPolicy, MemberTable, SteeringPlanner};
+use cuminramp_platform::HttpPlatform;
+use cuminramp_quota::{LedgerPolicy, QuotaLedger, StaticSplit, TOKEN};
+use cuminramp_settings::DaemonSettings;
+use cuminramp_targets::{CrashRegister, RetryBudget, TargetPolicy, TargetTable, WindowPolicy};
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::batch::{BatchState, release_chunks, run_claims, run_items};
+use crate::borders::PlatformBorders;
+use crate::dispatch::{HttpTargets, PoolQueues, SilenceBoard, pump_queues};
+use crate::marks::{MarkWriter, run_marks};
+use crate::metrics::DaemonMetrics;
+use crate::peer::{TarpcPeers, run_rhythm, serve_peers, spread_news};
+use crate::state::{DaemonState, TableContact, lock};
+use crate::sync::{
+    ConfigurationStore, announce_host, follow_targets, give_back_shards, poll_generations,
+    poll_hosts, poll_loads, poll_shards, publish_withdrawals, tick_ledger,
+};
+use crate::{entry, operator};
+
+/// Connections of operators and scrapers at once.
+const OPERATOR_CONNECTIONS: usize = 256;
+/// Steering answers are kept for a while, so a host that leaves serves new callers a little longer.
+const DRAIN_GRACE: Duration = Duration::from_secs(1);
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address can't be listened on.
+    Listen {
+        /// The setting.
+        setting: &'static str,
+        /// The address.
+        address: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The metrics can't be set up.
+    Metrics(String),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Listen { setting, address, source } => {
+                write!(
+                    formatter,
+                    "1502 SettingsInvalid: {setting}: can't listen on {address}: {source}"
+                )
+            }
+            StartError::Metrics(reason) => write!(formatter, "1900 Internal: metrics: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+}
+
+struct DaemonListeners {
+    caller: TcpListener,
+    operator: TcpListener,
+    peer: TcpListener,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    state: Arc<DaemonState>,
+    addresses: DaemonAddresses,
+    drain_callers: CancellationToken,
+    callers: tokio::task::JoinHandle<()>,
+}
+
+async fn listen(setting: &'static str, address: &str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen {
+        setting,
+        address: address.to_owned(),
+        source,
+    })
+}
+
+fn advertised(setting: &str, bound: &TcpListener) -> Name {
+    if !setting.is_empty() {
+        return setting.into();
+    }
+    bound.local_addr().map(|address| address.to_string()).unwrap_or_default().into()
+}
+
+/// The number of this run: later runs on a host have higher ones.
+fn new_incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |passed| passed.as_micros() as u64)
+}
+
+impl Daemon {
+    /// Starts a daemon whose platform is where the settings say.
+    pub async fn start(settings: DaemonSettings) -> Result<Self, StartError> {
+        let platform =
+            Arc::new(HttpPlatform::new(&settings.platform.address, settings.platform.timeout()));
+        let borders =
+            PlatformBorders { table: platform.clone(), objects: platform.clone(), hosts: platform };
+        Self::start_with(settings, borders).await
+    }
+
+    /// Starts a daemon on the given platform.
+    pub async fn start_with(
+        settings: DaemonSettings,
+        platform: PlatformBorders,
+    ) -> Result<Self, StartError> {
+        let listeners = DaemonListeners {
+            caller: listen("caller-address", &settings.caller_address).await?,
+            operator: listen("operator-address", &settings.operator_address).await?,
+            peer: listen("peer-address", &settings.peer_address).await?,
+        };
+        let me = Host {
+            id: HostId {
+                address: advertised(&settings.advertised_peer_address, &listeners.peer),
+                incarnation: new_incarnation(),
+            },
+            caller_address: advertised(&settings.advertised_caller_address, &listeners.caller),
+            zone: settings.availability_zone.as_str().into(),
+        };
+        let addresses = listeners.addresses()?;
+        let state = Arc::new(make_state(settings, platform, me)?);
+        log::info!(
+            host = &*state.me.id.address, incarnation = state.me.id.incarnation,
+            zone = &*state.me.zone, callers = addresses.caller.to_string().as_str();
+            "started"
+        );
+        let drain_callers = CancellationToken::new();
+        let callers = spawn_servers(&state, listeners, &drain_callers);
+        spawn_loops(&state);
+        state.ready.store(true, Ordering::Relaxed);
+        Ok(Daemon { state, addresses, drain_callers, callers })
+    }
+
+    /// Where it listens.
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Leaves: vanishes from steering answers, finishes what it has, gives back shards and chunks,
+    /// and stops.
+    pub async fn leave(self) {
+        let state = &self.state;
+        log::info!(host = &*state.me.id.address, decision = "leaving"; "drain");
+        lock(&state.members).leave(Instant::now());
+        state.drain.cancel();
+        if state.settings.platform.announce {
+            announce_host(state).await;
+        }
+        spread_news(state).await;
+        give_back_shards(state).await;
+        release_chunks(state).await;
+        tokio::time::sleep(DRAIN_GRACE).await;
+        self.drain_callers.cancel();
+        let limit = state.settings.limits.drain_timeout();
+        let mut callers = self.callers;
+        state.tasks.close();
+        let finished = async {
+            let _ = (&mut callers).await;
+            state.tasks.wait().await;
+        };
+        let whole = tokio::time::timeout(limit, finished).await.is_ok();
+        state.stop.cancel();
+        log::info!(host = &*state.me.id.address, whole = whole, decision = "left"; "drain");
+    }
+
+    /// Stops at once, as a crash does, but in this process.
+    pub fn kill(self) {
+        self.state.stop.cancel();
+    }
+}
+
+impl DaemonListeners {
+    fn addresses(&self) -> Result<DaemonAddresses, StartError> {
+        let address = |setting, listener: &TcpListener| {
+            listener.local_addr().map_err(|source| StartError::Listen {
+                setting,
+                address: String::new(),
+                source,
+            })
+        };
+        Ok(DaemonAddresses {
+            caller: address("caller-address", &self.caller)?,
+            operator: address("operator-address", &self.operator)?,
+            peer: address("peer-address", &self.peer)?,
+        })
+    }
+}
+
+fn make_state(
+    settings: DaemonSettings,
+    platform: PlatformBorders,
+    me: Host,
+) -> Result<DaemonState, StartError> {
+    let now = Instant::now();
+    let metrics = DaemonMetrics::new().map_err(|error| StartError::Metrics(error.to_string()))?;
+    let seed =
+        if settings.random_seed == 0 { rand::rng().next_u64() } else { settings.random_seed };
+    let random: Box<dyn RandomSource> = Box::new(SeededRandom::new(seed));
+    let limits = CallLimits {
+        connect: settings.targets.connect_timeout(),
+        first_byte: settings.targets.first_byte_timeout(),
+    };
+    let retries = &settings.retries;
+    Ok(DaemonState {
+        peers: Arc::new(TarpcPeers::new(settings.peers.call_timeout())),
+        caller: Arc::new(HttpTargets::new(limits)),
+        configuration: ConfigurationStore::new(settings.configuration.log_generations),
+        ledger: QuotaLedger::new(me.id.clone(), ledger_policy(&settings), now).into(),
+        split: StaticSplit::new().into(),
+        members: MemberTable::new(me.clone(), member_policy(&settings), now).into(),
+        steering: SteeringPlanner {
+            homes: settings.steering.homes,
+            keep: settings.steering.keep(),
+        },
+        targets: TargetTable::new(target_policy(&settings)).into(),
+        silence: SilenceBoard::default(),
+        crashes: CrashRegister::new(retries.quarantine_after, retries.quarantine()).into(),
+        budget: RetryBudget::new(retries.budget_share, retries.budget_burst).into(),
+        queues: PoolQueues::default(),
+        marks: MarkWriter::new(),
+        batch: BatchState::new(window_policy(&settings)),
+        metrics,
+        random: random.into(),
+        contact: TableContact::new(now),
+        tasks: TaskTracker::new(),
+        drain: CancellationToken::new(),
+        stop: CancellationToken::new(),
+        ready: AtomicBool::new(false),
+        next_grant: AtomicU64::new(1),
+        settings,
+        me,
+        platform,
+    })
+}
+
+fn ledger_policy(settings: &DaemonSettings) -> LedgerPolicy {
+    let quota = &settings.quota;
+    LedgerPolicy {
+        shards: quota.shards,
+        slices: quota.slices,
+        slice_rate: (quota.slice_rate * TOKEN as f64) as u64,
+        max_slices: quota.max_slices,
+        borrow_valid: quota.borrow_valid(),
+        borrow_attempts: quota.borrow_attempts,
+        ..LedgerPolicy::default()
+    }
+}
+
+fn member_policy(settings: &DaemonSettings) -> MemberPolicy {
+    let peers = &settings.peers;
+    MemberPolicy {
+        indirect_probes: peers.indirect_probes,
+        suspicion: peers.suspicion(),
+        list_lag: settings.platform.list_lag(),
+        updates_per_probe: peers.updates_per_probe,
+        forget_after: peers.forget_after(),
+    }
+}
+
+fn target_policy(settings: &DaemonSettings) -> TargetPolicy {
+    let targets = &settings.targets;
+    TargetPolicy {
+        eject_after: targets.eject_after,
+        eject: targets.eject(),
+        eject_share: targets.eject_share,
+        slot_factor: targets.slot_factor,
+    }
+}
+
+fn window_policy(settings: &DaemonSettings) -> WindowPolicy {
+    WindowPolicy {
+        share: settings.batch.window_share,
+        yield_time: settings.batch.yield_time(),
+        ..WindowPolicy::default()
+    }
+}
+
+fn spawn_servers(
+    state: &Arc<DaemonState>,
+    listeners: DaemonListeners,
+    drain_callers: &CancellationToken,
+) -> tokio::task::JoinHandle<()> {
+    let limits = &state.settings.limits;
+    let head = limits.head_timeout();
+    let caller_limits = ServeLimits { head, connections: limits.connections };
+    let operator_limits = ServeLimits { head, connections: OPERATOR_CONNECTIONS };
+    let operators = operator::build_router(state.clone());
+    let stop = state.stop.clone();
+    tokio::spawn(serve_router(
+        listeners.operator,
+        operators,
+        operator_limits,
+        stop.clone(),
+        stop.clone(),
+    ));
+    tokio::spawn(serve_peers(state.clone(), listeners.peer));
+    let callers = entry::build_router(state.clone());
+    tokio::spawn(serve_router(
+        listeners.caller,
+        callers,
+        caller_limits,
+        drain_callers.clone(),
+        stop,
+    ))
+}
+
+/// Runs a loop until the daemon stops.
+fn spawn_loop(state: &Arc<DaemonState>, running: impl Future<Output = ()> + Send + 'static) {
+    let stop = state.stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = running => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
+
+fn spawn_loops(state: &Arc<DaemonState>) {
+    spawn_loop(state, run_rhythm(state.clone()));
+    spawn_loop(state, poll_hosts(state.clone()));
+    spawn_loop(state, poll_generations(state.clone()));
+    spawn_loop(state, publish_withdrawals(state.clone()));
+    spawn_loop(state, poll_shards(state.clone()));
+    spawn_loop(state, tick_ledger(state.clone()));
+    spawn_loop(state, follow_targets(state.clone()));
+    spawn_loop(state, poll_loads(state.clone()));
+    spawn_loop(state, pump_queues(state.clone()));
+    spawn_loop(state, run_marks(state.clone()));
+    if state.settings.batch.enabled {
+        spawn_loop(state, run_claims(state.clone()));
+        spawn_loop(state, run_items(state.clone()));
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/entry/files.rs
@@ -0,0 +1,247 @@
+//! Files: inputs that callers upload, and outputs of jobs.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use axum::Json;
+use axum::body::Body;
+use axum::extract::{FromRequest, Multipart, Path, Request, State};
+use axum::http::HeaderMap;
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use cuminramp_core::{Refusal, ResultCode};
+use cuminramp_platform::{StoreError, Transaction};
+use cuminramp_wire::rows::FileRow;
+use cuminramp_wire::{decode_row, encode_row};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use crate::admission::{admit_request, request_cost};
+use crate::batch::read_output;
+use crate::entry::answers::answer;
+use crate::entry::auth::{KnownCaller, authenticate, check_ready};
+use crate::entry::body::read_bounded;
+use crate::state::DaemonState;
+
+/// What identifiers of uploaded files start with.
+const FILE_PREFIX: &str = "file-";
+/// Hexadecimal digits of an identifier.
+const ID_DIGITS: usize = 32;
+/// What the form around a file may add to its size.
+const FORM_OVERHEAD: usize = 64 << 10;
+/// Files in one list.
+const LIST_LIMIT: usize = 1_000;
+
+/// The row of a file.
+pub(crate) fn file_key(team: &str, id: &str) -> String {
+    format!("file/{team}/{id}")
+}
+
+/// The object of a file.
+pub(crate) fn file_object(team: &str, id: &str) -> String {
+    format!("files/{team}/{id}")
+}
+
+/// Seconds since 1970.
+pub(crate) fn unix_now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_secs())
+}
+
+/// What a caller is told when the platform can't be reached.
+pub(crate) fn store_refusal(error: StoreError) -> Refusal {
+    let refusal = Refusal::not_run(ResultCode::StoreUnavailable, error.to_string());
+    refusal.with_retry_after(std::time::Duration::from_secs(2))
+}
+
+/// Digits that stand for the parts: the same parts have the same digits.
+pub(crate) fn content_digits(parts: &[&[u8]]) -> String {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    hex[..ID_DIGITS].to_owned()
+}
+
+/// An uploaded file.
+struct Upload {
+    filename: String,
+    purpose: String,
+    content: Bytes,
+}
+
+/// Takes a file in.
+pub(crate) async fn upload_file(
+    State(state): State<Arc<DaemonState>>,
+    request: Request,
+) -> Response {
+    let outcome = store_upload(&state, request).await;
+    answer(&state, outcome.map(Json))
+}
+
+async fn store_upload(state: &Arc<DaemonState>, request: Request) -> Result<Value, Refusal> {
+    check_ready(state)?;
+    let caller = authenticate(state, request.headers())?;
+    admit_request(state, &caller.team, request_cost(&caller.team, None)).await?;
+    let upload = read_upload(state, request).await?;
+    let team = &caller.team.name;
+    // The identifier follows from the content, so a file that is sent again is the same file.
+    let digits = content_digits(&[team.as_bytes(), upload.purpose.as_bytes(), &upload.content]);
+    let row = FileRow {
+        id: format!("{FILE_PREFIX}{digits}"),
+        team: team.to_string(),
+        filename: upload.filename,
+        purpose: upload.purpose,
+        bytes: upload.content.len() as u64,
+        created_unix: unix_now(),
+    };
+    let object = file_object(team, &row.id);
+    state.platform.objects.put(&object, upload.content).await.map_err(store_refusal)?;
+    let put = Transaction::default().put(file_key(team, &row.id), encode_row(&row));
+    // Written twice it says the same: a lost answer may be tried again by the caller.
+    state.platform.table.commit(put).await.map_err(store_refusal)?;
+    log::info!(team = &**team, file = row.id.as_str(), bytes = row.bytes; "file");
+    Ok(file_json(&row))
+}
+
+async fn read_upload(state: &DaemonState, request: Request) -> Result<Upload, Refusal> {
+    let most = state.settings.limits.max_file_bytes + FORM_OVERHEAD;
+    let (head, body) = request.into_parts();
+    let bytes = read_bounded(state, body, most).await?;
+    let request = Request::from_parts(head, Body::from(bytes));
+    let malformed = |reason: String| Refusal::not_run(ResultCode::BodyMalformed, reason);
+    let mut form = Multipart::from_request(request, &())
+        .await
+        .map_err(|error| malformed(error.body_text()))?;
+    let mut upload =
+        Upload { filename: String::new(), purpose: "batch".into(), content: Bytes::new() };
+    while let Some(field) = form.next_field().await.map_err(|error| malformed(error.body_text()))? {
+        match field.name() {
+            Some("file") => {
+                upload.filename = field.file_name().unwrap_or_default().to_owned();
+                upload.content =
+                    field.bytes().await.map_err(|error| malformed(error.body_text()))?;
+            }
+            Some("purpose") => {
+                upload.purpose =
+                    field.text().await.map_err(|error| malformed(error.body_text()))?;
+            }
+            _ => {}
+        }
+    }
+    if upload.content.is_empty() {
+        return Err(Refusal::not_run(
+            ResultCode::FieldInvalid,
+            "the form has no file, or it is empty",
+        ));
+    }
+    Ok(upload)
+}
+
+fn file_json(row: &FileRow) -> Value {
+    json!({
+        "id": row.id,
+        "object": "file",
+        "bytes": row.bytes,
+        "created_at": row.created_unix,
+        "filename": row.filename,
+        "purpose": row.purpose,
+        "status": "processed",
+    })
+}
+
+/// The row of a team's file.
+pub(crate) async fn find_file(
+    state: &DaemonState,
+    team: &str,
+    id: &str,
+) -> Result<FileRow, Refusal> {
+    let rows = state.platform.table.read(&[file_key(team, id)]).await.map_err(store_refusal)?;
+    let row = rows.into_iter().next().flatten();
+    row.and_then(|row| decode_row(&row.value).ok()).ok_or_else(|| {
+        Refusal::not_run(ResultCode::ResourceUnknown, format!("there is no file {id:?}"))
+    })
+}
+
+/// Shows a file.
+pub(crate) async fn show_file(
+    State(state): State<Arc<DaemonState>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    let outcome = match authenticate(&state, &headers) {
+        Ok(caller) => describe_file(&state, &caller, &id).await,
+        Err(refusal) => Err(refusal),
+    };
+    answer(&state, outcome.map(Json))
+}
+
+async fn describe_file(
+    state: &DaemonState,
+    caller: &KnownCaller,
+    id: &str,
+) -> Result<Value, Refusal> {
+    if let Some(output) = read_output(state, &caller.team.name, id).await? {
+        let filename = format!("{id}.jsonl");
+        return Ok(json!({
+            "id": id, "object": "file", "bytes": output.len(), "created_at": 0,
+            "filename": filename, "purpose": "batch_output", "status": "processed",
+        }));
+    }
+    Ok(file_json(&find_file(state, &caller.team.name, id).await?))
+}
+
+/// Lists the files that a team uploaded.
+pub(crate) async fn list_files(
+    State(state): State<Arc<DaemonState>>,
+    headers: HeaderMap,
+) -> Response {
+    let outcome = match authenticate(&state, &headers) {
+        Ok(caller) => scan_files(&state, &caller).await,
+        Err(refusal) => Err(refusal),
+    };
+    answer(&state, outcome.map(Json))
+}
+
+async fn scan_files(state: &DaemonState, caller: &KnownCaller) -> Result<Value, Refusal> {
+    let prefix = file_key(&caller.team.name, "");
+    let rows = state.platform.table.scan(&prefix, "", LIST_LIMIT).await.map_err(store_refusal)?;
+    let files = rows.iter().filter_map(|row| decode_row::<FileRow>(&row.value).ok());
+    let data: Vec<Value> = files.map(|row| file_json(&row)).collect();
+    Ok(json!({"object": "list", "data": data, "has_more": false}))
+}
+
+/// Reads a file's content.
+pub(crate) async fn read_file(
+    State(state): State<Arc<DaemonState>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    let outcome = match authenticate(&state, &headers) {
+        Ok(caller) => read_content(&state, &caller, &id).await,
+        Err(refusal) => Err(refusal),
+    };
+    let outcome =
+        outcome.map(|content| ([("content-type", "application/jsonl")], content).into_response());
+    answer(&state, outcome)
+}
+
+/// A job's output or an uploaded file; neither needs the table, so that results stay readable while
+/// it is down.
+async fn read_content(
+    state: &DaemonState,
+    caller: &KnownCaller,
+    id: &str,
+) -> Result<Bytes, Refusal> {
+    let team = &caller.team.name;
+    if let Some(output) = read_output(state, team, id).await? {
+        return Ok(output);
+    }
+    let object = file_object(team, id);
+    let content = state.platform.objects.get(&object).await.map_err(store_refusal)?;
+    content.ok_or_else(|| {
+        Refusal::not_run(ResultCode::ResourceUnknown, format!("there is no file {id:?}"))
+    })
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/marks.rs
@@ -0,0 +1,294 @@
+//! Start marks: proof in the table that a request which may not be repeated was begun.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_core::{Execution, Name, Refusal, ResultCode};
+use cuminramp_platform::{CommitOutcome, Row, StoreError, Transaction};
+use cuminramp_wire::rows::MarkRow;
+use cuminramp_wire::{decode_row, encode_row};
+use sha2::{Digest, Sha256};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::state::DaemonState;
+
+/// Marks that wait to be written; more are refused.
+const MOST_WAITING: usize = 10_000;
+/// How often a write whose answer was lost is read back.
+const SETTLE_TRIES: u32 = 8;
+/// Waits between those tries.
+const SETTLE_PAUSE: Duration = Duration::from_millis(250);
+/// How often the end of a request is written again while the table is away.
+const FINISH_TRIES: u32 = 240;
+/// Waits between those tries.
+const FINISH_PAUSE: Duration = Duration::from_millis(500);
+/// When a caller may ask again for an answer that is not known yet.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// A mark to write.
+struct PendingMark {
+    key: String,
+    row: MarkRow,
+    /// The version the row must have; 0: it must not be there.
+    version: u64,
+    done: oneshot::Sender<MarkOutcome>,
+}
+
+/// What became of it.
+enum MarkOutcome {
+    /// It is written: the request may run.
+    Written,
+    /// Another one stands there.
+    Exists(Row),
+    /// The table can't be asked, and the request must not run.
+    Unavailable(String),
+}
+
+/// The end of a marked request, to write.
+struct PendingEnd {
+    key: String,
+    row: MarkRow,
+}
+
+/// Gathers marks into few writes.
+pub(crate) struct MarkWriter {
+    marks: mpsc::Sender<PendingMark>,
+    ends: mpsc::UnboundedSender<PendingEnd>,
+    receivers: std::sync::Mutex<Option<MarkReceivers>>,
+}
+
+struct MarkReceivers {
+    marks: mpsc::Receiver<PendingMark>,
+    ends: mpsc::UnboundedReceiver<PendingEnd>,
+}
+
+/// A request that was begun; its end is written when it is known.
+pub(crate) struct StartedMark {
+    key: String,
+    row: MarkRow,
+}
+
+/// What a resend of a request gets.
+pub(crate) enum MarkDecision {
+    /// It is the first: run it.
+    Run(StartedMark),
+    /// It ran before: this was its answer.
+    Answered(MarkRow),
+}
+
+impl MarkWriter {
+    pub(crate) fn new() -> Self {
+        let (marks, mark_receiver) = mpsc::channel(MOST_WAITING);
+        let (ends, end_receiver) = mpsc::unbounded_channel();
+        let receivers = MarkReceivers { marks: mark_receiver, ends: end_receiver };
+        MarkWriter { marks, ends, receivers: std::sync::Mutex::new(Some(receivers)) }
+    }
+
+    async fn write(&self, key: &str, row: &MarkRow, version: u64) -> MarkOutcome {
+        let (done, outcome) = oneshot::channel();
+        let pending = PendingMark { key: key.to_owned(), row: row.clone(), version, done };
+        if self.marks.try_send(pending).is_err() {
+            return MarkOutcome::Unavailable("too many marks wait to be written".into());
+        }
+        outcome.await.unwrap_or_else(|_| MarkOutcome::Unavailable("the daemon stops".into()))
+    }
+
+    /// Writes how a request ended, in the background.
+    pub(crate) fn finish(&self, mark: StartedMark, end: MarkEnd) {
+        let StartedMark { key, row } = mark;
+        let row = match end {
+            MarkEnd::Answered { status, content_type, answer } => {
+                MarkRow { finished: true, status, content_type, answer, ..row }
+            }
+            MarkEnd::Unkept => MarkRow { finished: true, ..row },
+            MarkEnd::NotRun => MarkRow { not_run: true, ..row },
+        };
+        let _ = self.ends.send(PendingEnd { key, row });
+    }
+}
+
+/// How a marked request ended.
+pub(crate) enum MarkEnd {
+    /// With an answer that is kept for a caller who asks again.
+    Answered {
+        /// Its status.
+        status: u32,
+        /// Its type.
+        content_type: String,
+        /// Its body.
+        answer: Vec<u8>,
+    },
+    /// It ran, or may have; its answer is not kept.
+    Unkept,
+    /// It surely did not run, and may be sent again.
+    NotRun,
+}
+
+/// Begins a request that may not be repeated: the mark is in the table before any target sees a byte.
+///
+/// A mark of another run shows that the request was begun before, perhaps through another host.
+pub(crate) async fn begin_marked(
+    state: &DaemonState,
+    team: &Name,
+    idempotency_key: &str,
+    body_hash: u64,
+) -> Result<MarkDecision, Refusal> {
+    let hashed = Sha256::digest(idempotency_key.as_bytes());
+    let hex: String = hashed.iter().take(16).map(|byte| format!("{byte:02x}")).collect();
+    let key = format!("mark/{team}/{hex}");
+    let row = MarkRow {
+        team: team.to_string(),
+        key: state.writer_mark(),
+        host: state.me.id.address.to_string(),
+        host_incarnation: state.me.id.incarnation,
+        body_hash,
+        ..MarkRow::default()
+    };
+    let mut version = 0;
+    loop {
+        match state.marks.write(&key, &row, version).await {
+            MarkOutcome::Written => return Ok(MarkDecision::Run(StartedMark { key, row })),
+            MarkOutcome::Unavailable(reason) => {
+                let refusal = Refusal::not_run(ResultCode::StoreUnavailable, reason);
+                return Err(refusal.with_retry_after(ASK_AGAIN));
+            }
+            MarkOutcome::Exists(found) => {
+                let Ok(known) = decode_row::<MarkRow>(&found.value) else {
+                    return Err(Refusal::not_run(ResultCode::Internal, "the mark can't be read"));
+                };
+                if known.body_hash != body_hash {
+                    let message = "this Idempotency-Key came before with another request";
+                    return Err(Refusal::not_run(ResultCode::FieldInvalid, message));
+                }
+                if !known.not_run {
+                    return decide_resend(known);
+                }
+                // The earlier one surely did not run: this one takes its place.
+                version = found.version;
+            }
+        }
+    }
+}
+
+fn decide_resend(known: MarkRow) -> Result<MarkDecision, Refusal> {
+    if known.finished && known.status > 0 {
+        return Ok(MarkDecision::Answered(known));
+    }
+    let (execution, message) = if known.finished {
+        (Execution::Ran, "the request ran before; its answer was not kept")
+    } else {
+        (Execution::MayHaveRun, "the request was begun before; its end is not known yet")
+    };
+    let refusal = Refusal::not_run(ResultCode::AlreadyStarted, message).with_execution(execution);
+    Err(if known.finished { refusal } else { refusal.with_retry_after(ASK_AGAIN) })
+}
+
+/// Writes marks and ends until the daemon stops.
+pub(crate) async fn run_marks(state: Arc<DaemonState>) {
+    let receivers = crate::state::lock(&state.marks.receivers).take();
+    let Some(MarkReceivers { mut marks, mut ends }) = receivers else {
+        return;
+    };
+    let (group_size, group_time) = (state.settings.marks.group_size, state.settings.marks.group());
+    loop {
+        let mut group = Vec::new();
+        let mut ended = Vec::new();
+        tokio::select! {
+            mark = marks.recv() => group.extend(mark),
+            end = ends.recv() => ended.extend(end),
+        }
+        tokio::time::sleep(group_time).await;
+        while group.len() < group_size
+            && let Ok(mark) = marks.try_recv()
+        {
+            group.push(mark);
+        }
+        while ended.len() < group_size
+            && let Ok(end) = ends.try_recv()
+        {
+            ended.push(end);
+        }
+        if group.is_empty() && ended.is_empty() {
+            return;
+        }
+        // One write at a time would let a slow table hold all marks back behind it.
+        let state = state.clone();
+        tokio::spawn(async move {
+            if !group.is_empty() {
+                write_group(&state, group).await;
+            }
+            if !ended.is_empty() {
+                write_ends(&state, ended).await;
+            }
+        });
+    }
+}
+
+/// Writes a group in one transaction; what meets a conflict is answered and the rest written again.
+async fn write_group(state: &DaemonState, mut group: Vec<PendingMark>) {
+    while !group.is_empty() {
+        let transaction = group.iter().fold(Transaction::default(), |transaction, mark| {
+            transaction.put_at(mark.key.clone(), mark.version, encode_row(&mark.row))
+        });
+        match state.platform.table.commit(transaction).await {
+            Ok(CommitOutcome::Committed(_)) => {
+                log::info!(marks = group.len() as u64; "marks-written");
+                return answer_all(group, || MarkOutcome::Written);
+            }
+            Ok(CommitOutcome::Conflict(keys)) => {
+                let (lost, rest) = group.into_iter().partition(|mark| keys.contains(&mark.key));
+                group = rest;
+                settle_marks(state, lost).await;
+            }
+            Err(StoreError::Unavailable(reason)) => {
+                return answer_all(group, || MarkOutcome::Unavailable(reason.clone()));
+            }
+            Err(StoreError::Unknown(_)) => return settle_marks(state, group).await,
+        }
+    }
+}
+
+fn answer_all(group: Vec<PendingMark>, outcome: impl Fn() -> MarkOutcome) {
+    for mark in group {
+        let _ = mark.done.send(outcome());
+    }
+}
+
+/// Reads back what stands in the table: a mark holds its writer's own word, so that a write whose
+/// answer was lost is told from one by another host.
+async fn settle_marks(state: &DaemonState, group: Vec<PendingMark>) {
+    let keys: Vec<String> = group.iter().map(|mark| mark.key.clone()).collect();
+    for _ in 0..SETTLE_TRIES {
+        if let Ok(rows) = state.platform.table.read(&keys).await {
+            for (mark, row) in group.into_iter().zip(rows) {
+                let _ = mark.done.send(settled_outcome(&mark.row, row));
+            }
+            return;
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+    // Whether the marks stand is unknown, and none of the requests was given to a target.
+    answer_all(group, || MarkOutcome::Unavailable("the table can't be asked".into()));
+}
+
+fn settled_outcome(wanted: &MarkRow, row: Option<Row>) -> MarkOutcome {
+    let Some(row) = row else {
+        return MarkOutcome::Unavailable("the table did not take the mark".into());
+    };
+    let is_own = decode_row::<MarkRow>(&row.value).is_ok_and(|found| found.key == wanted.key);
+    if is_own { MarkOutcome::Written } else { MarkOutcome::Exists(row) }
+}
+
+async fn write_ends(state: &DaemonState, ended: Vec<PendingEnd>) {
+    let transaction = ended.iter().fold(Transaction::default(), |transaction, end| {
+        transaction.put(end.key.clone(), encode_row(&end.row))
+    });
+    for _ in 0..FINISH_TRIES {
+        // Written twice it says the same.
+        if state.platform.table.commit(transaction.clone()).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(FINISH_PAUSE).await;
+    }
+    log::warn!(ends = ended.len() as u64; "mark-ends-lost");
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Talk between daemons.
+
+mod caller;
+mod rhythm;
+mod server;
+
+pub(crate) use caller::TarpcPeers;
+pub(crate) use rhythm::{pull_from_any, run_rhythm, spread_news};
+pub(crate) use server::serve_peers;
+
+/// The largest message between daemons.
+const MAX_FRAME_BYTES: usize = 256 << 20;
--- /dev/null
+++ b/crates/cuminramp-daemon/src/peer/server.rs
@@ -0,0 +1,100 @@
+//! Answers to other daemons.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_core::Name;
+use cuminramp_wire::peer::{
+    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest, YieldNotice,
+};
+use cuminramp_wire::{Encoded, PeerService};
+use futures_util::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio_serde::formats::Bincode;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::admission::lend_tokens;
+use crate::peer::MAX_FRAME_BYTES;
+use crate::peer::rhythm::{answer_probe, probe_for_other};
+use crate::state::{DaemonState, lock};
+use crate::sync::answer_pull;
+
+/// A connection on which no call came for so long is closed; its peer opens another when it needs to.
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
+/// Waits between tries when the system can't accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Clone)]
+struct PeerAnswers {
+    state: Arc<DaemonState>,
+}
+
+impl PeerService for PeerAnswers {
+    async fn probe(self, _: Context, request: Encoded<Probe>) -> Encoded<ProbeReply> {
+        let probe = request.0;
+        let mut reply = answer_probe(&self.state, &probe);
+        if !probe.target.is_empty() {
+            reply.target_alive = probe_for_other(&self.state, &probe.target).await;
+        }
+        Encoded(reply)
+    }
+
+    async fn pull(self, _: Context, request: Encoded<PullRequest>) -> Encoded<PullReply> {
+        Encoded(answer_pull(&self.state, &request.0))
+    }
+
+    async fn borrow(self, _: Context, request: Encoded<BorrowRequest>) -> Encoded<BorrowReply> {
+        Encoded(lend_tokens(&self.state, &request.0))
+    }
+
+    async fn report_crash(self, _: Context, request: Encoded<CrashReport>) {
+        let now = Instant::now();
+        let mut crashes = lock(&self.state.crashes);
+        for count in &request.0.counts {
+            crashes.merge(count.fingerprint, count.crashes, now);
+        }
+    }
+
+    async fn yield_targets(self, _: Context, request: Encoded<YieldNotice>) {
+        let targets: Vec<Name> =
+            request.0.targets.iter().map(|name| name.as_str().into()).collect();
+        self.state.batch.note_online(&targets, Instant::now());
+    }
+}
+
+/// Serves other daemons until the state stops.
+pub(crate) async fn serve_peers(state: Arc<DaemonState>, listener: TcpListener) {
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            () = state.stop.cancelled() => return,
+        };
+        let _ = stream.set_nodelay(true);
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let answers = PeerAnswers { state: state.clone() };
+        let stop = state.stop.clone();
+        tokio::spawn(async move {
+            let calls = BaseChannel::with_defaults(transport).execute(answers.serve());
+            tokio::pin!(calls);
+            loop {
+                let next = tokio::select! {
+                    next = tokio::time::timeout(IDLE_LIMIT, calls.next()) => next,
+                    () = stop.cancelled() => return,
+                };
+                let Ok(Some(call)) = next else { return };
+                tokio::spawn(call);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/sync/configuration.rs
@@ -0,0 +1,254 @@
+//! The generation in force on this host, and how it follows the table and other hosts.
+
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use cuminramp_core::KeyDigest;
+use cuminramp_platform::StoreError;
+use cuminramp_routes::{
+    CatchUp, Configuration, GenerationLog, KeyGrant, RoutePlanner, WithdrawalSet,
+};
+use cuminramp_wire::peer::{PullReply, PullRequest, VersionDigest};
+use cuminramp_wire::rows::{ChangeSet, HeadRow, Snapshot};
+use cuminramp_wire::{decode_row, encode_row};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::state::{DaemonState, lock};
+use crate::sync::{HEAD_KEY, change_key, snapshot_name};
+
+/// Most change sets read from the table in one call.
+const MOST_CHANGES_READ: u64 = 256;
+
+/// A generation with what is derived from it.
+pub(crate) struct InForce {
+    pub(crate) configuration: Configuration,
+    pub(crate) planner: RoutePlanner,
+}
+
+impl InForce {
+    fn new(configuration: Configuration) -> Self {
+        let planner = RoutePlanner::new(&configuration);
+        InForce { configuration, planner }
+    }
+}
+
+/// The generation in force, the sets that led to it, and withdrawals ahead of the table.
+pub(crate) struct ConfigurationStore {
+    in_force: ArcSwap<InForce>,
+    withdrawals: ArcSwap<WithdrawalSet>,
+    /// Held by whoever changes what is in force, so that two changes never cross.
+    log: Mutex<GenerationLog>,
+    changed: watch::Sender<u64>,
+}
+
+impl ConfigurationStore {
+    pub(crate) fn new(log_generations: usize) -> Self {
+        ConfigurationStore {
+            in_force: ArcSwap::from_pointee(InForce::new(Configuration::default())),
+            withdrawals: ArcSwap::from_pointee(WithdrawalSet::new()),
+            log: Mutex::new(GenerationLog::new(log_generations)),
+            changed: watch::channel(0).0,
+        }
+    }
+
+    pub(crate) fn in_force(&self) -> Arc<InForce> {
+        self.in_force.load_full()
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.in_force.load().configuration.generation
+    }
+
+    pub(crate) fn withdrawals(&self) -> Arc<WithdrawalSet> {
+        self.withdrawals.load_full()
+    }
+
+    /// Wakes whenever the generation or the withdrawals change.
+    pub(crate) fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The grant of a key that is neither unknown nor withdrawn.
+    pub(crate) fn find_key(&self, digest: &KeyDigest) -> Option<KeyGrant> {
+        let in_force = self.in_force.load();
+        let grant = in_force.configuration.find_key(digest)?;
+        (!self.withdrawals.load().contains(digest)).then(|| grant.clone())
+    }
+
+    /// Puts the set in force if it is the next one.
+    pub(crate) fn take_changes(&self, set: ChangeSet) -> bool {
+        let mut log = lock(&self.log);
+        let Ok(next) = self.in_force.load().configuration.apply(&set) else {
+            return false;
+        };
+        log.push(Arc::new(set));
+        self.put_in_force(next);
+        true
+    }
+
+    /// Puts a snapshot in force if it is newer.
+    pub(crate) fn take_snapshot(&self, snapshot: &Snapshot) -> bool {
+        let _log = lock(&self.log);
+        if snapshot.generation <= self.generation() {
+            return false;
+        }
+        self.put_in_force(Configuration::from_snapshot(snapshot));
+        true
+    }
+
+    fn put_in_force(&self, configuration: Configuration) {
+        let generation = configuration.generation;
+        let mut withdrawals = WithdrawalSet::clone(&self.withdrawals.load());
+        withdrawals.retain_unwritten(|digest| !configuration.keys.contains_key(digest));
+        self.in_force.store(Arc::new(InForce::new(configuration)));
+        self.withdrawals.store(Arc::new(withdrawals));
+        self.changed.send_modify(|count| *count += 1);
+        log::info!(generation = generation; "generation-in-force");
+    }
+
+    /// Withdraws keys ahead of the table; says how many of them were news.
+    pub(crate) fn withdraw(&self, digests: impl IntoIterator<Item = KeyDigest>) -> usize {
+        let _log = lock(&self.log);
+        let mut withdrawals = WithdrawalSet::clone(&self.withdrawals.load());
+        let in_force = self.in_force.load();
+        let known = digests.into_iter().filter(|key| in_force.configuration.keys.contains_key(key));
+        let news = known.filter(|digest| withdrawals.insert(*digest)).count();
+        if news > 0 {
+            self.withdrawals.store(Arc::new(withdrawals));
+            self.changed.send_modify(|count| *count += 1);
+            log::info!(keys = news as u64; "keys-withdrawn");
+        }
+        news
+    }
+
+    fn catch_up(&self, after: u64) -> (Arc<InForce>, CatchUp) {
+        let log = lock(&self.log);
+        let in_force = self.in_force();
+        let missing = log.catch_up(&in_force.configuration, after);
+        (in_force, missing)
+    }
+}
+
+/// What this host has in force, for a probe.
+pub(crate) fn version_digest(state: &DaemonState) -> VersionDigest {
+    VersionDigest {
+        generation: state.configuration.generation(),
+        withdrawal_hash: state.configuration.withdrawals().digest_hash(),
+        shard_hash: lock(&state.ledger).shards().digest_hash(),
+        table_age_ms: state.contact.age(Instant::now()).as_millis() as u64,
+    }
+}
+
+/// Asks the table for newer generations, again and again.
+pub(crate) async fn poll_generations(state: Arc<DaemonState>) {
+    loop {
+        if let Err(error) = read_generations(&state).await {
+            log::warn!(reason = error.to_string().as_str(); "table-unreachable");
+        }
+        tokio::time::sleep(state.settings.configuration.poll()).await;
+    }
+}
+
+/// Brings this host up to the table's generation.
+pub(crate) async fn read_generations(state: &DaemonState) -> Result<(), StoreError> {
+    let asked_at = Instant::now();
+    let rows = state.platform.table.read(&[HEAD_KEY.to_owned()]).await?;
+    state.contact.note(asked_at);
+    let Some(head) = rows.into_iter().next().flatten() else {
+        return Ok(());
+    };
+    let Ok(head) = decode_row::<HeadRow>(&head.value) else {
+        return Ok(());
+    };
+    if head.generation <= state.configuration.generation() {
+        return Ok(());
+    }
+    read_missing(state, &head).await
+}
+
+async fn read_missing(state: &DaemonState, head: &HeadRow) -> Result<(), StoreError> {
+    if head.snapshot > state.configuration.generation() {
+        let object = state.platform.objects.get(&snapshot_name(head.snapshot)).await?;
+        let snapshot = object.and_then(|bytes| decode_row::<Snapshot>(&bytes).ok());
+        if let Some(snapshot) = snapshot {
+            state.configuration.take_snapshot(&snapshot);
+        }
+    }
+    let mut next = state.configuration.generation() + 1;
+    while next <= head.generation {
+        let last = head.generation.min(next + MOST_CHANGES_READ - 1);
+        let keys: Vec<String> = (next..=last).map(change_key).collect();
+        for row in state.platform.table.read(&keys).await?.into_iter().flatten() {
+            if let Ok(set) = decode_row::<ChangeSet>(&row.value) {
+                state.configuration.take_changes(set);
+            }
+        }
+        next = last + 1;
+    }
+    Ok(())
+}
+
+/// Answers a host that lacks something.
+pub(crate) fn answer_pull(state: &DaemonState, request: &PullRequest) -> PullReply {
+    take_withdrawals(state, &request.withdrawals);
+    let (in_force, missing) = state.configuration.catch_up(request.after_generation);
+    let mut reply = PullReply {
+        generation: in_force.configuration.generation,
+        withdrawals: withdrawal_bytes(state),
+        ..PullReply::default()
+    };
+    match missing {
+        CatchUp::Nothing => {}
+        CatchUp::Changes(sets) => {
+            reply.changes = sets.iter().map(|set| encode_row(&**set)).collect()
+        }
+        CatchUp::Snapshot => reply.snapshot = encode_row(&in_force.configuration.to_snapshot()),
+    }
+    if request.want_shards {
+        let rows = lock(&state.ledger).shards().to_rows();
+        reply.shards = rows.iter().map(encode_row).collect();
+    }
+    reply
+}
+
+/// The pull request that says what this host has.
+pub(crate) fn pull_request(state: &DaemonState, want_shards: bool) -> PullRequest {
+    PullRequest {
+        after_generation: state.configuration.generation(),
+        withdrawals: withdrawal_bytes(state),
+        want_shards,
+    }
+}
+
+/// Takes in what another host sent.
+pub(crate) fn merge_pull(state: &DaemonState, reply: &PullReply) {
+    if !reply.snapshot.is_empty()
+        && let Ok(snapshot) = decode_row::<Snapshot>(&reply.snapshot)
+    {
+        state.configuration.take_snapshot(&snapshot);
+    }
+    for bytes in &reply.changes {
+        if let Ok(set) = decode_row::<ChangeSet>(bytes) {
+            state.configuration.take_changes(set);
+        }
+    }
+    take_withdrawals(state, &reply.withdrawals);
+    let now = Instant::now();
+    let mut ledger = lock(&state.ledger);
+    for bytes in &reply.shards {
+        if let Ok(row) = decode_row(bytes) {
+            ledger.shards_mut().observe(&row, false, now);
+        }
+    }
+}
+
+fn withdrawal_bytes(state: &DaemonState) -> Vec<Vec<u8>> {
+    let withdrawals = state.configuration.withdrawals();
+    withdrawals.digests().iter().map(|digest| digest.as_bytes().to_vec()).collect()
+}
+
+fn take_withdrawals(state: &DaemonState, bytes: &[Vec<u8>]) {
+    let digests = bytes.iter().filter_map(|bytes| KeyDigest::from_bytes(bytes));
+    state.configuration.withdraw(digests);
+}
--- /dev/null
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -0,0 +1,176 @@
+//! Ownership of shards in the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_core::Host;
+use cuminramp_platform::{Row, StoreError, Transaction, Version};
+use cuminramp_quota::ShardMove;
+use cuminramp_wire::rows::ShardRow;
+use cuminramp_wire::{decode_row, encode_row};
+use tokio::time::Instant;
+
+use crate::peer::{pull_from_any, spread_news};
+use crate::state::{DaemonState, lock};
+use crate::sync::shard_key;
+
+/// How often the ledger looks at the clock, so that it notices when the process was paused.
+const TICK: Duration = Duration::from_millis(200);
+/// Rows read in one call.
+const SCAN_LIMIT: usize = 1_024;
+/// Shards claimed in one write.
+const CLAIMS_PER_WRITE: usize = 64;
+/// Waits for other hosts to be heard of before a new host claims what nobody owns.
+const FIRST_CLAIM_DELAY: Duration = Duration::from_secs(1);
+
+/// A shard's row with the version that a write compares.
+struct VersionedShard {
+    row: ShardRow,
+    version: Version,
+}
+
+/// Lets the ledger notice pauses and forget teams.
+pub(crate) async fn tick_ledger(state: Arc<DaemonState>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = Instant::now();
+        let confirmed = state.is_confirmed(now);
+        let mut ledger = lock(&state.ledger);
+        ledger.tick(now);
+        if !confirmed {
+            ledger.doubt();
+        }
+        ledger.forget_unused(now);
+        let owned = ledger.shards().owned_count();
+        drop(ledger);
+        let live = lock(&state.members).usable_hosts().len();
+        state.metrics.note_state(state.configuration.generation(), live, owned);
+    }
+}
+
+/// Reads, claims and moves shards, again and again.
+pub(crate) async fn poll_shards(state: Arc<DaemonState>) {
+    tokio::time::sleep(FIRST_CLAIM_DELAY).await;
+    loop {
+        match read_shards(&state).await {
+            Ok(rows) => {
+                claim_shards(&state, &rows).await;
+                move_shards(&state, &rows).await;
+            }
+            Err(_) => trust_peers(&state).await,
+        }
+        let doubtful = lock(&state.ledger).is_doubtful();
+        let poll = state.settings.quota.shard_poll();
+        tokio::time::sleep(if doubtful { poll.min(TICK) } else { poll }).await;
+    }
+}
+
+async fn read_shards(state: &DaemonState) -> Result<Vec<VersionedShard>, StoreError> {
+    let asked_at = Instant::now();
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
+        let page = state.platform.table.scan("shard/", &after, SCAN_LIMIT).await?;
+        let full = page.len() == SCAN_LIMIT;
+        rows.extend(page);
+        if !full {
+            break;
+        }
+    }
+    state.contact.note(asked_at);
+    let rows = rows.into_iter().filter_map(|row| {
+        Some(VersionedShard { row: decode_row(&row.value).ok()?, version: row.version })
+    });
+    let rows: Vec<VersionedShard> = rows.collect();
+    let now = Instant::now();
+    let mut ledger = lock(&state.ledger);
+    for shard in &rows {
+        ledger.shards_mut().observe(&shard.row, true, now);
+    }
+    ledger.trust(now);
+    Ok(rows)
+}
+
+/// With the table down, a host that doubts what it owns asks another one; that is enough while it
+/// hears most hosts, since nobody can claim anything then.
+async fn trust_peers(state: &DaemonState) {
+    let now = Instant::now();
+    if !lock(&state.ledger).is_doubtful() || !lock(&state.members).hears_majority() {
+        return;
+    }
+    if pull_from_any(state).await {
+        lock(&state.ledger).trust(now);
+    }
+}
+
+fn staying_hosts(state: &DaemonState) -> Vec<Host> {
+    lock(&state.members).usable_hosts()
+}
+
+async fn claim_shards(state: &Arc<DaemonState>, rows: &[VersionedShard]) {
+    let now = Instant::now();
+    let hosts = staying_hosts(state);
+    let moves = {
+        let members = lock(&state.members);
+        if members.is_leaving() {
+            return;
+        }
+        let ledger = lock(&state.ledger);
+        ledger.shards().plan_claims(&hosts, |owner| members.is_surely_dead(owner, now))
+    };
+    for group in moves.chunks(CLAIMS_PER_WRITE) {
+        write_moves(state, rows, group).await;
+    }
+}
+
+async fn move_shards(state: &Arc<DaemonState>, rows: &[VersionedShard]) {
+    let hosts = staying_hosts(state);
+    let most = state.settings.quota.moves_per_poll;
+    let moves = lock(&state.ledger).shards_mut().release_moves(&hosts, most);
+    write_moves(state, rows, &moves).await;
+}
+
+/// Gives all shards to the hosts that stay, as a host that leaves does.
+pub(crate) async fn give_back_shards(state: &Arc<DaemonState>) {
+    let Ok(rows) = read_shards(state).await else {
+        return;
+    };
+    let hosts = staying_hosts(state);
+    let moves = lock(&state.ledger).shards_mut().release_moves(&hosts, usize::MAX);
+    for group in moves.chunks(CLAIMS_PER_WRITE) {
+        write_moves(state, &rows, group).await;
+    }
+    spread_news(state).await;
+}
+
+/// Writes changes of ownership in one transaction, and one by one where that meets a conflict. What
+/// took effect is learnt by reading it back, so a lost answer needs no care of its own.
+async fn write_moves(state: &Arc<DaemonState>, rows: &[VersionedShard], moves: &[ShardMove]) {
+    if moves.is_empty() {
+        return;
+    }
+    let wanted: Vec<(&ShardMove, Version)> = moves
+        .iter()
+        .filter_map(|change| {
+            let known = rows.iter().find(|shard| shard.row.shard == change.shard);
+            let epoch = known.map_or(0, |shard| shard.row.epoch);
+            (epoch == change.from_epoch).then_some((change, known.map_or(0, |shard| shard.version)))
+        })
+        .collect();
+    let put = |transaction: Transaction, (change, version): &(&ShardMove, Version)| {
+        transaction.put_at(shard_key(change.shard), *version, encode_row(&change.to_row()))
+    };
+    let all = wanted.iter().fold(Transaction::default(), put);
+    let outcome = state.platform.table.commit(all).await;
+    if matches!(outcome, Ok(cuminramp_platform::CommitOutcome::Conflict(_))) {
+        for change in &wanted {
+            let _ = state.platform.table.commit(put(Transaction::default(), change)).await;
+        }
+    }
+    for change in moves {
+        let (shard, owner) = (change.shard, &*change.owner.address);
+        log::info!(shard = shard, owner = owner, epoch = change.from_epoch + 1; "shard-move");
+    }
+    let _ = read_shards(state).await;
+    spread_news(state).await;
+}
--- a/crates/cuminramp-http/src/client.rs
+++ b/crates/cuminramp-http/src/client.rs
@@ -84,10 +84,7 @@
     /// let client = HttpClient::new(limits);
     /// ```
     pub fn new(limits: CallLimits) -> Self {
-        HttpClient {
-            limits,
-            pool: ArcSwap::from_pointee(open_pool(&limits)),
-        }
+        HttpClient { limits, pool: ArcSwap::from_pointee(open_pool(&limits)) }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -111,10 +108,7 @@
             Ok(Err(error)) => Err(CallError::Broken(describe(&error))),
             Err(_) => {
                 self.drop_pool();
-                Err(CallError::Silent(format!(
-                    "no answer within {} ms",
-                    first_byte.as_millis()
-                )))
+                Err(CallError::Silent(format!("no answer within {} ms", first_byte.as_millis())))
             }
         }
     }
@@ -127,10 +121,7 @@
 
 impl fmt::Debug for HttpClient {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter
-            .debug_struct("HttpClient")
-            .field("limits", &self.limits)
-            .finish_non_exhaustive()
+        formatter.debug_struct("HttpClient").field("limits", &self.limits).finish_non_exhaustive()
     }
 }
 
@@ -170,9 +161,6 @@
     match tokio::time::timeout(limit, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) => Err(CallError::Broken(error.to_string())),
-        Err(_) => Err(CallError::Silent(format!(
-            "body not whole within {} ms",
-            limit.as_millis()
-        ))),
+        Err(_) => Err(CallError::Silent(format!("body not whole within {} ms", limit.as_millis()))),
     }
 }
--- a/crates/cuminramp-membership/src/member.rs
+++ b/crates/cuminramp-membership/src/member.rs
@@ -70,10 +70,7 @@
         let address = Name::from(state.address.as_str());
         Member {
             host: Host {
-                id: HostId {
-                    address,
-                    incarnation: state.incarnation,
-                },
+                id: HostId { address, incarnation: state.incarnation },
                 caller_address: Name::from(state.caller_address.as_str()),
                 zone: Name::from(state.zone.as_str()),
             },
@@ -99,13 +96,8 @@
     /// Whether `other` is a newer statement: of a later run, or a later one of the same run, or a
     /// stronger one of the same number.
     pub(crate) fn is_older_than(&self, other: &Member) -> bool {
-        let order = |member: &Member| {
-            (
-                member.host.id.incarnation,
-                member.sequence,
-                member.status.rank(),
-            )
-        };
+        let order =
+            |member: &Member| (member.host.id.incarnation, member.sequence, member.status.rank());
         order(self) < order(other)
     }
 }
--- a/crates/cuminramp-membership/src/steering.rs
+++ b/crates/cuminramp-membership/src/steering.rs
@@ -51,10 +51,7 @@
         rank_by_score(team, &mut ranked, |host| &host.id.address);
         ranked.sort_by_key(|host| (!owners.contains(&host.id), *host.zone != *zone));
         let hosts = ranked.into_iter().take(self.homes).cloned().collect();
-        SteeringAnswer {
-            hosts,
-            keep: self.keep,
-        }
+        SteeringAnswer { hosts, keep: self.keep }
     }
 }
 
@@ -68,20 +65,14 @@
 
     fn host(number: u32) -> Host {
         Host {
-            id: HostId {
-                address: format!("10.0.0.{number}:1").into(),
-                incarnation: 1,
-            },
+            id: HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 },
             caller_address: format!("10.0.0.{number}:2").into(),
             zone: format!("zone-{}", number % 3).into(),
         }
     }
 
     fn planner() -> SteeringPlanner {
-        SteeringPlanner {
-            homes: 3,
-            keep: Duration::from_secs(30),
-        }
+        SteeringPlanner { homes: 3, keep: Duration::from_secs(30) }
     }
 
     // Many hosts are replaced each day. If each replacement sent most teams elsewhere, their caches
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -167,10 +167,7 @@
             self.suspect(address, now);
             return Vec::new();
         }
-        vec![MemberAction::ProbeThrough {
-            target: address.into(),
-            helpers: chosen,
-        }]
+        vec![MemberAction::ProbeThrough { target: address.into(), helpers: chosen }]
     }
 
     /// Nobody reached the host.
@@ -181,14 +178,11 @@
     /// A host spoke for itself, by a probe or an answer: proof that this run lives. Returns whether
     /// it contradicts a suspicion, in which case the host should be told of it.
     pub fn on_heard(&mut self, state: &HostState, now: Instant) -> bool {
-        let contradicts = self
-            .members
-            .get(state.address.as_str())
-            .is_some_and(|known| {
-                known.host.id.incarnation == state.incarnation
-                    && known.sequence >= state.sequence
-                    && matches!(known.status, MemberStatus::Suspect | MemberStatus::Dead)
-            });
+        let contradicts = self.members.get(state.address.as_str()).is_some_and(|known| {
+            known.host.id.incarnation == state.incarnation
+                && known.sequence >= state.sequence
+                && matches!(known.status, MemberStatus::Suspect | MemberStatus::Dead)
+        });
         self.merge(state, now);
         contradicts
     }
@@ -229,8 +223,7 @@
     /// News to put on the next message, with what the receiver at `address` is said to be where that
     /// is not "alive", so that it can contradict at once.
     pub fn take_updates(&mut self, address: Option<&str>) -> Vec<HostState> {
-        self.updates
-            .sort_by_key(|update| std::cmp::Reverse(update.remaining));
+        self.updates.sort_by_key(|update| std::cmp::Reverse(update.remaining));
         let mut states = Vec::new();
         if let Some(member) = address.and_then(|address| self.members.get(address))
             && member.status != MemberStatus::Alive
@@ -333,11 +326,7 @@
             // The dead are still probed while they are listed: a cut heals without a restart.
             member.status != MemberStatus::Dead || member.unlisted_since.is_none()
         });
-        known
-            .map(|(address, _)| address)
-            .chain(self.strangers())
-            .cloned()
-            .collect()
+        known.map(|(address, _)| address).chain(self.strangers()).cloned().collect()
     }
 
     fn merge(&mut self, state: &HostState, now: Instant) {
@@ -427,10 +416,7 @@
 
     fn host(number: u32, incarnation: u64) -> Host {
         Host {
-            id: HostId {
-                address: format!("10.0.0.{number}:1").into(),
-                incarnation,
-            },
+            id: HostId { address: format!("10.0.0.{number}:1").into(), incarnation },
             caller_address: format!("10.0.0.{number}:2").into(),
             zone: format!("zone-{}", number % 3).into(),
         }
@@ -442,10 +428,7 @@
 
     fn listed(numbers: impl Iterator<Item = u32>) -> Vec<ListedHost> {
         numbers
-            .map(|number| ListedHost {
-                address: host(number, 1).id.address,
-                leaving: false,
-            })
+            .map(|number| ListedHost { address: host(number, 1).id.address, leaving: false })
             .collect()
     }
 
@@ -496,10 +479,7 @@
     }
 
     fn index_of(tables: &[MemberTable], address: &str) -> usize {
-        tables
-            .iter()
-            .position(|table| *table.me().id.address == *address)
-            .unwrap()
+        tables.iter().position(|table| *table.me().id.address == *address).unwrap()
     }
 
     fn exchange(
@@ -545,19 +525,10 @@
         let dead = |from: usize, to: usize| from != 0 && to != 0;
 
         for tick in 1..=8 {
-            step(
-                &mut tables,
-                &mut random,
-                &dead,
-                start + Duration::from_millis(250) * tick,
-            );
+            step(&mut tables, &mut random, &dead, start + Duration::from_millis(250) * tick);
         }
 
-        assert!(
-            tables[1..]
-                .iter()
-                .all(|table| table.usable_hosts().len() == 10)
-        );
+        assert!(tables[1..].iter().all(|table| table.usable_hosts().len() == 10));
     }
 
     // One link between two live hosts is cut, in one direction or both. If that counted as death,
@@ -570,19 +541,12 @@
         let cut = |from: usize, to: usize| !matches!((from, to), (0, 1) | (2, 3) | (3, 2));
 
         for tick in 1..=80 {
-            step(
-                &mut tables,
-                &mut random,
-                &cut,
-                start + Duration::from_millis(250) * tick,
-            );
+            step(&mut tables, &mut random, &cut, start + Duration::from_millis(250) * tick);
         }
 
-        let dead = tables.iter().any(|table| {
-            table
-                .members()
-                .any(|member| member.status == super::MemberStatus::Dead)
-        });
+        let dead = tables
+            .iter()
+            .any(|table| table.members().any(|member| member.status == super::MemberStatus::Dead));
         assert!(!dead);
     }
 
@@ -594,21 +558,11 @@
         let mut random = SeededRandom::new(3);
         let paused = |from: usize, to: usize| from != 0 && to != 0;
         for tick in 1..=40 {
-            step(
-                &mut tables,
-                &mut random,
-                &paused,
-                start + Duration::from_millis(250) * tick,
-            );
+            step(&mut tables, &mut random, &paused, start + Duration::from_millis(250) * tick);
         }
 
         for tick in 41..=60 {
-            step(
-                &mut tables,
-                &mut random,
-                &|_, _| true,
-                start + Duration::from_millis(250) * tick,
-            );
+            step(&mut tables, &mut random, &|_, _| true, start + Duration::from_millis(250) * tick);
         }
 
         assert!(tables.iter().all(|table| table.usable_hosts().len() == 11));
@@ -655,12 +609,7 @@
         let cut = |from: usize, to: usize| (from < 4) == (to < 4);
 
         for tick in 1..=60 {
-            step(
-                &mut tables,
-                &mut random,
-                &cut,
-                start + Duration::from_millis(250) * tick,
-            );
+            step(&mut tables, &mut random, &cut, start + Duration::from_millis(250) * tick);
         }
 
         assert!(tables[..4].iter().all(|table| !table.hears_majority()));
--- a/crates/cuminramp-platform/src/http_platform.rs
+++ b/crates/cuminramp-platform/src/http_platform.rs
@@ -114,11 +114,7 @@
         /// The row of a body; `None` where the value is not base64.
         pub fn into_row(self) -> Option<Row> {
             let value = STANDARD.decode(self.value).ok()?;
-            Some(Row {
-                key: self.key,
-                value: Bytes::from(value),
-                version: self.version,
-            })
+            Some(Row { key: self.key, value: Bytes::from(value), version: self.version })
         }
     }
 
@@ -128,12 +124,8 @@
             let conditions = transaction.conditions.iter();
             let puts = transaction.puts.iter();
             CommitBody {
-                conditions: conditions
-                    .map(|held| (held.key.clone(), held.version))
-                    .collect(),
-                puts: puts
-                    .map(|(key, value)| (key.clone(), STANDARD.encode(value)))
-                    .collect(),
+                conditions: conditions.map(|held| (held.key.clone(), held.version)).collect(),
+                puts: puts.map(|(key, value)| (key.clone(), STANDARD.encode(value))).collect(),
                 deletes: transaction.deletes.clone(),
             }
         }
@@ -146,9 +138,7 @@
             }
             let conditions = self.conditions.into_iter();
             Some(Transaction {
-                conditions: conditions
-                    .map(|(key, version)| Condition { key, version })
-                    .collect(),
+                conditions: conditions.map(|(key, version)| Condition { key, version }).collect(),
                 puts,
                 deletes: self.deletes,
             })
@@ -177,15 +167,8 @@
     /// let platform = cuminramp_platform::HttpPlatform::new("127.0.0.1:7000", Duration::from_secs(2));
     /// ```
     pub fn new(address: &str, timeout: Duration) -> Self {
-        let limits = CallLimits {
-            connect: timeout,
-            first_byte: timeout,
-        };
-        HttpPlatform {
-            client: HttpClient::new(limits),
-            base: format!("http://{address}"),
-            timeout,
-        }
+        let limits = CallLimits { connect: timeout, first_byte: timeout };
+        HttpPlatform { client: HttpClient::new(limits), base: format!("http://{address}"), timeout }
     }
 
     async fn call(&self, request: Request<Full<Bytes>>) -> Result<PlatformAnswer, StoreError> {
@@ -256,28 +239,15 @@
 #[async_trait]
 impl TableStore for HttpPlatform {
     async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
-        let reply: RowsReply = self
-            .post(
-                "/table/read",
-                &ReadBody {
-                    keys: keys.to_vec(),
-                },
-            )
-            .await?;
+        let reply: RowsReply = self.post("/table/read", &ReadBody { keys: keys.to_vec() }).await?;
         if reply.rows.len() != keys.len() {
-            return Err(StoreError::Unknown(
-                "the answer has another number of rows".into(),
-            ));
+            return Err(StoreError::Unknown("the answer has another number of rows".into()));
         }
         into_rows(reply)
     }
 
     async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
-        let body = ScanBody {
-            prefix: prefix.into(),
-            after: after.into(),
-            limit,
-        };
+        let body = ScanBody { prefix: prefix.into(), after: after.into(), limit };
         let reply: RowsReply = self.post("/table/scan", &body).await?;
         Ok(into_rows(reply)?.into_iter().flatten().collect())
     }
@@ -313,9 +283,7 @@
     ) -> Result<Option<Bytes>, StoreError> {
         let mut request = self.request(Method::GET, &format!("/objects/{name}"), Bytes::new())?;
         let range = format!("bytes={start}-{}", end.saturating_sub(1));
-        request
-            .headers_mut()
-            .insert("range", range.parse().map_err(unusable)?);
+        request.headers_mut().insert("range", range.parse().map_err(unusable)?);
         let answer = self.call(request).await?;
         Ok(answer.status.is_success().then_some(answer.body))
     }
@@ -335,18 +303,12 @@
             .map_err(|error| StoreError::Unknown(error.to_string()))?;
         let hosts = reply.hosts.into_iter();
         Ok(hosts
-            .map(|host| HostEntry {
-                address: Name::from(host.address),
-                leaving: host.leaving,
-            })
+            .map(|host| HostEntry { address: Name::from(host.address), leaving: host.leaving })
             .collect())
     }
 
     async fn announce(&self, entry: &HostEntry) -> Result<(), StoreError> {
-        let body = HostBody {
-            address: entry.address.to_string(),
-            leaving: entry.leaving,
-        };
+        let body = HostBody { address: entry.address.to_string(), leaving: entry.leaving };
         let bytes = serde_json::to_vec(&body).map_err(unusable)?;
         let request = self.request(Method::PUT, "/hosts", Bytes::from(bytes))?;
         self.call(request).await.map(drop)
--- a/crates/cuminramp-platform/src/table.rs
+++ b/crates/cuminramp-platform/src/table.rs
@@ -54,10 +54,7 @@
         value: impl Into<Bytes>,
     ) -> Self {
         let key = key.into();
-        self.conditions.push(Condition {
-            key: key.clone(),
-            version,
-        });
+        self.conditions.push(Condition { key: key.clone(), version });
         self.puts.push((key, value.into()));
         self
     }
--- a/crates/cuminramp-quota/src/allotment.rs
+++ b/crates/cuminramp-quota/src/allotment.rs
@@ -24,10 +24,7 @@
     /// ```
     pub fn from_tokens(rate: f64, burst: f64) -> Self {
         let milli = |tokens: f64| (tokens * TOKEN as f64).floor() as Millitokens;
-        TeamLimits {
-            rate: milli(rate),
-            burst: milli(burst),
-        }
+        TeamLimits { rate: milli(rate), burst: milli(burst) }
     }
 }
 
@@ -71,17 +68,11 @@
             return SliceLimits::NOTHING;
         }
         let count = u64::from(count);
-        SliceLimits {
-            rate: limits.rate / count,
-            burst: limits.burst / count,
-        }
+        SliceLimits { rate: limits.rate / count, burst: limits.burst / count }
     }
 
     fn least(self, other: Self) -> Self {
-        SliceLimits {
-            rate: self.rate.min(other.rate),
-            burst: self.burst.min(other.burst),
-        }
+        SliceLimits { rate: self.rate.min(other.rate), burst: self.burst.min(other.burst) }
     }
 }
 
@@ -107,10 +98,7 @@
 
 impl Allotment {
     pub(crate) fn new(limits: TeamLimits) -> Self {
-        Allotment {
-            newest: limits,
-            older: Vec::new(),
-        }
+        Allotment { newest: limits, older: Vec::new() }
     }
 
     /// Notes the limits of the generation in force; says whether slices may have changed.
@@ -121,10 +109,7 @@
         if self.newest == limits {
             return expired;
         }
-        self.older.push(OlderLimits {
-            until: now + settle,
-            limits: self.newest,
-        });
+        self.older.push(OlderLimits { until: now + settle, limits: self.newest });
         self.newest = limits;
         true
     }
@@ -136,18 +121,15 @@
 
     /// How many slices to look at: all that any of the limits has.
     pub(crate) fn slices(&self, policy: &LedgerPolicy) -> u32 {
-        self.all()
-            .map(|limits| slice_count(limits, policy))
-            .max()
-            .unwrap_or(1)
+        self.all().map(|limits| slice_count(limits, policy)).max().unwrap_or(1)
     }
 
     /// What slice number `index` may have now.
     pub(crate) fn slice(&self, index: u32, policy: &LedgerPolicy) -> SliceLimits {
         let newest = SliceLimits::cut(self.newest, index, policy);
-        self.older.iter().fold(newest, |least, older| {
-            least.least(SliceLimits::cut(older.limits, index, policy))
-        })
+        self.older
+            .iter()
+            .fold(newest, |least, older| least.least(SliceLimits::cut(older.limits, index, policy)))
     }
 
     /// The most that one request can cost.
--- a/crates/cuminramp-quota/src/bucket.rs
+++ b/crates/cuminramp-quota/src/bucket.rs
@@ -61,10 +61,7 @@
 
     /// A full bucket.
     pub fn full(rate: Millitokens, burst: Millitokens, now: Instant) -> Self {
-        TokenBucket {
-            level: burst,
-            ..TokenBucket::empty(rate, burst, now)
-        }
+        TokenBucket { level: burst, ..TokenBucket::empty(rate, burst, now) }
     }
 
     /// Changes rate and burst; what is above the new burst is lost.
@@ -98,10 +95,7 @@
     pub fn lend(&mut self, amount: Millitokens, valid: Duration, now: Instant) -> Millitokens {
         let lent = self.take(amount, now);
         if lent > 0 {
-            self.loans.push_back(Loan {
-                until: now + valid,
-                amount: lent,
-            });
+            self.loans.push_back(Loan { until: now + valid, amount: lent });
             self.on_loan += lent;
         }
         lent
@@ -133,10 +127,7 @@
             return;
         }
         let flow = nanos * u128::from(self.rate) + self.remainder;
-        let room = self
-            .burst
-            .saturating_sub(self.on_loan)
-            .saturating_sub(self.level);
+        let room = self.burst.saturating_sub(self.on_loan).saturating_sub(self.level);
         let whole = flow / SECOND_NANOS;
         if whole >= u128::from(room) {
             self.level += room;
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -169,13 +169,7 @@
     /// ```
     pub fn new(me: HostId, policy: LedgerPolicy, now: Instant) -> Self {
         let shards = ShardMap::new(me, policy.shards);
-        QuotaLedger {
-            policy,
-            shards,
-            teams: SortedMap::new(),
-            ticked_at: now,
-            doubtful: false,
-        }
+        QuotaLedger { policy, shards, teams: SortedMap::new(), ticked_at: now, doubtful: false }
     }
 
     /// Who owns what.
@@ -221,8 +215,7 @@
     /// Drops teams that were not used for long; their buckets would be full by now.
     pub fn forget_unused(&mut self, now: Instant) {
         let limit = self.policy.forget_after;
-        self.teams
-            .retain(|_, team| now.saturating_duration_since(team.used_at) < limit);
+        self.teams.retain(|_, team| now.saturating_duration_since(team.used_at) < limit);
     }
 
     /// How many teams have buckets here.
@@ -270,12 +263,7 @@
         self.prepare(&request.team, limits, now);
         let trusted = self.trusts_itself(now);
         let valid = loan_validity(limits, &self.policy);
-        let nothing = LoanAnswer {
-            amount: 0,
-            is_owner: false,
-            valid,
-            wait: LEAST_WAIT,
-        };
+        let nothing = LoanAnswer { amount: 0, is_owner: false, valid, wait: LEAST_WAIT };
         if !trusted || !self.shards.is_mine(request.shard) {
             return nothing;
         }
@@ -288,12 +276,7 @@
         };
         let amount = slice.bucket.lend(request.amount, valid, now);
         let wait = slice.bucket.wait_for(request.amount.min(TOKEN), now);
-        LoanAnswer {
-            amount,
-            is_owner: true,
-            valid,
-            wait: wait.clamp(LEAST_WAIT, MOST_WAIT),
-        }
+        LoanAnswer { amount, is_owner: true, valid, wait: wait.clamp(LEAST_WAIT, MOST_WAIT) }
     }
 
     /// Credits tokens that an owner lent; they count from the moment the request left, which comes
@@ -311,10 +294,7 @@
         };
         let until = asked_at + answer.valid;
         if answer.amount > 0 && until > now {
-            quota.stashes.push(Stash {
-                until,
-                amount: answer.amount,
-            });
+            quota.stashes.push(Stash { until, amount: answer.amount });
         } else {
             quota.dry.insert(lender.shard, now + answer.wait);
         }
@@ -323,9 +303,7 @@
     /// Notes that an owner gave no answer, so that it isn't asked again at once.
     pub fn note_silent(&mut self, team: &Name, lender: &Lender, now: Instant) {
         if let Some(quota) = self.teams.get_mut(team) {
-            quota
-                .dry
-                .insert(lender.shard, now + self.policy.borrow_valid);
+            quota.dry.insert(lender.shard, now + self.policy.borrow_valid);
         }
     }
 
@@ -337,9 +315,7 @@
     /// Brings a team's buckets in line with its limits and with the shards owned here.
     fn prepare(&mut self, team: &Name, limits: TeamLimits, now: Instant) {
         let policy = &self.policy;
-        let quota = self
-            .teams
-            .get_or_insert_with(team.clone(), || TeamQuota::new(limits, now));
+        let quota = self.teams.get_or_insert_with(team.clone(), || TeamQuota::new(limits, now));
         quota.allotment.update(limits, policy.settle, now);
         quota.used_at = now;
         let count = quota.allotment.slices(policy);
@@ -413,11 +389,7 @@
             } else {
                 TokenBucket::empty(limits.rate, limits.burst, since)
             };
-            SliceBucket {
-                epoch,
-                limits,
-                bucket,
-            }
+            SliceBucket { epoch, limits, bucket }
         };
         let slice = self.buckets.get_or_insert_with(index, make);
         if slice.epoch != epoch {
@@ -438,22 +410,15 @@
 
     /// Takes from the stash that ends first, then from own buckets.
     fn take(&mut self, cost: Millitokens, trusted: bool, now: Instant) -> Taken {
-        self.stashes
-            .retain(|stash| stash.until > now && stash.amount > 0);
+        self.stashes.retain(|stash| stash.until > now && stash.amount > 0);
         self.stashes.sort_by_key(|stash| stash.until);
-        let mut taken = Taken {
-            from_buckets: Vec::new(),
-            from_stashes: Vec::new(),
-        };
+        let mut taken = Taken { from_buckets: Vec::new(), from_stashes: Vec::new() };
         let mut missing = cost;
         for stash in &mut self.stashes {
             let amount = missing.min(stash.amount);
             stash.amount -= amount;
             missing -= amount;
-            taken.from_stashes.push(Stash {
-                until: stash.until,
-                amount,
-            });
+            taken.from_stashes.push(Stash { until: stash.until, amount });
         }
         if !trusted {
             return taken;
@@ -473,8 +438,7 @@
             }
         }
         let returned = taken.from_stashes.into_iter();
-        self.stashes
-            .extend(returned.filter(|stash| stash.amount > 0 && stash.until > now));
+        self.stashes.extend(returned.filter(|stash| stash.amount > 0 && stash.until > now));
     }
 
     fn level(&mut self, trusted: bool, now: Instant) -> Millitokens {
@@ -486,15 +450,9 @@
 
     fn wait_for(&mut self, missing: Millitokens, trusted: bool, now: Instant) -> Duration {
         let buckets = self.buckets.iter_mut();
-        let own = buckets
-            .map(|(_, slice)| slice.bucket.wait_for(missing, now))
-            .min();
+        let own = buckets.map(|(_, slice)| slice.bucket.wait_for(missing, now)).min();
         let own = own.filter(|_| trusted);
-        let others = self
-            .dry
-            .values()
-            .map(|until| until.saturating_duration_since(now))
-            .min();
+        let others = self.dry.values().map(|until| until.saturating_duration_since(now)).min();
         let wait = own.into_iter().chain(others).min().unwrap_or(LEAST_WAIT);
         wait.clamp(LEAST_WAIT, MOST_WAIT)
     }
@@ -511,12 +469,8 @@
         let others =
             slice_shards(team, count, policy.shards).filter(|shard| !shards.is_mine(*shard));
         let ready = others.filter(|shard| self.dry.get(shard).is_none_or(|until| *until <= now));
-        let owned = ready.filter_map(|shard| {
-            Some(Lender {
-                shard,
-                owner: shards.owner(shard)?.clone(),
-            })
-        });
+        let owned =
+            ready.filter_map(|shard| Some(Lender { shard, owner: shards.owner(shard)?.clone() }));
         owned.take(policy.borrow_attempts).collect()
     }
 
@@ -534,11 +488,7 @@
     ) -> Option<BorrowPlan> {
         let lenders = self.lenders(team, shards, policy, now);
         let ahead = self.ahead(policy);
-        (!lenders.is_empty()).then_some(BorrowPlan {
-            lenders,
-            missing,
-            ahead,
-        })
+        (!lenders.is_empty()).then_some(BorrowPlan { lenders, missing, ahead })
     }
 
     /// Plans to borrow before the tokens here run out, so that no request waits for a round trip.
@@ -558,10 +508,6 @@
         let first = lenders.into_iter().next()?;
         // Until it has answered it isn't asked again.
         self.dry.insert(first.shard, now + LEAST_VALID);
-        Some(BorrowPlan {
-            lenders: vec![first],
-            missing: 0,
-            ahead,
-        })
+        Some(BorrowPlan { lenders: vec![first], missing: 0, ahead })
     }
 }
--- a/crates/cuminramp-quota/src/shards.rs
+++ b/crates/cuminramp-quota/src/shards.rs
@@ -59,18 +59,12 @@
     /// assert_eq!(ShardMap::new(me, 8).owned_count(), 0);
     /// ```
     pub fn new(me: HostId, shards: u32) -> Self {
-        ShardMap {
-            me,
-            records: vec![ShardRecord::default(); shards as usize],
-        }
+        ShardMap { me, records: vec![ShardRecord::default(); shards as usize] }
     }
 
     /// The record of a shard; an empty one for a number out of range.
     pub fn record(&self, shard: u32) -> ShardRecord {
-        self.records
-            .get(shard as usize)
-            .cloned()
-            .unwrap_or_default()
+        self.records.get(shard as usize).cloned().unwrap_or_default()
     }
 
     /// The run that owns a shard.
@@ -86,9 +80,7 @@
 
     /// How many shards this run owns.
     pub fn owned_count(&self) -> usize {
-        (0..self.records.len() as u32)
-            .filter(|shard| self.is_mine(*shard))
-            .count()
+        (0..self.records.len() as u32).filter(|shard| self.is_mine(*shard)).count()
     }
 
     /// Takes in a row, from the table or from a peer, which only passes on rows that it read or
@@ -106,16 +98,9 @@
             return false;
         }
         let address = Name::from(row.owner.as_str());
-        let owner = HostId {
-            address,
-            incarnation: row.owner_incarnation,
-        };
-        *record = ShardRecord {
-            owner: Some(owner),
-            epoch: row.epoch,
-            since: Some(now),
-            released: false,
-        };
+        let owner = HostId { address, incarnation: row.owner_incarnation };
+        *record =
+            ShardRecord { owner: Some(owner), epoch: row.epoch, since: Some(now), released: false };
         true
     }
 
@@ -137,11 +122,8 @@
 
     /// A number that differs where two maps do.
     pub fn digest_hash(&self) -> u64 {
-        let epochs: Vec<String> = self
-            .records
-            .iter()
-            .map(|shard| shard.epoch.to_string())
-            .collect();
+        let epochs: Vec<String> =
+            self.records.iter().map(|shard| shard.epoch.to_string()).collect();
         let parts: Vec<&str> = epochs.iter().map(String::as_str).collect();
         hash_parts(&parts)
     }
@@ -193,20 +175,13 @@
             let record = &mut self.records[shard as usize];
             record.released = true;
             let owner = host.id.clone();
-            moves.push(ShardMove {
-                shard,
-                from_epoch: record.epoch,
-                owner,
-            });
+            moves.push(ShardMove { shard, from_epoch: record.epoch, owner });
         }
         moves
     }
 
     fn numbered(&self) -> impl Iterator<Item = (u32, &ShardRecord)> {
-        self.records
-            .iter()
-            .enumerate()
-            .map(|(shard, record)| (shard as u32, record))
+        self.records.iter().enumerate().map(|(shard, record)| (shard as u32, record))
     }
 }
 
@@ -240,10 +215,7 @@
 
     fn host(number: u64) -> Host {
         Host {
-            id: HostId {
-                address: format!("10.0.0.{number}:1").into(),
-                incarnation: 1,
-            },
+            id: HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 },
             caller_address: format!("10.0.0.{number}:2").into(),
             zone: format!("zone-{}", number % 3).into(),
         }
@@ -267,10 +239,8 @@
     }
 
     fn settled(hosts: &[Host]) -> Vec<ShardMap> {
-        let mut maps: Vec<ShardMap> = hosts
-            .iter()
-            .map(|host| ShardMap::new(host.id.clone(), SHARDS))
-            .collect();
+        let mut maps: Vec<ShardMap> =
+            hosts.iter().map(|host| ShardMap::new(host.id.clone(), SHARDS)).collect();
         settle(&mut maps, hosts, &[]);
         maps
     }
@@ -283,12 +253,7 @@
 
         let zone = |shard: u32| {
             let owner = maps[0].owner(shard).unwrap();
-            hosts
-                .iter()
-                .find(|host| host.id == *owner)
-                .unwrap()
-                .zone
-                .clone()
+            hosts.iter().find(|host| host.id == *owner).unwrap().zone.clone()
         };
         let owned: usize = maps.iter().map(ShardMap::owned_count).sum();
         assert_eq!(owned, SHARDS as usize);
@@ -356,19 +321,11 @@
         let hosts = hosts(5);
         let mut map = settled(&hosts).remove(0);
         let now = Instant::now();
-        let newer = ShardRow {
-            shard: 1,
-            owner: "10.0.0.9:1".into(),
-            owner_incarnation: 4,
-            epoch: 9,
-        };
+        let newer =
+            ShardRow { shard: 1, owner: "10.0.0.9:1".into(), owner_incarnation: 4, epoch: 9 };
         map.observe(&newer, false, now);
 
-        let late = ShardRow {
-            epoch: 8,
-            owner: hosts[0].id.address.to_string(),
-            ..newer
-        };
+        let late = ShardRow { epoch: 8, owner: hosts[0].id.address.to_string(), ..newer };
         let news = map.observe(&late, true, now);
 
         assert!(!news);
--- a/crates/cuminramp-routes/src/changes.rs
+++ b/crates/cuminramp-routes/src/changes.rs
@@ -45,10 +45,7 @@
         |team| Entry::Team(team.into()),
         Entry::RemovedTeam,
     );
-    entries
-        .into_iter()
-        .map(|entry| Change { entry: Some(entry) })
-        .collect()
+    entries.into_iter().map(|entry| Change { entry: Some(entry) }).collect()
 }
 
 fn diff_table<'a, R: PartialEq + 'a>(
@@ -122,11 +119,7 @@
             cuminramp_wire::rows::PoolKind::Services => PoolKind::Services,
         };
         let targets = entry.targets.iter().map(Target::from).collect();
-        Pool {
-            name: Name::from(entry.name.as_str()),
-            kind,
-            targets,
-        }
+        Pool { name: Name::from(entry.name.as_str()), kind, targets }
     }
 }
 
--- a/crates/cuminramp-routes/src/configuration.rs
+++ b/crates/cuminramp-routes/src/configuration.rs
@@ -128,13 +128,7 @@
             Some(team) => team.name.clone(),
             None => Name::from(entry.team.as_str()),
         };
-        Some((
-            digest,
-            KeyGrant {
-                team,
-                label: Name::from(entry.label.as_str()),
-            },
-        ))
+        Some((digest, KeyGrant { team, label: Name::from(entry.label.as_str()) }))
     }
 
     /// Everything in force, as one message.
@@ -144,11 +138,7 @@
             routes: self.routes.values().map(RouteEntry::from).collect(),
             pools: self.pools.values().map(PoolEntry::from).collect(),
             teams: self.teams.values().map(TeamEntry::from).collect(),
-            keys: self
-                .keys
-                .iter()
-                .map(|(digest, grant)| grant.to_entry(digest))
-                .collect(),
+            keys: self.keys.iter().map(|(digest, grant)| grant.to_entry(digest)).collect(),
         }
     }
 
@@ -170,11 +160,7 @@
             teams: teams.map(|team| (team.name.clone(), team)).collect(),
             keys: SortedMap::new(),
         };
-        let keys = snapshot
-            .keys
-            .iter()
-            .filter_map(|entry| configuration.read_key(entry))
-            .collect();
+        let keys = snapshot.keys.iter().filter_map(|entry| configuration.read_key(entry)).collect();
         configuration.keys = keys;
         configuration
     }
@@ -191,11 +177,7 @@
     /// What is wrong with it as a whole: as in a declaration, and keys of unknown teams.
     pub fn check(&self) -> Vec<DeclarationFault> {
         let mut faults = self.to_declarations().check();
-        for grant in self
-            .keys
-            .values()
-            .filter(|grant| !self.teams.contains_key(&*grant.team))
-        {
+        for grant in self.keys.values().filter(|grant| !self.teams.contains_key(&*grant.team)) {
             faults.push(DeclarationFault {
                 place: format!("keys[{}]", grant.label),
                 reason: format!(
--- a/crates/cuminramp-routes/src/declarations.rs
+++ b/crates/cuminramp-routes/src/declarations.rs
@@ -161,10 +161,7 @@
 
 impl DeclarationFault {
     fn new(place: impl Into<String>, reason: impl Into<String>) -> Self {
-        DeclarationFault {
-            place: place.into(),
-            reason: reason.into(),
-        }
+        DeclarationFault { place: place.into(), reason: reason.into() }
     }
 }
 
@@ -185,11 +182,7 @@
     let declarations: Declarations = serde_jsonc::from_str(text)
         .map_err(|error| vec![DeclarationFault::new("file", error.to_string())])?;
     let faults = declarations.check();
-    if faults.is_empty() {
-        Ok(declarations)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(declarations) } else { Err(faults) }
 }
 
 impl Declarations {
@@ -205,38 +198,13 @@
 
     fn check_names(&self, faults: &mut Vec<DeclarationFault>) {
         let targets = || self.pools.iter().flat_map(|pool| pool.targets.iter());
-        check_unique(
-            "routes",
-            "name",
-            self.routes.iter().map(|row| Some(&row.name)),
-            faults,
-        );
-        check_unique(
-            "routes",
-            "model",
-            self.routes.iter().map(|row| row.model.as_ref()),
-            faults,
-        );
+        check_unique("routes", "name", self.routes.iter().map(|row| Some(&row.name)), faults);
+        check_unique("routes", "model", self.routes.iter().map(|row| row.model.as_ref()), faults);
         let prefixes = self.routes.iter().map(|row| row.path_prefix.as_ref());
         check_unique("routes", "path-prefix", prefixes, faults);
-        check_unique(
-            "pools",
-            "name",
-            self.pools.iter().map(|row| Some(&row.name)),
-            faults,
-        );
-        check_unique(
-            "targets",
-            "name",
-            targets().map(|row| Some(&row.name)),
-            faults,
-        );
-        check_unique(
-            "teams",
-            "name",
-            self.teams.iter().map(|row| Some(&row.name)),
-            faults,
-        );
+        check_unique("pools", "name", self.pools.iter().map(|row| Some(&row.name)), faults);
+        check_unique("targets", "name", targets().map(|row| Some(&row.name)), faults);
+        check_unique("teams", "name", self.teams.iter().map(|row| Some(&row.name)), faults);
     }
 
     fn check_routes(&self, faults: &mut Vec<DeclarationFault>) {
@@ -254,10 +222,7 @@
                 faults.push(DeclarationFault::new(place("pool"), reason));
             }
             if route.timeout_ms == 0 {
-                faults.push(DeclarationFault::new(
-                    place("timeout-ms"),
-                    "must be above 0",
-                ));
+                faults.push(DeclarationFault::new(place("timeout-ms"), "must be above 0"));
             }
         }
     }
@@ -281,16 +246,11 @@
         for (index, team) in self.teams.iter().enumerate() {
             let place = |field: &str| format!("teams[{index}].{field}");
             if !(team.rate > 0.0 && team.rate <= MAX_RATE) {
-                faults.push(DeclarationFault::new(
-                    place("rate"),
-                    "must be above 0 and at most 1e9",
-                ));
+                faults
+                    .push(DeclarationFault::new(place("rate"), "must be above 0 and at most 1e9"));
             }
             if !(team.burst >= 1.0 && team.burst <= MAX_RATE) {
-                faults.push(DeclarationFault::new(
-                    place("burst"),
-                    "must be from 1 to 1e9",
-                ));
+                faults.push(DeclarationFault::new(place("burst"), "must be from 1 to 1e9"));
             }
             if team.weight == 0 {
                 faults.push(DeclarationFault::new(place("weight"), "must be above 0"));
@@ -302,10 +262,7 @@
 fn check_prefix(place: String, prefix: &str, faults: &mut Vec<DeclarationFault>) {
     if !prefix.starts_with('/') || prefix.len() < 2 {
         faults.push(DeclarationFault::new(place, "must start with / and go on"));
-    } else if RESERVED_PREFIXES
-        .iter()
-        .any(|reserved| prefix.starts_with(reserved))
-    {
+    } else if RESERVED_PREFIXES.iter().any(|reserved| prefix.starts_with(reserved)) {
         faults.push(DeclarationFault::new(
             place,
             format!("{prefix:?} is served by the daemon itself"),
@@ -319,10 +276,8 @@
     names: impl Iterator<Item = Option<&'a Name>>,
     faults: &mut Vec<DeclarationFault>,
 ) {
-    let mut seen: Vec<(usize, &Name)> = names
-        .enumerate()
-        .filter_map(|(index, name)| Some((index, name?)))
-        .collect();
+    let mut seen: Vec<(usize, &Name)> =
+        names.enumerate().filter_map(|(index, name)| Some((index, name?))).collect();
     for (index, name) in &seen {
         if name.is_empty() {
             let place = format!("{table}[{index}].{field}");
--- a/crates/cuminramp-routes/src/generation_log.rs
+++ b/crates/cuminramp-routes/src/generation_log.rs
@@ -34,19 +34,12 @@
     /// assert_eq!(log.catch_up(&Configuration::default(), 0), CatchUp::Nothing);
     /// ```
     pub fn new(capacity: usize) -> Self {
-        GenerationLog {
-            sets: VecDeque::new(),
-            capacity,
-        }
+        GenerationLog { sets: VecDeque::new(), capacity }
     }
 
     /// Adds the set that was just taken; a gap, as after a snapshot, empties the log first.
     pub fn push(&mut self, set: Arc<ChangeSet>) {
-        if self
-            .sets
-            .back()
-            .is_some_and(|last| last.generation + 1 != set.generation)
-        {
+        if self.sets.back().is_some_and(|last| last.generation + 1 != set.generation) {
             self.sets.clear();
         }
         self.sets.push_back(set);
--- a/crates/cuminramp-routes/src/planner.rs
+++ b/crates/cuminramp-routes/src/planner.rs
@@ -27,10 +27,7 @@
         let models = routes().filter_map(|route| Some((route.model.clone()?, route.name.clone())));
         let prefixes =
             routes().filter_map(|route| Some((route.path_prefix.clone()?, route.name.clone())));
-        RoutePlanner {
-            by_model: models.collect(),
-            by_prefix: prefixes.collect(),
-        }
+        RoutePlanner { by_model: models.collect(), by_prefix: prefixes.collect() }
     }
 
     /// The route for `query`: the model's own, or the one with the longest matching prefix.
--- a/crates/cuminramp-settings/src/check.rs
+++ b/crates/cuminramp-settings/src/check.rs
@@ -22,10 +22,7 @@
 
 impl SettingsFault {
     fn new(place: impl Into<String>, reason: impl Into<String>) -> Self {
-        SettingsFault {
-            place: place.into(),
-            reason: reason.into(),
-        }
+        SettingsFault { place: place.into(), reason: reason.into() }
     }
 }
 
@@ -56,11 +53,7 @@
     let settings: DaemonSettings = serde_json::from_value(given)
         .map_err(|error| vec![SettingsFault::new("settings", error.to_string())])?;
     check_values(&settings, &mut faults);
-    if faults.is_empty() {
-        Ok(settings)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
 fn syntax_fault(error: &serde_jsonc::Error) -> Vec<SettingsFault> {
@@ -78,11 +71,7 @@
         return;
     };
     for (key, value) in given_map {
-        let inner = if place.is_empty() {
-            key.clone()
-        } else {
-            format!("{place}.{key}")
-        };
+        let inner = if place.is_empty() { key.clone() } else { format!("{place}.{key}") };
         match usual_map.get(key) {
             Some(known) => check_shape(known, value, &inner, faults),
             None => faults.push(SettingsFault::new(inner, "is no setting")),
@@ -134,21 +123,13 @@
         ("platform.address", &settings.platform.address),
     ];
     let optional = [
-        (
-            "advertised-caller-address",
-            &settings.advertised_caller_address,
-        ),
+        ("advertised-caller-address", &settings.advertised_caller_address),
         ("advertised-peer-address", &settings.advertised_peer_address),
     ];
-    let given = optional
-        .into_iter()
-        .filter(|(_, address)| !address.is_empty());
+    let given = optional.into_iter().filter(|(_, address)| !address.is_empty());
     for (place, address) in needed.into_iter().chain(given) {
         if address.parse::<SocketAddr>().is_err() {
-            faults.push(SettingsFault::new(
-                place,
-                format!("{address:?} is not ip:port"),
-            ));
+            faults.push(SettingsFault::new(place, format!("{address:?} is not ip:port")));
         }
     }
 }
@@ -156,10 +137,7 @@
 fn check_numbers(settings: &DaemonSettings, faults: &mut Vec<SettingsFault>) {
     let above_zero = [
         ("platform.timeout-ms", settings.platform.timeout_ms),
-        (
-            "limits.max-body-bytes",
-            settings.limits.max_body_bytes as u64,
-        ),
+        ("limits.max-body-bytes", settings.limits.max_body_bytes as u64),
         ("limits.head-timeout-ms", settings.limits.head_timeout_ms),
         ("limits.body-timeout-ms", settings.limits.body_timeout_ms),
         ("limits.connections", settings.limits.connections as u64),
@@ -168,38 +146,20 @@
         ("peers.list-poll-ms", settings.peers.list_poll_ms),
         ("peers.call-timeout-ms", settings.peers.call_timeout_ms),
         ("configuration.poll-ms", settings.configuration.poll_ms),
-        (
-            "configuration.snapshot-every",
-            settings.configuration.snapshot_every,
-        ),
+        ("configuration.snapshot-every", settings.configuration.snapshot_every),
         ("quota.shards", settings.quota.shards.into()),
         ("quota.slices", settings.quota.slices.into()),
         ("quota.max-slices", settings.quota.max_slices.into()),
         ("quota.shard-poll-ms", settings.quota.shard_poll_ms),
         ("steering.homes", settings.steering.homes as u64),
-        (
-            "targets.connect-timeout-ms",
-            settings.targets.connect_timeout_ms,
-        ),
-        (
-            "targets.first-byte-timeout-ms",
-            settings.targets.first_byte_timeout_ms,
-        ),
-        (
-            "targets.progress-timeout-ms",
-            settings.targets.progress_timeout_ms,
-        ),
+        ("targets.connect-timeout-ms", settings.targets.connect_timeout_ms),
+        ("targets.first-byte-timeout-ms", settings.targets.first_byte_timeout_ms),
+        ("targets.progress-timeout-ms", settings.targets.progress_timeout_ms),
         ("retries.attempts", settings.retries.attempts.into()),
-        (
-            "retries.quarantine-after",
-            settings.retries.quarantine_after.into(),
-        ),
+        ("retries.quarantine-after", settings.retries.quarantine_after.into()),
         ("marks.group-size", settings.marks.group_size as u64),
         ("batch.poll-ms", settings.batch.poll_ms),
-        (
-            "batch.min-chunk-items",
-            settings.batch.min_chunk_items.into(),
-        ),
+        ("batch.min-chunk-items", settings.batch.min_chunk_items.into()),
         ("batch.item-attempts", settings.batch.item_attempts.into()),
         ("batch.item-crashes", settings.batch.item_crashes.into()),
     ];
--- a/crates/cuminramp-settings/src/settings.rs
+++ b/crates/cuminramp-settings/src/settings.rs
@@ -323,10 +323,7 @@
 
 impl Default for SteeringSettings {
     fn default() -> Self {
-        SteeringSettings {
-            homes: 3,
-            keep_ms: 30_000,
-        }
+        SteeringSettings { homes: 3, keep_ms: 30_000 }
     }
 }
 
@@ -349,6 +346,9 @@
     pub load_poll_ms: u64,
     /// The path of an engine's load report.
     pub load_path: String,
+    /// The header that asks an engine to go on with an answer after so many tokens; empty: engines
+    /// can't.
+    pub resume_header: String,
     /// Failures in a row after which a target is set aside.
     pub eject_after: u32,
     /// How long it is set aside at first; it doubles up to eight times that.
@@ -373,12 +373,13 @@
             progress_timeout_ms: 5_000,
             load_poll_ms: 500,
             load_path: "/load".into(),
+            resume_header: "x-resume-position".into(),
             eject_after: 3,
             eject_ms: 1_000,
             eject_share: 0.5,
             queue_timeout_ms: 5_000,
             queue_length: 1_000,
-            slot_factor: 1.0,
+            slot_factor: 2.0,
             prefix_chars: 256,
         }
     }
@@ -446,11 +447,7 @@
 
 impl Default for MarkSettings {
     fn default() -> Self {
-        MarkSettings {
-            group_ms: 5,
-            group_size: 128,
-            max_kept_bytes: 64 << 10,
-        }
+        MarkSettings { group_ms: 5, group_size: 128, max_kept_bytes: 64 << 10 }
     }
 }
 
--- a/crates/cuminramp-standin/src/engine.rs
+++ b/crates/cuminramp-standin/src/engine.rs
@@ -14,10 +14,8 @@
 use crate::engine_core::{EngineCore, EngineStats};
 use crate::engine_http::build_router;
 
-const SERVE_LIMITS: ServeLimits = ServeLimits {
-    head: Duration::from_secs(60),
-    connections: 10_000,
-};
+const SERVE_LIMITS: ServeLimits =
+    ServeLimits { head: Duration::from_secs(60), connections: 10_000 };
 
 /// Settings of an engine stand-in.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -109,11 +107,7 @@
                 () = ended.cancelled() => {}
             }
         });
-        Ok(Engine {
-            address,
-            shared,
-            stop,
-        })
+        Ok(Engine { address, shared, stop })
     }
 
     /// Where it listens.
@@ -133,10 +127,7 @@
 
     /// Makes it fail each request before running it, or work again.
     pub fn set_failing(&self, failing: bool) {
-        self.shared
-            .switches
-            .failing
-            .store(failing, Ordering::Relaxed);
+        self.shared.switches.failing.store(failing, Ordering::Relaxed);
     }
 
     /// How often each prompt or service call ran, sorted by its text.
--- a/crates/cuminramp-standin/src/engine_core.rs
+++ b/crates/cuminramp-standin/src/engine_core.rs
@@ -79,17 +79,11 @@
 
 impl EngineCore {
     pub(crate) fn new(settings: EngineSettings) -> Self {
-        EngineCore {
-            settings,
-            state: Mutex::default(),
-            arrived: Notify::new(),
-        }
+        EngineCore { settings, state: Mutex::default(), arrived: Notify::new() }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, CoreState> {
-        self.state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Takes a sequence in; its tokens come through the receiver.
@@ -107,17 +101,8 @@
                 state.prefixes.pop_front();
             }
         }
-        let prefill_steps = if cached {
-            0
-        } else {
-            self.settings.prefill_steps
-        };
-        state.waiting.push_back(Sequence {
-            request,
-            emitted: 0,
-            prefill_steps,
-            sender,
-        });
+        let prefill_steps = if cached { 0 } else { self.settings.prefill_steps };
+        state.waiting.push_back(Sequence { request, emitted: 0, prefill_steps, sender });
         drop(state);
         self.arrived.notify_one();
         receiver
@@ -132,11 +117,7 @@
     }
 
     pub(crate) fn runs(&self) -> Vec<(String, u32)> {
-        self.lock()
-            .runs
-            .iter()
-            .map(|(key, count)| (key.clone(), *count))
-            .collect()
+        self.lock().runs.iter().map(|(key, count)| (key.clone(), *count)).collect()
     }
 
     pub(crate) fn stats(&self) -> EngineStats {
@@ -209,9 +190,7 @@
         let share = state.running.len() as u64 * step.as_micros() as u64;
         state.stats.busy_slot_ms += share / self.settings.slots as u64 / 1_000;
         let stats = &mut state.stats;
-        state
-            .running
-            .retain_mut(|sequence| advance(sequence, stats));
+        state.running.retain_mut(|sequence| advance(sequence, stats));
     }
 }
 
@@ -229,9 +208,7 @@
     if position < sequence.request.tokens {
         stats.tokens += 1;
         sequence.emitted += 1;
-        let _ = sequence
-            .sender
-            .send(expected_token(&sequence.request.prompt, position));
+        let _ = sequence.sender.send(expected_token(&sequence.request.prompt, position));
     }
     position + 1 < sequence.request.tokens
 }
--- a/crates/cuminramp-standin/src/engine_http.rs
+++ b/crates/cuminramp-standin/src/engine_http.rs
@@ -87,27 +87,17 @@
     if shared.switches.failing.load(Ordering::Relaxed) {
         return (StatusCode::INTERNAL_SERVER_ERROR, "the engine is failing").into_response();
     }
-    let prompt = body
-        .messages
-        .iter()
-        .map(|message| message.content.as_str())
-        .collect::<String>();
+    let prompt = body.messages.iter().map(|message| message.content.as_str()).collect::<String>();
     shared.core.count_run(&prompt);
     let marker = &shared.settings.crash_marker;
     if !marker.is_empty() && prompt.contains(marker.as_str()) {
         shared.crash.notify_one();
         std::future::pending::<()>().await;
     }
-    let start = headers
-        .get(RESUME_HEADER)
-        .and_then(|value| value.to_str().ok());
+    let start = headers.get(RESUME_HEADER).and_then(|value| value.to_str().ok());
     let start = start.and_then(|text| text.parse().ok()).unwrap_or(0);
     let tokens = body.max_tokens.unwrap_or(DEFAULT_TOKENS);
-    let receiver = shared.core.submit(SequenceRequest {
-        prompt,
-        start,
-        tokens,
-    });
+    let receiver = shared.core.submit(SequenceRequest { prompt, start, tokens });
     if body.stream {
         stream_answer(&body.model, receiver)
     } else {
@@ -164,10 +154,7 @@
 }
 
 async fn take_order(State(shared): Shared, Json(order): Json<OrderBody>) -> Response {
-    let highest = shared
-        .switches
-        .fence
-        .fetch_max(order.fence, Ordering::Relaxed);
+    let highest = shared.switches.fence.fetch_max(order.fence, Ordering::Relaxed);
     if order.fence < highest {
         shared.switches.late_orders.fetch_add(1, Ordering::Relaxed);
         if shared.settings.checks_fencing {
@@ -207,9 +194,7 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let body = String::from_utf8_lossy(&body).into_owned();
-    let runs = shared
-        .core
-        .count_run(&format!("{} {} {body}", head.method, head.uri));
+    let runs = shared.core.count_run(&format!("{} {} {body}", head.method, head.uri));
     let saw_key = head.headers.contains_key("authorization");
     Json(json!({
         "method": head.method.as_str(),
--- a/crates/cuminramp-standin/src/faulty_link.rs
+++ b/crates/cuminramp-standin/src/faulty_link.rs
@@ -52,12 +52,7 @@
                 () = ended.cancelled() => {}
             }
         });
-        Ok(FaultyLink {
-            address,
-            mode,
-            frozen,
-            stop,
-        })
+        Ok(FaultyLink { address, mode, frozen, stop })
     }
 
     /// Where to connect.
@@ -98,18 +93,9 @@
             let born = *freezes.borrow();
             let (caller_read, caller_write) = caller.into_split();
             let (target_read, target_write) = target.into_split();
-            let forward = Pump {
-                modes: modes.clone(),
-                freezes: freezes.clone(),
-                born,
-                forward: true,
-            };
-            let backward = Pump {
-                modes,
-                freezes,
-                born,
-                forward: false,
-            };
+            let forward =
+                Pump { modes: modes.clone(), freezes: freezes.clone(), born, forward: true };
+            let backward = Pump { modes, freezes, born, forward: false };
             tokio::select! {
                 () = forward.run(caller_read, target_write) => {}
                 () = backward.run(target_read, caller_write) => {}
--- a/crates/cuminramp-standin/src/memory_platform.rs
+++ b/crates/cuminramp-standin/src/memory_platform.rs
@@ -118,11 +118,7 @@
 
 impl CallMeter {
     fn new(rate: f64, now: Instant) -> Self {
-        CallMeter {
-            rate,
-            level: rate,
-            at: now,
-        }
+        CallMeter { rate, level: rate, at: now }
     }
 
     fn admit(&mut self, now: Instant) -> bool {
@@ -158,10 +154,7 @@
             writes: CallMeter::new(settings.writes_per_second, now),
             reads: CallMeter::new(settings.reads_per_second, now),
         };
-        MemoryPlatform {
-            settings,
-            state: Mutex::new(state),
-        }
+        MemoryPlatform { settings, state: Mutex::new(state) }
     }
 
     /// Replaces the faults.
@@ -180,9 +173,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, PlatformState> {
-        self.state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     async fn be_slow(&self) {
@@ -212,21 +203,14 @@
 
     fn read_row(&self, key: &str) -> Option<Row> {
         let stored = self.rows.get(key)?;
-        Some(Row {
-            key: key.into(),
-            value: stored.value.clone(),
-            version: stored.version,
-        })
+        Some(Row { key: key.into(), value: stored.value.clone(), version: stored.version })
     }
 
     fn conflicts(&self, transaction: &Transaction) -> Vec<String> {
         let conditions = transaction.conditions.iter();
         conditions
             .filter(|held| {
-                self.rows
-                    .get(held.key.as_str())
-                    .map_or(0, |row| row.version)
-                    != held.version
+                self.rows.get(held.key.as_str()).map_or(0, |row| row.version) != held.version
             })
             .map(|held| held.key.clone())
             .collect()
@@ -260,10 +244,7 @@
         self.be_slow().await;
         let mut state = self.lock();
         state.read_gate()?;
-        let keys = state
-            .rows
-            .keys()
-            .filter(|key| key.starts_with(prefix) && key.as_str() > after);
+        let keys = state.rows.keys().filter(|key| key.starts_with(prefix) && key.as_str() > after);
         let keys: Vec<String> = keys.take(limit).cloned().collect();
         Ok(keys.iter().filter_map(|key| state.read_row(key)).collect())
     }
@@ -349,9 +330,7 @@
         if state.faults.list_down {
             return Err(refused());
         }
-        state
-            .hosts
-            .retain(|_, host| now.saturating_duration_since(host.last_seen) < kept);
+        state.hosts.retain(|_, host| now.saturating_duration_since(host.last_seen) < kept);
         let shown = state.hosts.iter();
         Ok(shown
             .filter(|(_, host)| now.saturating_duration_since(host.first_seen) >= lag)
@@ -370,11 +349,7 @@
         if state.faults.list_down {
             return Err(refused());
         }
-        let fresh = || ListedHost {
-            first_seen: now,
-            last_seen: now,
-            leaving_since: None,
-        };
+        let fresh = || ListedHost { first_seen: now, last_seen: now, leaving_since: None };
         let host = state.hosts.get_or_insert_with(entry.address.clone(), fresh);
         host.last_seen = now;
         host.leaving_since = match (entry.leaving, host.leaving_since) {
--- a/crates/cuminramp-standin/src/platform_http.rs
+++ b/crates/cuminramp-standin/src/platform_http.rs
@@ -21,10 +21,8 @@
 
 use crate::{MemoryPlatform, PlatformFaults};
 
-const SERVE_LIMITS: ServeLimits = ServeLimits {
-    head: Duration::from_secs(30),
-    connections: 10_000,
-};
+const SERVE_LIMITS: ServeLimits =
+    ServeLimits { head: Duration::from_secs(30), connections: 10_000 };
 
 /// Serves a platform stand-in until `stop` is cancelled.
 pub async fn serve_platform(
@@ -36,10 +34,7 @@
         .route("/table/read", post(read_rows))
         .route("/table/scan", post(scan_rows))
         .route("/table/commit", post(commit_rows))
-        .route(
-            "/objects/{*name}",
-            get(get_object).put(put_object).delete(delete_object),
-        )
+        .route("/objects/{*name}", get(get_object).put(put_object).delete(delete_object))
         .route("/hosts", get(list_hosts).put(announce_host))
         .route("/faults", get(show_faults).post(set_faults))
         .route("/stats", get(show_stats))
@@ -74,10 +69,7 @@
     Json(body): Json<ReadBody>,
 ) -> Result<Json<RowsReply>, StoreFailure> {
     let rows = platform.read(&body.keys).await?;
-    let rows = rows
-        .iter()
-        .map(|row| row.as_ref().map(RowBody::from_row))
-        .collect();
+    let rows = rows.iter().map(|row| row.as_ref().map(RowBody::from_row)).collect();
     Ok(Json(RowsReply { rows }))
 }
 
@@ -86,12 +78,7 @@
     Json(body): Json<ScanBody>,
 ) -> Result<Json<RowsReply>, StoreFailure> {
     let rows = platform.scan(&body.prefix, &body.after, body.limit).await?;
-    Ok(Json(RowsReply {
-        rows: rows
-            .iter()
-            .map(|row| Some(RowBody::from_row(row)))
-            .collect(),
-    }))
+    Ok(Json(RowsReply { rows: rows.iter().map(|row| Some(RowBody::from_row(row))).collect() }))
 }
 
 async fn commit_rows(
@@ -102,14 +89,10 @@
         return Ok((StatusCode::BAD_REQUEST, "a value is not base64").into_response());
     };
     let reply = match platform.commit(transaction).await? {
-        CommitOutcome::Committed(version) => CommitReply {
-            version: Some(version),
-            conflicts: Vec::new(),
-        },
-        CommitOutcome::Conflict(conflicts) => CommitReply {
-            version: None,
-            conflicts,
-        },
+        CommitOutcome::Committed(version) => {
+            CommitReply { version: Some(version), conflicts: Vec::new() }
+        }
+        CommitOutcome::Conflict(conflicts) => CommitReply { version: None, conflicts },
     };
     Ok(Json(reply).into_response())
 }
@@ -132,19 +115,12 @@
         Some((start, end)) => platform.get_range(&name, start, end).await?,
         None => platform.get(&name).await?,
     };
-    Ok(found.map_or_else(
-        || StatusCode::NOT_FOUND.into_response(),
-        IntoResponse::into_response,
-    ))
+    Ok(found.map_or_else(|| StatusCode::NOT_FOUND.into_response(), IntoResponse::into_response))
 }
 
 /// Reads `bytes=start-last` into `start..end`.
 fn read_range(headers: &HeaderMap) -> Option<(u64, u64)> {
-    let text = headers
-        .get("range")?
-        .to_str()
-        .ok()?
-        .strip_prefix("bytes=")?;
+    let text = headers.get("range")?.to_str().ok()?.strip_prefix("bytes=")?;
     let (start, last) = text.split_once('-')?;
     Some((start.parse().ok()?, last.parse::<u64>().ok()? + 1))
 }
@@ -160,10 +136,7 @@
 async fn list_hosts(State(platform): Platform) -> Result<Json<HostsReply>, StoreFailure> {
     let hosts = platform.list().await?.into_iter();
     let hosts = hosts
-        .map(|host| HostBody {
-            address: host.address.to_string(),
-            leaving: host.leaving,
-        })
+        .map(|host| HostBody { address: host.address.to_string(), leaving: host.leaving })
         .collect();
     Ok(Json(HostsReply { hosts }))
 }
@@ -172,10 +145,7 @@
     State(platform): Platform,
     Json(body): Json<HostBody>,
 ) -> Result<StatusCode, StoreFailure> {
-    let entry = HostEntry {
-        address: Name::from(body.address),
-        leaving: body.leaving,
-    };
+    let entry = HostEntry { address: Name::from(body.address), leaving: body.leaving };
     platform.announce(&entry).await?;
     Ok(StatusCode::OK)
 }
--- a/crates/cuminramp-standin/src/text.rs
+++ b/crates/cuminramp-standin/src/text.rs
@@ -10,10 +10,7 @@
 /// assert_ne!(expected_token("hello", 0), expected_token("hello", 1));
 /// ```
 pub fn expected_token(prompt: &str, position: usize) -> String {
-    format!(
-        "w{:06x} ",
-        xxh3_64_with_seed(prompt.as_bytes(), position as u64) & 0xff_ffff
-    )
+    format!("w{:06x} ", xxh3_64_with_seed(prompt.as_bytes(), position as u64) & 0xff_ffff)
 }
 
 /// The first `tokens` tokens of the answer to `prompt`.
@@ -23,7 +20,5 @@
 /// assert_eq!(expected_answer("hello", 1), expected_token("hello", 0));
 /// ```
 pub fn expected_answer(prompt: &str, tokens: usize) -> String {
-    (0..tokens)
-        .map(|position| expected_token(prompt, position))
-        .collect()
+    (0..tokens).map(|position| expected_token(prompt, position)).collect()
 }
--- a/crates/cuminramp-targets/src/choice.rs
+++ b/crates/cuminramp-targets/src/choice.rs
@@ -207,10 +207,7 @@
     /// assert_eq!(table.in_flight("e1"), (0, 0));
     /// ```
     pub fn new(policy: TargetPolicy) -> Self {
-        TargetTable {
-            policy,
-            records: SortedMap::new(),
-        }
+        TargetTable { policy, records: SortedMap::new() }
     }
 
     /// Takes in the targets of the generation in force. Targets known at the first call are taken
@@ -218,9 +215,8 @@
     pub fn set_targets(&mut self, specs: &[TargetSpec], now: Instant) {
         let first = self.records.is_empty();
         for spec in specs {
-            let record = self
-                .records
-                .get_or_insert_with(spec.name.clone(), || TargetRecord::new(now));
+            let record =
+                self.records.get_or_insert_with(spec.name.clone(), || TargetRecord::new(now));
             if first {
                 record.warm_since = now.checked_sub(WARM_TIME).unwrap_or(now);
                 record.known_good = true;
@@ -228,22 +224,17 @@
         }
         let mut names: Vec<&Name> = specs.iter().map(|spec| &spec.name).collect();
         names.sort();
-        self.records
-            .retain(|name, record| names.binary_search(&name).is_ok() || record.own() > 0);
+        self.records.retain(|name, record| names.binary_search(&name).is_ok() || record.own() > 0);
     }
 
     /// Own requests in flight: online and batch.
     pub fn in_flight(&self, target: &str) -> (u32, u32) {
-        self.records
-            .get(target)
-            .map_or((0, 0), |record| (record.online, record.batch))
+        self.records.get(target).map_or((0, 0), |record| (record.online, record.batch))
     }
 
     /// Requests on a target as far as this host can tell.
     pub fn estimate(&self, target: &str, now: Instant) -> f64 {
-        self.records
-            .get(target)
-            .map_or(0.0, |record| record.estimate(now))
+        self.records.get(target).map_or(0.0, |record| record.estimate(now))
     }
 
     /// The last report of a target.
@@ -253,9 +244,7 @@
 
     /// Whether a target is set aside.
     pub fn is_ejected(&self, target: &str, now: Instant) -> bool {
-        self.records
-            .get(target)
-            .is_some_and(|record| record.is_ejected(now))
+        self.records.get(target).is_some_and(|record| record.is_ejected(now))
     }
 
     /// A target's word on its load. A report that is older than the one at hand is dropped.
@@ -270,9 +259,7 @@
 
     /// An attempt begins.
     pub fn on_start(&mut self, target: &str, kind: WorkKind, now: Instant) {
-        let record = self
-            .records
-            .get_or_insert_with(target.into(), || TargetRecord::new(now));
+        let record = self.records.get_or_insert_with(target.into(), || TargetRecord::new(now));
         match kind {
             WorkKind::Online => record.online += 1,
             WorkKind::Batch => record.batch += 1,
@@ -329,17 +316,11 @@
         now: Instant,
     ) -> Option<TargetChoice> {
         let usable = self.usable(specs, query.tried, now);
-        let roomy: Vec<usize> = usable
-            .iter()
-            .copied()
-            .filter(|index| self.has_room(&specs[*index], now))
-            .collect();
+        let roomy: Vec<usize> =
+            usable.iter().copied().filter(|index| self.has_room(&specs[*index], now)).collect();
         match roomy.as_slice() {
             [] => None,
-            [index] => Some(TargetChoice {
-                index: *index,
-                reason: ChoiceReason::Last,
-            }),
+            [index] => Some(TargetChoice { index: *index, reason: ChoiceReason::Last }),
             _ => Some(self.choose_among(specs, &roomy, query.prefix, random, now)),
         }
     }
@@ -363,31 +344,22 @@
     /// Targets that may get work: none that leaves; none set aside, unless too large a share is;
     /// none that failed this request before, unless all others did too.
     fn usable(&self, specs: &[TargetSpec], tried: &[Name], now: Instant) -> Vec<usize> {
-        let staying: Vec<usize> = (0..specs.len())
-            .filter(|index| !specs[*index].leaving)
-            .collect();
+        let staying: Vec<usize> = (0..specs.len()).filter(|index| !specs[*index].leaving).collect();
         let mut ejected: Vec<(Instant, usize)> = staying
             .iter()
             .filter_map(|index| {
                 let record = self.record_of(&specs[*index])?;
-                record
-                    .is_ejected(now)
-                    .then_some((record.ejected_until?, *index))
+                record.is_ejected(now).then_some((record.ejected_until?, *index))
             })
             .collect();
         // Those that come back last stay out. Were all set aside at once, as when something between
         // hosts and targets fails for a moment, callers would be refused while targets are idle.
         ejected.sort_by_key(|(until, _)| std::cmp::Reverse(*until));
         ejected.truncate((staying.len() as f64 * self.policy.eject_share) as usize);
-        let kept = staying
-            .iter()
-            .filter(|index| !ejected.iter().any(|(_, out)| out == *index));
+        let kept = staying.iter().filter(|index| !ejected.iter().any(|(_, out)| out == *index));
         let kept: Vec<usize> = kept.copied().collect();
-        let fresh: Vec<usize> = kept
-            .iter()
-            .copied()
-            .filter(|index| !tried.contains(&specs[*index].name))
-            .collect();
+        let fresh: Vec<usize> =
+            kept.iter().copied().filter(|index| !tried.contains(&specs[*index].name)).collect();
         if fresh.is_empty() { kept } else { fresh }
     }
 
@@ -401,8 +373,7 @@
     ) -> TargetChoice {
         let wait = |index: usize| {
             let spec = &specs[index];
-            self.record_of(spec)
-                .map_or(FIRST_LATENCY, |record| record.expected_wait(spec, now))
+            self.record_of(spec).map_or(FIRST_LATENCY, |record| record.expected_wait(spec, now))
         };
         if let Some(prefix) = prefix {
             let key = prefix.to_string();
@@ -413,24 +384,14 @@
                 .unwrap_or(roomy[0]);
             let mean = roomy.iter().map(|index| wait(*index)).sum::<f64>() / roomy.len() as f64;
             if wait(preferred) <= mean * AFFINITY_BOUND {
-                return TargetChoice {
-                    index: preferred,
-                    reason: ChoiceReason::Prefix,
-                };
+                return TargetChoice { index: preferred, reason: ChoiceReason::Prefix };
             }
         }
         let first = random.below(roomy.len());
         let second = (first + 1 + random.below(roomy.len() - 1)) % roomy.len();
         let (first, second) = (roomy[first], roomy[second]);
-        let index = if wait(second) < wait(first) {
-            second
-        } else {
-            first
-        };
-        TargetChoice {
-            index,
-            reason: ChoiceReason::Wait,
-        }
+        let index = if wait(second) < wait(first) { second } else { first };
+        TargetChoice { index, reason: ChoiceReason::Wait }
     }
 }
 
@@ -455,17 +416,11 @@
 
     use super::*;
 
-    const QUERY: ChoiceQuery<'static> = ChoiceQuery {
-        prefix: None,
-        tried: &[],
-    };
+    const QUERY: ChoiceQuery<'static> = ChoiceQuery { prefix: None, tried: &[] };
 
     fn specs(count: usize) -> Vec<TargetSpec> {
-        let spec = |index| TargetSpec {
-            name: format!("e{index}").into(),
-            slots: 4,
-            leaving: false,
-        };
+        let spec =
+            |index| TargetSpec { name: format!("e{index}").into(), slots: 4, leaving: false };
         (0..count).map(spec).collect()
     }
 
@@ -519,13 +474,7 @@
             table.on_outcome(&spec.name, AttemptEnd::Silent, now);
         }
 
-        assert_eq!(
-            counts(&table, &specs, now)
-                .iter()
-                .filter(|count| **count > 0)
-                .count(),
-            2
-        );
+        assert_eq!(counts(&table, &specs, now).iter().filter(|count| **count > 0).count(), 2);
     }
 
     #[test]
@@ -545,15 +494,7 @@
         let table = table(&specs, now);
         let mut random = SeededRandom::new(1);
         let mut choose = |tried: &[Name]| {
-            table.choose(
-                &specs,
-                ChoiceQuery {
-                    prefix: None,
-                    tried,
-                },
-                &mut random,
-                now,
-            )
+            table.choose(&specs, ChoiceQuery { prefix: None, tried }, &mut random, now)
         };
 
         let other = choose(&["e0".into()]).unwrap();
@@ -571,13 +512,7 @@
         let specs = specs(2);
         let mut table = table(&specs, now);
         for spec in &specs {
-            table.on_report(
-                &spec.name,
-                LoadSnapshot {
-                    requests: 8,
-                    at: now,
-                },
-            );
+            table.on_report(&spec.name, LoadSnapshot { requests: 8, at: now });
         }
 
         let full = table.choose(&specs, QUERY, &mut SeededRandom::new(1), now);
@@ -593,10 +528,7 @@
         let now = Instant::now();
         let specs = specs(5);
         let mut table = table(&specs, now);
-        let query = ChoiceQuery {
-            prefix: Some(9),
-            tried: &[],
-        };
+        let query = ChoiceQuery { prefix: Some(9), tried: &[] };
         let mut random = SeededRandom::new(1);
 
         let first = table.choose(&specs, query, &mut random, now).unwrap();
--- a/crates/cuminramp-targets/src/crashes.rs
+++ b/crates/cuminramp-targets/src/crashes.rs
@@ -2,18 +2,26 @@
 
 use std::time::Duration;
 
-use cuminramp_core::SortedMap;
+use cuminramp_core::{Name, SortedMap};
 use tokio::time::Instant;
 
 /// Most fingerprints remembered.
 const MOST_RECORDS: usize = 10_000;
 
 /// What is known of one fingerprint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CrashRecord {
     crashes: u32,
     last: Instant,
     running: u32,
+    /// Where it runs, while it does.
+    target: Option<Name>,
+}
+
+impl CrashRecord {
+    fn new(now: Instant) -> Self {
+        CrashRecord { crashes: 0, last: now, running: 0, target: None }
+    }
 }
 
 /// Counts crashes by the fingerprint of the request.
@@ -44,11 +52,7 @@
     /// # }
     /// ```
     pub fn new(limit: u32, quarantine: Duration) -> Self {
-        CrashRegister {
-            limit,
-            quarantine,
-            records: SortedMap::new(),
-        }
+        CrashRegister { limit, quarantine, records: SortedMap::new() }
     }
 
     /// Whether an attempt may begin now. A suspect that is running on another target has to wait
@@ -85,12 +89,7 @@
                 now.saturating_duration_since(record.last) <= quarantine && record.crashes > 1
             });
         }
-        let fresh = || CrashRecord {
-            crashes: 0,
-            last: now,
-            running: 0,
-        };
-        let record = self.records.get_or_insert_with(fingerprint, fresh);
+        let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
         record.crashes += 1;
         record.last = now;
         record.crashes
@@ -101,21 +100,30 @@
         self.records.remove(&fingerprint);
     }
 
+    /// A suspect that [`begin`](Self::begin) allowed goes to this target.
+    pub fn place(&mut self, fingerprint: u64, target: &Name) {
+        if let Some(record) = self.records.get_mut(&fingerprint)
+            && record.running > 0
+        {
+            record.target = Some(target.clone());
+        }
+    }
+
+    /// Targets on which suspects run. Another suspect goes elsewhere: were two on one target that
+    /// dies, the harmless one would be blamed again.
+    pub fn suspect_targets(&self) -> Vec<Name> {
+        let running = self.records.values().filter(|record| record.running > 0);
+        running.filter_map(|record| record.target.clone()).collect()
+    }
+
     /// How many targets a fingerprint took so far.
     pub fn crashes(&self, fingerprint: u64) -> u32 {
-        self.records
-            .get(&fingerprint)
-            .map_or(0, |record| record.crashes)
+        self.records.get(&fingerprint).map_or(0, |record| record.crashes)
     }
 
     /// Takes in what another host counted.
     pub fn merge(&mut self, fingerprint: u64, crashes: u32, now: Instant) {
-        let fresh = || CrashRecord {
-            crashes: 0,
-            last: now,
-            running: 0,
-        };
-        let record = self.records.get_or_insert_with(fingerprint, fresh);
+        let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
         record.crashes = record.crashes.max(crashes);
         record.last = now;
     }
--- a/crates/cuminramp-targets/src/fair_queue.rs
+++ b/crates/cuminramp-targets/src/fair_queue.rs
@@ -27,11 +27,7 @@
 
 impl<T> Default for FairQueue<T> {
     fn default() -> Self {
-        FairQueue {
-            lines: SortedMap::new(),
-            turns: VecDeque::new(),
-            length: 0,
-        }
+        FairQueue { lines: SortedMap::new(), turns: VecDeque::new(), length: 0 }
     }
 }
 
@@ -53,11 +49,7 @@
 
     /// Adds an item of a team with its weight; `cost` is what the item takes of a turn.
     pub fn push(&mut self, team: &Name, weight: u32, cost: u64, item: T) {
-        let fresh = || TeamLine {
-            weight: 1,
-            deficit: 0,
-            items: VecDeque::new(),
-        };
+        let fresh = || TeamLine { weight: 1, deficit: 0, items: VecDeque::new() };
         let line = self.lines.get_or_insert_with(team.clone(), fresh);
         line.weight = u64::from(weight.max(1));
         if line.items.is_empty() {
--- a/crates/cuminramp-targets/src/retry.rs
+++ b/crates/cuminramp-targets/src/retry.rs
@@ -149,11 +149,7 @@
     /// assert!(budget.spend());
     /// ```
     pub fn new(share: f64, burst: f64) -> Self {
-        RetryBudget {
-            share,
-            burst,
-            level: burst,
-        }
+        RetryBudget { share, burst, level: burst }
     }
 
     /// A request came.
@@ -172,11 +168,7 @@
 
     /// How long a caller should wait before it tries again itself.
     pub fn pause(&self) -> Duration {
-        if self.level >= 1.0 {
-            Duration::from_millis(200)
-        } else {
-            Duration::from_secs(1)
-        }
+        if self.level >= 1.0 { Duration::from_millis(200) } else { Duration::from_secs(1) }
     }
 }
 
@@ -192,12 +184,7 @@
 
     fn traits(is_repeatable: bool, is_resumable: bool, now: Instant) -> RequestTraits {
         let deadline = now + Duration::from_secs(1);
-        RequestTraits {
-            is_repeatable,
-            is_resumable,
-            deadline,
-            max_attempts: 3,
-        }
+        RequestTraits { is_repeatable, is_resumable, deadline, max_attempts: 3 }
     }
 
     const PARTIAL: FailureStage = FailureStage::Partial { events: 5 };
@@ -213,10 +200,7 @@
         expected: Option<Execution>,
     ) {
         let now = Instant::now();
-        let failure = AttemptFailure {
-            stage,
-            is_crash: true,
-        };
+        let failure = AttemptFailure { stage, is_crash: true };
 
         let decision = decide_retry(&traits(false, false, now), failure, 1, now, || true);
 
@@ -236,10 +220,7 @@
     #[test_case(false, RetryDecision::GiveUp { code: ResultCode::StreamBroken, execution: Execution::Ran }; "not resumable")]
     fn a_broken_stream_is_resumed_or_ends_with_an_error(resumable: bool, expected: RetryDecision) {
         let now = Instant::now();
-        let failure = AttemptFailure {
-            stage: PARTIAL,
-            is_crash: true,
-        };
+        let failure = AttemptFailure { stage: PARTIAL, is_crash: true };
 
         let decision = decide_retry(&traits(true, resumable, now), failure, 1, now, || true);
 
@@ -251,20 +232,14 @@
     #[test_case(1, true, 2, ResultCode::DeadlineExceeded; "too late")]
     fn retries_end(attempt: u32, may_retry: bool, late_s: u64, expected: ResultCode) {
         let now = Instant::now();
-        let failure = AttemptFailure {
-            stage: FailureStage::NotSent,
-            is_crash: true,
-        };
+        let failure = AttemptFailure { stage: FailureStage::NotSent, is_crash: true };
         let at = now + Duration::from_secs(late_s);
 
         let decision = decide_retry(&traits(true, true, now), failure, attempt, at, || may_retry);
 
         assert_eq!(
             decision,
-            RetryDecision::GiveUp {
-                code: expected,
-                execution: Execution::NotRun
-            }
+            RetryDecision::GiveUp { code: expected, execution: Execution::NotRun }
         );
     }
 }
--- a/crates/cuminramp-targets/src/window.rs
+++ b/crates/cuminramp-targets/src/window.rs
@@ -59,13 +59,7 @@
     /// # }
     /// ```
     pub fn new(policy: WindowPolicy, slots: u32, now: Instant) -> Self {
-        BatchWindow {
-            policy,
-            slots,
-            size: 0,
-            grown_at: now,
-            online_at: None,
-        }
+        BatchWindow { policy, slots, size: 0, grown_at: now, online_at: None }
     }
 
     /// Another host, or this one, sends online work to the engine.
@@ -142,10 +136,7 @@
 
     fn opened(now: Instant) -> BatchWindow {
         let mut window = BatchWindow::new(WindowPolicy::default(), 16, now);
-        let report = Some(LoadSnapshot {
-            requests: 0,
-            at: now,
-        });
+        let report = Some(LoadSnapshot { requests: 0, at: now });
         for step in 0..6 {
             window.update(0, report, 0, now + STEP * step);
         }
@@ -163,9 +154,8 @@
         window.on_online(at);
         let closed = window.update(0, report(at), 16, at + STEP);
         let back = at + Duration::from_millis(300);
-        let sizes: Vec<u32> = (0..5)
-            .map(|step| window.update(0, report(back), 0, back + STEP * step))
-            .collect();
+        let sizes: Vec<u32> =
+            (0..5).map(|step| window.update(0, report(back), 0, back + STEP * step)).collect();
 
         assert_eq!(closed, 0);
         assert_eq!(sizes, [1, 2, 4, 8, 16]);
@@ -176,10 +166,7 @@
     fn an_old_report_closes_the_window() {
         let now = Instant::now();
         let mut window = opened(now);
-        let report = Some(LoadSnapshot {
-            requests: 0,
-            at: now,
-        });
+        let report = Some(LoadSnapshot { requests: 0, at: now });
 
         let fresh = window.update(0, report, 0, now + Duration::from_secs(1));
         let late = window.update(0, report, 0, now + Duration::from_secs(3));
--- a/crates/cuminramp-wire/src/encoded.rs
+++ b/crates/cuminramp-wire/src/encoded.rs
@@ -17,9 +17,7 @@
 impl<'de, M: Message + Default> Deserialize<'de> for Encoded<M> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let bytes = Vec::<u8>::deserialize(deserializer)?;
-        M::decode(bytes.as_slice())
-            .map(Encoded)
-            .map_err(serde::de::Error::custom)
+        M::decode(bytes.as_slice()).map(Encoded).map_err(serde::de::Error::custom)
     }
 }
 
--- a/crates/cuminramp-wire/src/service.rs
+++ b/crates/cuminramp-wire/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::Encoded;
 use crate::peer::{
-    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest,
+    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest, YieldNotice,
 };
 
 /// What a daemon answers to another daemon.
@@ -17,6 +17,8 @@
     async fn pull(request: Encoded<PullRequest>) -> Encoded<PullReply>;
     /// Debit tokens of a team for me.
     async fn borrow(request: Encoded<BorrowRequest>) -> Encoded<BorrowReply>;
-    /// These fingerprints crashed a target.
+    /// These requests crashed a target.
     async fn report_crash(request: Encoded<CrashReport>) -> ();
+    /// Online work is on its way to these engines.
+    async fn yield_targets(request: Encoded<YieldNotice>) -> ();
 }
--- a/tools/generate-wire/src/main.rs
+++ b/tools/generate-wire/src/main.rs
@@ -11,8 +11,6 @@
     let files = ["peer.proto", "rows.proto"];
     let descriptors = protox::compile(files, [PROTO_DIR])?;
     std::fs::create_dir_all(OUT_DIR)?;
-    prost_build::Config::new()
-        .out_dir(Path::new(OUT_DIR))
-        .compile_fds(descriptors)?;
+    prost_build::Config::new().out_dir(Path::new(OUT_DIR)).compile_fds(descriptors)?;
     Ok(())
 }
