--- /dev/null
+++ b/crates/cuminramp-cli/src/bench/mod.rs
@@ -0,0 +1,19 @@
+//! `cuminramp bench`: measurements over loopback.
+
+mod batch;
+mod caller;
+mod online;
+mod record;
+mod roles;
+
+use crate::connection::CommandError;
+use crate::flags::{Bench, BenchCmd};
+
+/// Runs one measurement.
+pub(crate) async fn execute(flags: Bench) -> Result<(), CommandError> {
+    match flags.subcommand {
+        BenchCmd::Online(flags) => online::execute(flags).await,
+        BenchCmd::Batch(flags) => batch::execute(flags).await,
+        BenchCmd::Roles(flags) => roles::execute(&flags),
+    }
+}
--- a/crates/cuminramp-cli/src/cmd/apply.rs
+++ b/crates/cuminramp-cli/src/cmd/apply.rs
@@ -68,7 +68,11 @@
         bar.set_position((hosts.len() - behind.len()) as u64);
         if behind.is_empty() {
             bar.finish_and_clear();
-            println!("in force on {} hosts after {} ms", hosts.len(), started.elapsed().as_millis());
+            println!(
+                "in force on {} hosts after {} ms",
+                hosts.len(),
+                started.elapsed().as_millis()
+            );
             return Ok(());
         }
         if started.elapsed() > limit {
--- a/crates/cuminramp-cli/src/cmd/mod.rs
+++ b/crates/cuminramp-cli/src/cmd/mod.rs
@@ -1,10 +1,14 @@
 //! One module for each subcommand.
 
 mod apply;
+mod cancel;
 mod check;
-mod jobs;
-mod keys;
+mod grant;
+mod job;
 mod views;
+mod withdraw;
+
+pub(crate) use apply::make_bar;
 
 use crate::bench;
 use crate::connection::{CommandError, OperatorConnection};
@@ -19,11 +23,15 @@
         CuminrampCmd::Show(_) => views::show(&operator).await,
         CuminrampCmd::Apply(flags) => apply::execute(&operator, json, flags).await,
         CuminrampCmd::Generations(_) => views::generations(&operator, json).await,
-        CuminrampCmd::Keys(flags) => keys::execute(&operator, json, flags).await,
+        CuminrampCmd::Keys(_) => views::keys(&operator, json).await,
+        CuminrampCmd::Grant(flags) => grant::execute(&operator, json, flags).await,
+        CuminrampCmd::Withdraw(flags) => withdraw::execute(&operator, json, flags).await,
         CuminrampCmd::Hosts(_) => views::hosts(&operator, json).await,
         CuminrampCmd::Targets(_) => views::targets(&operator, json).await,
         CuminrampCmd::Teams(_) => views::teams(&operator, json).await,
-        CuminrampCmd::Jobs(flags) => jobs::execute(&operator, json, flags).await,
+        CuminrampCmd::Jobs(_) => views::jobs(&operator, json).await,
+        CuminrampCmd::Job(flags) => job::execute(&operator, &flags).await,
+        CuminrampCmd::Cancel(flags) => cancel::execute(&operator, &flags).await,
         CuminrampCmd::Bench(flags) => bench::execute(flags).await,
     }
 }
--- a/crates/cuminramp-cli/src/cmd/views.rs
+++ b/crates/cuminramp-cli/src/cmd/views.rs
@@ -12,7 +12,10 @@
 }
 
 /// Shows which hosts have which generation in force.
-pub(crate) async fn generations(operator: &OperatorConnection, json: bool) -> Result<(), CommandError> {
+pub(crate) async fn generations(
+    operator: &OperatorConnection,
+    json: bool,
+) -> Result<(), CommandError> {
     let answer = operator.get("/operator/generations").await?;
     print_rows(json, &answer, &answer["hosts"], &["host", "generation"]);
     Ok(())
@@ -21,7 +24,8 @@
 /// Shows hosts.
 pub(crate) async fn hosts(operator: &OperatorConnection, json: bool) -> Result<(), CommandError> {
     let answer = operator.get("/operator/hosts").await?;
-    let columns = ["address", "caller-address", "availability-zone", "status", "listed", "incarnation"];
+    let columns =
+        ["address", "caller-address", "availability-zone", "status", "listed", "incarnation"];
     print_rows(json, &answer, &answer["hosts"], &columns);
     Ok(())
 }
@@ -30,8 +34,16 @@
 pub(crate) async fn targets(operator: &OperatorConnection, json: bool) -> Result<(), CommandError> {
     let answer = operator.get("/operator/targets").await?;
     let columns = [
-        "pool", "target", "address", "availability-zone", "leaving", "set-aside", "online-here",
-        "batch-here", "reported", "report-age-ms",
+        "pool",
+        "target",
+        "address",
+        "availability-zone",
+        "leaving",
+        "set-aside",
+        "online-here",
+        "batch-here",
+        "reported",
+        "report-age-ms",
     ];
     print_rows(json, &answer, &answer["targets"], &columns);
     Ok(())
@@ -43,3 +55,17 @@
     print_rows(json, &answer, &answer["teams"], &["team", "rate", "burst", "weight", "owners"]);
     Ok(())
 }
+
+/// Lists keys.
+pub(crate) async fn keys(operator: &OperatorConnection, json: bool) -> Result<(), CommandError> {
+    let answer = operator.get("/operator/keys").await?;
+    print_rows(json, &answer, &answer["keys"], &["digest", "team", "label", "withdrawn"]);
+    Ok(())
+}
+
+/// Lists open jobs.
+pub(crate) async fn jobs(operator: &OperatorConnection, json: bool) -> Result<(), CommandError> {
+    let answer = operator.get("/operator/jobs").await?;
+    print_rows(json, &answer, &answer["jobs"], &["id", "team", "status", "request_counts"]);
+    Ok(())
+}
--- a/crates/cuminramp-cli/src/connection.rs
+++ b/crates/cuminramp-cli/src/connection.rs
@@ -82,7 +82,12 @@
     }
 
     /// Calls and reads the answer; a refusal is an error that names its code and every reason.
-    pub(crate) async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Value, CommandError> {
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Value, CommandError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
--- a/crates/cuminramp-cli/src/flags.rs
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -35,22 +35,19 @@
         }
         /// Shows which hosts have which generation in force.
         cmd generations {}
-        /// Grants, lists and withdraws keys.
-        cmd keys {
-            /// Grants a key and prints it, this once.
-            cmd grant {
-                /// The team.
-                required team: String
-                /// What to call the key.
-                optional --label label: String
-            }
-            /// Lists keys by digest.
-            cmd list {}
-            /// Withdraws a key.
-            cmd withdraw {
-                /// The key, its label, or the first 12 digits of its digest.
-                required key: String
-            }
+        /// Lists keys by digest.
+        cmd keys {}
+        /// Grants a key and prints it, this once.
+        cmd grant {
+            /// The team.
+            required team: String
+            /// What to call the key.
+            optional --label label: String
+        }
+        /// Withdraws a key, for good.
+        cmd withdraw {
+            /// The key, its label, or the first 12 digits of its digest.
+            required key: String
         }
         /// Shows hosts as the asked one knows them.
         cmd hosts {}
@@ -58,26 +55,23 @@
         cmd targets {}
         /// Shows teams and which hosts own their rate.
         cmd teams {}
-        /// Lists, shows and cancels jobs.
-        cmd jobs {
-            /// Lists open jobs.
-            cmd list {}
-            /// Shows a job; with --follow until it ends.
-            cmd show {
-                /// The team.
-                required team: String
-                /// The job.
-                required job: String
-                /// Show its progress until it ends.
-                optional --follow
-            }
-            /// Cancels a job, for good.
-            cmd cancel {
-                /// The team.
-                required team: String
-                /// The job.
-                required job: String
-            }
+        /// Lists open jobs.
+        cmd jobs {}
+        /// Shows a job.
+        cmd job {
+            /// The team.
+            required team: String
+            /// The job.
+            required job: String
+            /// Show its progress until it ends.
+            optional --follow
+        }
+        /// Cancels a job, for good.
+        cmd cancel {
+            /// The team.
+            required team: String
+            /// The job.
+            required job: String
         }
         /// Measures a running system, or one role by itself, over loopback.
         cmd bench {
