Let only stewards of a job's engines lease its chunks

Cause: a host that was steward of no engine leased chunks and could run none of their items; in the first run with a kill -9 the job stood at 936 of 1,000 for ten minutes with idle engines. Ruled out: the takeover (the chunks' holder was alive) and the windows (open on the other host). Change: a job's row names its model, and only hosts that are steward of an engine of that model's pool lease its chunks; items that are stranded all the same run one by one beside the stewards. Before: 936 of 1,000 results after 600 s.

--- a/crates/cuminramp-daemon/src/batch/claims.rs
+++ b/crates/cuminramp-daemon/src/batch/claims.rs
@@ -20,6 +20,7 @@
 use crate::batch::jobs::{VersionedChunk, read_chunks};
 use crate::batch::layout_name;
 use crate::batch::results::write_manifest;
+use crate::batch::windows::stewards_any;
 use crate::entry::files::{file_object, unix_now};
 use crate::state::{DaemonState, lock};
 
@@ -147,6 +148,9 @@
         close_job(state, job, &rows).await?;
         return Ok(0);
     }
+    if !serves_model(state, &job.row.model) {
+        return Ok(0);
+    }
     let candidates = pick_chunks(state, job, &rows, room.min(CLAIMS_PER_JOB));
     if candidates.is_empty() {
         return Ok(0);
@@ -162,6 +166,20 @@
     Ok(items)
 }
 
+/// Whether this host is steward of an engine that serves the model.
+///
+/// A host that is steward of none can run next to nothing: chunks that it leased would wait while
+/// engines are idle. A job whose model has no route is taken by anyone, to end with errors.
+fn serves_model(state: &DaemonState, model: &str) -> bool {
+    let in_force = state.configuration.in_force();
+    let configuration = &in_force.configuration;
+    let route = in_force.planner.plan(configuration, RouteQuery::Model(model));
+    match route.and_then(|route| configuration.pools.get(&*route.pool)) {
+        Some(pool) => stewards_any(state, pool),
+        None => true,
+    }
+}
+
 /// Chunks that may be leased, in an order of this host's own, so that hosts seldom want the same.
 fn pick_chunks(
     state: &DaemonState,
--- a/crates/cuminramp-daemon/src/batch/jobs.rs
+++ b/crates/cuminramp-daemon/src/batch/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cuminramp_batch::{ChunkLayout, job_key, open_key};
+use cuminramp_batch::{ChunkLayout, job_key, open_key, parse_line};
 use cuminramp_core::{Name, Refusal, ResultCode};
 use cuminramp_platform::{CommitOutcome, Row, StoreError, Transaction};
 use cuminramp_wire::rows::{ChunkRow, ChunkState, JobRow, JobState};
@@ -86,7 +86,7 @@
         log::info!(job = id.as_str(), team = &*request.team, decision = "same"; "job");
         return Ok(job_json(&job.row));
     }
-    let layout = read_layout(state, &request).await?;
+    let InputFile { layout, model } = read_input(state, &request).await?;
     let body = serde_json::to_vec(&layout)
         .map_err(|error| Refusal::not_run(ResultCode::Internal, error.to_string()))?;
     state.platform.objects.put(&layout_name(&id), body.into()).await.map_err(store_refusal)?;
@@ -96,6 +96,7 @@
         input_file: request.input_file.clone(),
         endpoint: request.endpoint.clone(),
         items: layout.items,
+        model,
         chunk_items: layout.chunks.first().map_or(0, |place| place.items),
         state: JobState::Running.into(),
         created_unix: unix_now(),
@@ -116,7 +117,13 @@
     }
 }
 
-async fn read_layout(state: &DaemonState, request: &JobRequest) -> Result<ChunkLayout, Refusal> {
+/// What a job's input file says.
+struct InputFile {
+    layout: ChunkLayout,
+    model: String,
+}
+
+async fn read_input(state: &DaemonState, request: &JobRequest) -> Result<InputFile, Refusal> {
     find_file(state, &request.team, &request.input_file).await?;
     let object = file_object(&request.team, &request.input_file);
     let content = state.platform.objects.get(&object).await.map_err(store_refusal)?;
@@ -133,7 +140,9 @@
         let message = format!("the input file has {} items, more than {most}", layout.items);
         return Err(Refusal::not_run(ResultCode::FieldInvalid, message));
     }
-    Ok(layout)
+    let lines = text.lines().enumerate();
+    let first = lines.filter_map(|(index, line)| parse_line(line, index + 1).ok()).next();
+    Ok(InputFile { layout, model: first.map(|item| item.model).unwrap_or_default() })
 }
 
 /// Writes a new job; another host that took the same one first has done no harm.
--- a/crates/cuminramp-daemon/src/batch/runner.rs
+++ b/crates/cuminramp-daemon/src/batch/runner.rs
@@ -16,7 +16,7 @@
 use crate::batch::chunks::{finish_chunk, keep_suspects};
 use crate::batch::claims::queue_item;
 use crate::batch::held::ItemRef;
-use crate::batch::windows::{RunningItem, steward_of};
+use crate::batch::windows::{RunningItem, steward_of, stewards_any};
 use crate::borders::TargetAnswer;
 use crate::dispatch::{AttemptResult, TargetLease, start_attempt};
 use crate::entry::chat::chat_request;
@@ -24,6 +24,8 @@
 
 /// How often windows are looked at.
 const STEP: Duration = Duration::from_millis(20);
+/// Items at once on an engine that this host is not steward of.
+const STRANDED_WINDOW: u32 = 1;
 /// Waits before an item that no target took is queued again.
 const REQUEUE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -32,8 +34,9 @@
     loop {
         let mut slots = 0;
         for pool in engine_pools(&state) {
+            let stranded = is_stranded(&state, &pool);
             for target in &pool.targets {
-                slots += fill_window(&state, &pool, target);
+                slots += fill_window(&state, &pool, target, stranded);
             }
         }
         if lock(&state.batch.waiting).len() < slots as usize {
@@ -49,8 +52,16 @@
     pools.filter(|pool| pool.kind == PoolKind::Engines).cloned().collect()
 }
 
+/// Whether items wait here for a pool none of whose engines this host is steward of, as when the
+/// steward changed after they were leased, or a job asks for several models. They would wait for
+/// ever; so this host runs them one by one beside the stewards.
+fn is_stranded(state: &DaemonState, pool: &Pool) -> bool {
+    let waits = lock(&state.batch.waiting).waits_for(&pool.name);
+    waits && !stewards_any(state, pool)
+}
+
 /// Brings an engine's window up to date and starts what fits; returns the window's size.
-fn fill_window(state: &Arc<DaemonState>, pool: &Pool, target: &Target) -> u32 {
+fn fill_window(state: &Arc<DaemonState>, pool: &Pool, target: &Target, stranded: bool) -> u32 {
     let now = Instant::now();
     let mine = steward_of(state, &target.name).is_some_and(|host| host == state.me.id.address);
     let (online, batch, report, ejected) = {
@@ -59,9 +70,10 @@
         let report = targets.report(&target.name);
         (online, batch, report, targets.is_ejected(&target.name, now))
     };
-    let open = mine && !target.leaving && !ejected && !state.drain.is_cancelled();
+    let open = (mine || stranded) && !target.leaving && !ejected && !state.drain.is_cancelled();
     let free = state.batch.with_engine(&target.name, target.slots, |engine| {
         let size = if open { engine.window.update(online, report, batch, now) } else { 0 };
+        let size = if mine { size } else { size.min(STRANDED_WINDOW) };
         let running = engine.running.len() as u32;
         // The newest go first: they have the least to lose.
         for extra in engine.running.iter().rev().take(running.saturating_sub(size) as usize) {
--- a/crates/cuminramp-daemon/src/batch/windows.rs
+++ b/crates/cuminramp-daemon/src/batch/windows.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use cuminramp_core::{Name, SortedMap, rendezvous_score};
+use cuminramp_routes::{Pool, Target};
 use cuminramp_targets::{BatchWindow, FairQueue, WindowPolicy};
 use cuminramp_wire::peer::YieldNotice;
 use tokio::sync::Notify;
@@ -36,6 +37,12 @@
 }
 
 impl WaitingItems {
+    /// Whether any wait for a pool.
+    pub(crate) fn waits_for(&self, pool: &str) -> bool {
+        let ready = self.ready.get(pool).is_some_and(|queue| !queue.is_empty());
+        ready || self.suspects.get(pool).is_some_and(|queue| !queue.is_empty())
+    }
+
     /// How many items wait.
     pub(crate) fn len(&self) -> usize {
         let ready: usize = self.ready.values().map(FairQueue::len).sum();
@@ -135,3 +142,11 @@
     let steward = hosts.iter().max_by_key(|host| rendezvous_score(target, &host.id.address))?;
     Some(steward.id.address.clone())
 }
+
+/// Whether this host is steward of any engine of a pool.
+pub(crate) fn stewards_any(state: &DaemonState, pool: &Pool) -> bool {
+    let is_mine = |target: &Target| {
+        steward_of(state, &target.name).is_some_and(|steward| steward == state.me.id.address)
+    };
+    pool.targets.iter().any(is_mine)
+}
--- a/crates/cuminramp-daemon/src/peer/rhythm.rs
+++ b/crates/cuminramp-daemon/src/peer/rhythm.rs
@@ -85,8 +85,7 @@
     while let Some(reply) = asked.join_next().await {
         alive |= matches!(reply, Ok(Some(reply)) if reply.target_alive);
     }
-    if !alive {
-        lock(&state.members).on_unreachable(target, Instant::now());
+    if !alive && lock(&state.members).on_unreachable(target, Instant::now()) {
         log::info!(host = &**target, decision = "suspect"; "membership");
     }
 }
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -170,9 +170,9 @@
         vec![MemberAction::ProbeThrough { target: address.into(), helpers: chosen }]
     }
 
-    /// Nobody reached the host.
-    pub fn on_unreachable(&mut self, address: &str, now: Instant) {
-        self.suspect(address, now);
+    /// Nobody reached the host; says whether it becomes a suspect by this.
+    pub fn on_unreachable(&mut self, address: &str, now: Instant) -> bool {
+        self.suspect(address, now)
     }
 
     /// A host spoke for itself, by a probe or an answer: proof that this run lives. Returns whether
@@ -347,16 +347,17 @@
         self.spread(address);
     }
 
-    fn suspect(&mut self, address: &str, now: Instant) {
+    fn suspect(&mut self, address: &str, now: Instant) -> bool {
         let Some(member) = self.members.get_mut(address) else {
-            return;
+            return false;
         };
         if !matches!(member.status, MemberStatus::Alive | MemberStatus::Leaving) {
-            return;
+            return false;
         }
         member.status = MemberStatus::Suspect;
         member.since = now;
         self.spread(address.into());
+        true
     }
 
     /// Answers news that this host is suspect or dead by a statement with a higher number.
