Pass a shard's tokens on to its next owner, and test the whole

Cause: each move of a shard left its next owner with empty buckets, and a team was refused up to its burst whenever a host came or went; besides, what was asked for ahead kept a request from asking the same owner, so a host that saw all of a team's callers refused it while tokens were on their way. Ruled out: loans that never come back (the cap on loans frees them on time). Change: the giver sends levels and loans after the row names the next owner, taken once for each epoch; without it a bucket starts empty once loans have ended. Asking ahead no longer blocks a request's own asking. The suite also found that the engine stand-in ended a stream as whole when it crashed; and that a request counted as two where it came streamed and whole, so that it took three engines instead of two.

--- a/crates/cuminramp-daemon/src/admission.rs
+++ b/crates/cuminramp-daemon/src/admission.rs
@@ -8,7 +8,7 @@
 };
 use cuminramp_routes::{Charge, Team};
 use cuminramp_settings::QuotaPolicy;
-use cuminramp_wire::peer::{BorrowReply, BorrowRequest};
+use cuminramp_wire::peer::{BorrowReply, BorrowRequest, Handover};
 use tokio::time::Instant;
 
 use crate::state::{DaemonState, lock};
@@ -144,3 +144,13 @@
         valid_ms: answer.valid.as_millis() as u32,
     }
 }
+
+/// Takes the tokens of a shard that this host owns now.
+pub(crate) fn take_tokens(state: &DaemonState, handover: &Handover) {
+    let in_force = state.configuration.in_force();
+    let limits_of = |name: &str| {
+        let team = in_force.configuration.teams.get(name)?;
+        Some((team.name.clone(), TeamLimits::from_tokens(team.rate, team.burst)))
+    };
+    lock(&state.ledger).take_handover(handover, limits_of, Instant::now());
+}
--- a/crates/cuminramp-daemon/src/borders.rs
+++ b/crates/cuminramp-daemon/src/borders.rs
@@ -10,7 +10,8 @@
 use cuminramp_http::CallError;
 use cuminramp_platform::{HostList, ObjectStore, TableStore};
 use cuminramp_wire::peer::{
-    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest, YieldNotice,
+    BorrowReply, BorrowRequest, CrashReport, Handover, Probe, ProbeReply, PullReply, PullRequest,
+    YieldNotice,
 };
 use futures_util::Stream;
 use http::{HeaderMap, Method, StatusCode};
@@ -79,6 +80,9 @@
     /// Asks a shard's owner for tokens.
     async fn borrow(&self, owner: &HostId, request: BorrowRequest) -> Option<BorrowReply>;
 
+    /// Passes a shard's tokens on to its next owner.
+    async fn hand_over(&self, owner: &HostId, handover: Handover) -> Option<()>;
+
     /// Tells of requests that crashed targets.
     async fn report_crash(&self, address: &str, report: CrashReport) -> Option<()>;
 
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -32,13 +32,16 @@
     pub(crate) request: TargetRequest,
     /// A hash of the prompt's beginning, for engines.
     pub(crate) prefix: Option<u64>,
+    /// Tells apart what targets work on, however it is asked for and whoever asks: a request that
+    /// crashes targets does so streamed or whole.
+    pub(crate) fingerprint: u64,
     pub(crate) is_stream: bool,
     pub(crate) deadline: Instant,
 }
 
 impl OnlineRequest {
-    /// Tells requests apart that may crash targets: by what the target is sent, whoever sends it.
-    pub(crate) fn fingerprint(&self) -> u64 {
+    /// Tells one whole request from another.
+    pub(crate) fn body_hash(&self) -> u64 {
         let body = String::from_utf8_lossy(&self.request.body);
         hash_parts(&[self.request.method.as_str(), &self.request.path, &body])
     }
@@ -137,7 +140,7 @@
     state: &Arc<DaemonState>,
     online: OnlineRequest,
 ) -> Result<Response, Refusal> {
-    let watch = CrashWatch::begin(state, online.fingerprint())?;
+    let watch = CrashWatch::begin(state, online.fingerprint)?;
     lock(&state.budget).earn();
     let started = Instant::now();
     let mut job = RelayJob::new(online, watch);
--- a/crates/cuminramp-daemon/src/entry/chat.rs
+++ b/crates/cuminramp-daemon/src/entry/chat.rs
@@ -60,9 +60,12 @@
     let max_tokens = fields.max_completion_tokens.or(fields.max_tokens);
     admit_request(state, &caller.team, request_cost(&caller.team, max_tokens)).await?;
     state.metrics.count_request(&route.name);
-    let prefix = prefix_hash(state, &fields);
-    let target_request = chat_request(body);
-    let online = make_online(state, caller, route, pool, target_request, prefix, fields.stream);
+    let traits = WorkTraits {
+        prefix: prefix_hash(state, &fields),
+        fingerprint: prompt_hash(&fields),
+        is_stream: fields.stream,
+    };
+    let online = make_online(state, caller, route, pool, chat_request(body), traits);
     run_marked(state, online, &head.headers).await
 }
 
@@ -111,6 +114,20 @@
     }
 }
 
+/// A hash of the whole prompt.
+fn prompt_hash(fields: &ChatFields) -> u64 {
+    let messages: Vec<String> = fields.messages.iter().map(|message| message.to_string()).collect();
+    let parts: Vec<&str> = messages.iter().map(String::as_str).collect();
+    hash_parts(&parts)
+}
+
+/// What the choice of target and the watch for crashes look at.
+pub(crate) struct WorkTraits {
+    pub(crate) prefix: Option<u64>,
+    pub(crate) fingerprint: u64,
+    pub(crate) is_stream: bool,
+}
+
 /// Puts a request together that was admitted.
 pub(crate) fn make_online(
     state: &DaemonState,
@@ -118,13 +135,13 @@
     route: Route,
     pool: Pool,
     request: TargetRequest,
-    prefix: Option<u64>,
-    is_stream: bool,
+    traits: WorkTraits,
 ) -> OnlineRequest {
     let deadline = Instant::now() + Duration::from_millis(route.timeout_ms.into());
     let id: Name = format!("{:x}-{}", state.me.id.incarnation, state.next_number()).into();
     let (team, key) = (caller.team, caller.key);
-    OnlineRequest { id, team, key, route, pool, request, prefix, is_stream, deadline }
+    let WorkTraits { prefix, fingerprint, is_stream } = traits;
+    OnlineRequest { id, team, key, route, pool, request, prefix, fingerprint, is_stream, deadline }
 }
 
 /// Lists the models that have a route.
--- a/crates/cuminramp-daemon/src/peer/caller.rs
+++ b/crates/cuminramp-daemon/src/peer/caller.rs
@@ -6,7 +6,8 @@
 use async_trait::async_trait;
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_wire::peer::{
-    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest, YieldNotice,
+    BorrowReply, BorrowRequest, CrashReport, Handover, Probe, ProbeReply, PullReply, PullRequest,
+    YieldNotice,
 };
 use cuminramp_wire::{Encoded, PeerServiceClient};
 use tarpc::client::{Config, RpcError};
@@ -104,6 +105,14 @@
         Some(self.call(&owner.address, limit, make).await?.0)
     }
 
+    async fn hand_over(&self, owner: &HostId, handover: Handover) -> Option<()> {
+        let limit = self.limit * 2;
+        let make = |client: PeerServiceClient| async move {
+            client.hand_over(call_context(limit), Encoded(handover)).await
+        };
+        self.call(&owner.address, limit, make).await
+    }
+
     async fn report_crash(&self, address: &str, report: CrashReport) -> Option<()> {
         let limit = self.limit;
         let make = |client: PeerServiceClient| async move {
--- a/crates/cuminramp-daemon/src/peer/server.rs
+++ b/crates/cuminramp-daemon/src/peer/server.rs
@@ -5,7 +5,8 @@
 
 use cuminramp_core::Name;
 use cuminramp_wire::peer::{
-    BorrowReply, BorrowRequest, CrashReport, Probe, ProbeReply, PullReply, PullRequest, YieldNotice,
+    BorrowReply, BorrowRequest, CrashReport, Handover, Probe, ProbeReply, PullReply, PullRequest,
+    YieldNotice,
 };
 use cuminramp_wire::{Encoded, PeerService};
 use futures_util::StreamExt;
@@ -16,7 +17,7 @@
 use tokio_serde::formats::Bincode;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::admission::lend_tokens;
+use crate::admission::{lend_tokens, take_tokens};
 use crate::peer::MAX_FRAME_BYTES;
 use crate::peer::rhythm::{answer_probe, probe_for_other};
 use crate::state::{DaemonState, lock};
@@ -50,6 +51,10 @@
         Encoded(lend_tokens(&self.state, &request.0))
     }
 
+    async fn hand_over(self, _: Context, request: Encoded<Handover>) {
+        take_tokens(&self.state, &request.0);
+    }
+
     async fn report_crash(self, _: Context, request: Encoded<CrashReport>) {
         let now = Instant::now();
         let mut crashes = lock(&self.state.crashes);
--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -6,6 +6,7 @@
 use cuminramp_core::Host;
 use cuminramp_platform::{Row, StoreError, Transaction, Version};
 use cuminramp_quota::ShardMove;
+use cuminramp_wire::peer::Handover;
 use cuminramp_wire::rows::ShardRow;
 use cuminramp_wire::{decode_row, encode_row};
 use tokio::time::Instant;
@@ -126,17 +127,21 @@
 async fn move_shards(state: &Arc<DaemonState>, rows: &[VersionedShard]) {
     let hosts = staying_hosts(state);
     let most = state.settings.quota.moves_per_poll;
-    let moves = lock(&state.ledger).shards_mut().release_moves(&hosts, most);
+    let moves = release(state, &hosts, most);
     write_moves(state, rows, &moves).await;
 }
 
+fn release(state: &DaemonState, hosts: &[Host], most: usize) -> Vec<ShardMove> {
+    lock(&state.ledger).shards_mut().release_moves(hosts, most)
+}
+
 /// Gives all shards to the hosts that stay, as a host that leaves does.
 pub(crate) async fn give_back_shards(state: &Arc<DaemonState>) {
     let Ok(rows) = read_shards(state).await else {
         return;
     };
     let hosts = staying_hosts(state);
-    let moves = lock(&state.ledger).shards_mut().release_moves(&hosts, usize::MAX);
+    let moves = release(state, &hosts, usize::MAX);
     for group in moves.chunks(CLAIMS_PER_WRITE) {
         write_moves(state, &rows, group).await;
     }
@@ -160,6 +165,7 @@
     let put = |transaction: Transaction, (change, version): &(&ShardMove, Version)| {
         transaction.put_at(shard_key(change.shard), *version, encode_row(&change.to_row()))
     };
+    let handovers = collect_handovers(state, moves);
     let all = wanted.iter().fold(Transaction::default(), put);
     let outcome = state.platform.table.commit(all).await;
     if matches!(outcome, Ok(cuminramp_platform::CommitOutcome::Conflict(_))) {
@@ -171,6 +177,35 @@
         let (shard, owner) = (change.shard, &*change.owner.address);
         log::info!(shard = shard, owner = owner, epoch = change.from_epoch + 1; "shard-move");
     }
-    let _ = read_shards(state).await;
+    let read = read_shards(state).await;
+    if read.is_ok() {
+        send_handovers(state, moves, handovers).await;
+    }
     spread_news(state).await;
 }
+
+/// What goes with own shards that are given away; claims take nothing along.
+fn collect_handovers(state: &DaemonState, moves: &[ShardMove]) -> Vec<Handover> {
+    let now = Instant::now();
+    let mut ledger = lock(&state.ledger);
+    let given = moves.iter().filter(|change| change.owner != state.me.id);
+    given.map(|change| ledger.collect_handover(change, now)).collect()
+}
+
+/// Sends tokens after the row says whose they are. Lost on the way they are nobody's.
+async fn send_handovers(state: &Arc<DaemonState>, moves: &[ShardMove], handovers: Vec<Handover>) {
+    let given = moves.iter().filter(|change| change.owner != state.me.id);
+    let mut calls = tokio::task::JoinSet::new();
+    for (change, handover) in given.zip(handovers) {
+        let record = lock(&state.ledger).shards().record(change.shard);
+        let written =
+            record.epoch == change.from_epoch + 1 && record.owner.as_ref() == Some(&change.owner);
+        if !written {
+            continue;
+        }
+        let (state, owner) = (state.clone(), change.owner.clone());
+        state.metrics.count_peer_call("hand-over");
+        calls.spawn(async move { state.peers.hand_over(&owner, handover).await });
+    }
+    while calls.join_next().await.is_some() {}
+}
--- a/crates/cuminramp-quota/src/bucket.rs
+++ b/crates/cuminramp-quota/src/bucket.rs
@@ -101,6 +101,29 @@
         lent
     }
 
+    /// How many millitokens are lent and may still be spent.
+    pub fn on_loan(&mut self, now: Instant) -> Millitokens {
+        self.advance(now);
+        self.on_loan
+    }
+
+    /// Takes over the tokens of an earlier owner of the slice: its level, and its loans that may be
+    /// spent until `valid` has passed.
+    pub fn take_over(
+        &mut self,
+        level: Millitokens,
+        on_loan: Millitokens,
+        valid: Duration,
+        now: Instant,
+    ) {
+        self.advance(now);
+        if on_loan > 0 {
+            self.loans.push_back(Loan { until: now + valid, amount: on_loan });
+            self.on_loan += on_loan;
+        }
+        self.level = (self.level + level).min(self.burst.saturating_sub(self.on_loan));
+    }
+
     /// How long until `amount` is there, if nobody else takes any.
     pub fn wait_for(&mut self, amount: Millitokens, now: Instant) -> Duration {
         self.advance(now);
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::allotment::{Allotment, SliceLimits};
-use crate::{Millitokens, ShardMap, TOKEN, TeamLimits, TokenBucket, slice_shards};
+use crate::{Millitokens, ShardMap, ShardRecord, TOKEN, TeamLimits, TokenBucket, slice_shards};
 
 /// Demand is averaged over about this time.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
@@ -125,32 +125,34 @@
 
 /// One team on this host.
 #[derive(Debug)]
-struct TeamQuota {
+pub(crate) struct TeamQuota {
     allotment: Allotment,
     /// By slice: the bucket and the epoch of the shard under which it was filled.
-    buckets: SortedMap<u32, SliceBucket>,
+    pub(crate) buckets: SortedMap<u32, SliceBucket>,
     stashes: Vec<Stash>,
     /// By shard: before this moment its owner has none to lend.
     dry: SortedMap<u32, Instant>,
     /// Millitokens a second asked for here, averaged.
     demand: f64,
     demand_at: Instant,
+    /// Until then nothing more is asked for ahead.
+    ahead_until: Instant,
     used_at: Instant,
 }
 
 #[derive(Debug)]
-struct SliceBucket {
-    epoch: u64,
+pub(crate) struct SliceBucket {
+    pub(crate) epoch: u64,
     limits: SliceLimits,
-    bucket: TokenBucket,
+    pub(crate) bucket: TokenBucket,
 }
 
 /// All teams on this host.
 #[derive(Debug)]
 pub struct QuotaLedger {
     policy: LedgerPolicy,
-    shards: ShardMap,
-    teams: SortedMap<Name, TeamQuota>,
+    pub(crate) shards: ShardMap,
+    pub(crate) teams: SortedMap<Name, TeamQuota>,
     ticked_at: Instant,
     doubtful: bool,
 }
@@ -307,13 +309,13 @@
         }
     }
 
-    fn trusts_itself(&self, now: Instant) -> bool {
+    pub(crate) fn trusts_itself(&self, now: Instant) -> bool {
         let paused = now.saturating_duration_since(self.ticked_at) > self.policy.pause_limit;
         !self.doubtful && !paused
     }
 
     /// Brings a team's buckets in line with its limits and with the shards owned here.
-    fn prepare(&mut self, team: &Name, limits: TeamLimits, now: Instant) {
+    pub(crate) fn prepare(&mut self, team: &Name, limits: TeamLimits, now: Instant) {
         let policy = &self.policy;
         let quota = self.teams.get_or_insert_with(team.clone(), || TeamQuota::new(limits, now));
         quota.allotment.update(limits, policy.settle, now);
@@ -322,9 +324,8 @@
         for (index, shard) in (0..count).zip(slice_shards(team, count, policy.shards)) {
             if self.shards.is_mine(shard) {
                 let record = self.shards.record(shard);
-                let since = record.since.unwrap_or(now);
-                let limits = quota.allotment.slice(index, policy);
-                quota.hold_slice(index, record.epoch, since, limits, now);
+                let slice = quota.allotment.slice(index, policy);
+                quota.hold_slice(index, &record, slice, loan_validity(limits, policy), now);
             } else {
                 quota.buckets.remove(&index);
             }
@@ -339,7 +340,7 @@
 }
 
 /// Which slice of a team lies in a shard.
-fn slice_number(team: &str, shard: u32, policy: &LedgerPolicy) -> u32 {
+pub(crate) fn slice_number(team: &str, shard: u32, policy: &LedgerPolicy) -> u32 {
     let first = slice_shards(team, 1, policy.shards).next().unwrap_or(0);
     (shard + policy.shards - first) % policy.shards
 }
@@ -367,32 +368,40 @@
             dry: SortedMap::new(),
             demand: 0.0,
             demand_at: now,
+            ahead_until: now,
             used_at: now,
         }
     }
 
     /// Has a bucket for a slice of an own shard.
     ///
-    /// What an earlier owner left unspent is unknown, and it may have spent all just now: so the
-    /// bucket starts empty when the shard was taken. Only the first owner of all starts full.
+    /// What an earlier owner left unspent is unknown unless it passed it on, and it may have spent
+    /// and lent all just now: so the bucket starts empty, and only once those loans have ended. Only
+    /// the first owner of all starts full.
     fn hold_slice(
         &mut self,
         index: u32,
-        epoch: u64,
-        since: Instant,
+        record: &ShardRecord,
         limits: SliceLimits,
+        valid: Duration,
         now: Instant,
     ) {
         let make = || {
-            let bucket = if epoch == 1 {
-                TokenBucket::full(limits.rate, limits.burst, since)
+            let taken_at = record.since.unwrap_or(now);
+            let (since, is_full) = match record.inherited {
+                Some(inherited) => (inherited.since, inherited.is_full),
+                None => (taken_at + valid, record.epoch == 1),
+            };
+            let (rate, burst) = (limits.rate, limits.burst);
+            let bucket = if is_full {
+                TokenBucket::full(rate, burst, now)
             } else {
-                TokenBucket::empty(limits.rate, limits.burst, since)
+                TokenBucket::empty(rate, burst, since)
             };
-            SliceBucket { epoch, limits, bucket }
+            SliceBucket { epoch: record.epoch, limits, bucket }
         };
         let slice = self.buckets.get_or_insert_with(index, make);
-        if slice.epoch != epoch {
+        if slice.epoch != record.epoch {
             *slice = make();
         }
         if slice.limits != limits {
@@ -501,13 +510,126 @@
         now: Instant,
     ) -> Option<BorrowPlan> {
         let ahead = self.ahead(policy);
-        if ahead < TOKEN || self.level(trusted, now) > ahead {
+        if ahead < TOKEN || self.ahead_until > now || self.level(trusted, now) > ahead {
             return None;
         }
         let lenders = self.lenders(team, shards, policy, now);
         let first = lenders.into_iter().next()?;
-        // Until it has answered it isn't asked again.
-        self.dry.insert(first.shard, now + LEAST_VALID);
+        // Its answer is awaited before more is asked for ahead. A request that lacks tokens asks all
+        // the same: it would be refused while the tokens are on their way.
+        self.ahead_until = now + LEAST_VALID;
         Some(BorrowPlan { lenders: vec![first], missing: 0, ahead })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use cuminramp_core::{HostId, Name};
+    use tokio::time::Instant;
+
+    use super::*;
+    use crate::ShardMove;
+
+    const LIMITS: TeamLimits = TeamLimits { rate: 20 * TOKEN, burst: 30 * TOKEN };
+
+    fn host(number: u64) -> HostId {
+        HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 }
+    }
+
+    fn team() -> Name {
+        "team".into()
+    }
+
+    /// Three ledgers, each of which owns one of the team's three shards.
+    fn ledgers(now: Instant) -> Vec<QuotaLedger> {
+        let policy = LedgerPolicy { shards: 8, ..LedgerPolicy::default() };
+        let mut ledgers: Vec<QuotaLedger> =
+            (0..3).map(|number| QuotaLedger::new(host(number), policy.clone(), now)).collect();
+        for (number, shard) in slice_shards("team", 3, 8).enumerate() {
+            let row = ShardMove { shard, from_epoch: 0, owner: host(number as u64) }.to_row();
+            for ledger in &mut ledgers {
+                ledger.shards_mut().observe(&row, true, now);
+            }
+        }
+        ledgers
+    }
+
+    /// Asks every lender of a plan, as the daemon does.
+    fn borrow(ledgers: &mut [QuotaLedger], plan: &BorrowPlan, now: Instant) {
+        let mut missing = plan.missing + plan.ahead;
+        for lender in &plan.lenders {
+            let index =
+                ledgers.iter().position(|ledger| *ledger.shards.me() == lender.owner).unwrap();
+            let loan = LoanRequest { team: team(), shard: lender.shard, amount: missing };
+            let answer = ledgers[index].lend(&loan, LIMITS, now);
+            ledgers[0].credit(&team(), lender, answer, now, now);
+            missing = missing.saturating_sub(answer.amount);
+            if missing == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Runs one request at the first ledger, borrowing where it has to.
+    fn run(ledgers: &mut [QuotaLedger], now: Instant) -> bool {
+        match ledgers[0].admit(&team(), LIMITS, TOKEN, false, now) {
+            Admission::Admitted(_) => true,
+            Admission::Refused(_) => false,
+            Admission::Borrow(plan) => {
+                borrow(ledgers, &plan, now);
+                matches!(
+                    ledgers[0].admit(&team(), LIMITS, TOKEN, true, now),
+                    Admission::Admitted(_)
+                )
+            }
+        }
+    }
+
+    // All callers of a team connect to one host. Refused there for tokens that other hosts hold, the
+    // team would get a third of what it pays for. The answers to what is asked for ahead never come.
+    #[test]
+    fn one_host_can_spend_the_whole_burst() {
+        let now = Instant::now();
+        let mut ledgers = ledgers(now);
+
+        let admitted = (0..40).filter(|_| run(&mut ledgers, now)).count();
+
+        assert_eq!(admitted, 30);
+    }
+
+    // A team at several times its rate is refused most of the time. If each refusal cost calls to all
+    // owners, the team would load every host without being served.
+    #[test]
+    fn owners_without_tokens_are_not_asked_again_at_once() {
+        let now = Instant::now();
+        let mut ledgers = ledgers(now);
+        while run(&mut ledgers, now) {}
+
+        let next = ledgers[0].admit(&team(), LIMITS, TOKEN, false, now);
+
+        let Admission::Refused(wait) = next else { panic!("{next:?}") };
+        assert!(wait >= Duration::from_millis(10) && wait <= Duration::from_secs(1));
+    }
+
+    // The process is paused; others find it dead, take its shards and spend them. Once it wakes it
+    // would spend the same tokens again.
+    #[test]
+    fn a_host_that_was_paused_spends_nothing_until_it_has_read_the_map() {
+        let now = Instant::now();
+        let mut ledgers = ledgers(now);
+        let woken = now + Duration::from_secs(3);
+        let admit = |ledger: &mut QuotaLedger, now| {
+            matches!(ledger.admit(&team(), LIMITS, TOKEN, true, now), Admission::Admitted(_))
+        };
+
+        let before_tick = admit(&mut ledgers[0], woken);
+        ledgers[0].tick(woken);
+        let after_tick = admit(&mut ledgers[0], woken);
+        ledgers[0].trust(woken);
+        let after_read = admit(&mut ledgers[0], woken);
+
+        assert_eq!((before_tick, after_tick, after_read), (false, false, true));
+    }
+}
--- a/crates/cuminramp-quota/src/lib.rs
+++ b/crates/cuminramp-quota/src/lib.rs
@@ -14,6 +14,7 @@
 mod allotment;
 mod baseline;
 mod bucket;
+mod handover;
 mod ledger;
 mod shards;
 
@@ -23,7 +24,7 @@
 pub use ledger::{
     Admission, BorrowPlan, LedgerPolicy, Lender, LoanAnswer, LoanRequest, QuotaLedger,
 };
-pub use shards::{ShardMap, ShardMove, ShardRecord};
+pub use shards::{Inheritance, ShardMap, ShardMove, ShardRecord};
 
 /// A thousandth of a token; whole numbers, so that no rounding ever mints one.
 pub type Millitokens = u64;
--- a/crates/cuminramp-quota/src/shards.rs
+++ b/crates/cuminramp-quota/src/shards.rs
@@ -17,6 +17,17 @@
     pub since: Option<Instant>,
     /// Whether this host has stopped spending it so as to give it away.
     pub released: bool,
+    /// What the earlier owner passed on; `None` where nothing came.
+    pub inherited: Option<Inheritance>,
+}
+
+/// What buckets that nobody used have of an earlier owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Inheritance {
+    /// Since when they fill.
+    pub since: Instant,
+    /// Whether they are full.
+    pub is_full: bool,
 }
 
 /// A change of ownership to write, on the condition that the row still has `from_epoch`.
@@ -62,6 +73,11 @@
         ShardMap { me, records: vec![ShardRecord::default(); shards as usize] }
     }
 
+    /// The run whose map it is.
+    pub fn me(&self) -> &HostId {
+        &self.me
+    }
+
     /// The record of a shard; an empty one for a number out of range.
     pub fn record(&self, shard: u32) -> ShardRecord {
         self.records.get(shard as usize).cloned().unwrap_or_default()
@@ -99,11 +115,29 @@
         }
         let address = Name::from(row.owner.as_str());
         let owner = HostId { address, incarnation: row.owner_incarnation };
-        *record =
-            ShardRecord { owner: Some(owner), epoch: row.epoch, since: Some(now), released: false };
+        *record = ShardRecord {
+            owner: Some(owner),
+            epoch: row.epoch,
+            since: Some(now),
+            released: false,
+            inherited: None,
+        };
         true
     }
 
+    /// Notes what the earlier owner of an own shard passed on; says whether it is the first time.
+    pub(crate) fn inherit(&mut self, shard: u32, epoch: u64, inherited: Inheritance) -> bool {
+        if !self.is_mine(shard) {
+            return false;
+        }
+        let record = &mut self.records[shard as usize];
+        let is_news = record.epoch == epoch && record.inherited.is_none();
+        if is_news {
+            record.inherited = Some(inherited);
+        }
+        is_news
+    }
+
     /// All known rows, for a peer.
     pub fn to_rows(&self) -> Vec<ShardRow> {
         let records = self.records.iter().enumerate();
--- a/crates/cuminramp-standin/src/engine_core.rs
+++ b/crates/cuminramp-standin/src/engine_core.rs
@@ -53,11 +53,19 @@
     pub(crate) tokens: usize,
 }
 
+/// What a sequence gives.
+pub(crate) enum SequenceEvent {
+    /// Its next token.
+    Token(String),
+    /// The answer is whole. A sequence that a crash took never says so.
+    End,
+}
+
 struct Sequence {
     request: SequenceRequest,
     emitted: usize,
     prefill_steps: usize,
-    sender: mpsc::UnboundedSender<String>,
+    sender: mpsc::UnboundedSender<SequenceEvent>,
 }
 
 #[derive(Default)]
@@ -87,7 +95,10 @@
     }
 
     /// Takes a sequence in; its tokens come through the receiver.
-    pub(crate) fn submit(&self, request: SequenceRequest) -> mpsc::UnboundedReceiver<String> {
+    pub(crate) fn submit(
+        &self,
+        request: SequenceRequest,
+    ) -> mpsc::UnboundedReceiver<SequenceEvent> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut state = self.lock();
         state.stats.requests += 1;
@@ -208,7 +219,12 @@
     if position < sequence.request.tokens {
         stats.tokens += 1;
         sequence.emitted += 1;
-        let _ = sequence.sender.send(expected_token(&sequence.request.prompt, position));
+        let token = expected_token(&sequence.request.prompt, position);
+        let _ = sequence.sender.send(SequenceEvent::Token(token));
+    }
+    let goes_on = position + 1 < sequence.request.tokens;
+    if !goes_on {
+        let _ = sequence.sender.send(SequenceEvent::End);
     }
-    position + 1 < sequence.request.tokens
+    goes_on
 }
--- a/crates/cuminramp-standin/src/engine_http.rs
+++ b/crates/cuminramp-standin/src/engine_http.rs
@@ -10,14 +10,12 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::UnboundedReceiverStream;
 
 use crate::engine::EngineShared;
-use crate::engine_core::{LoadReport, SequenceRequest};
+use crate::engine_core::{LoadReport, SequenceEvent, SequenceRequest};
 
 /// Tokens of an answer where the caller names no number.
 const DEFAULT_TOKENS: usize = 16;
@@ -115,24 +113,55 @@
     Bytes::from(format!("data: {chunk}\n\n"))
 }
 
-fn stream_answer(model: &str, receiver: mpsc::UnboundedReceiver<String>) -> Response {
-    let model = model.to_owned();
-    let last = chunk_line(&model, "", Some("stop"));
-    let tokens =
-        UnboundedReceiverStream::new(receiver).map(move |token| chunk_line(&model, &token, None));
-    let end = futures_util::stream::iter([last, Bytes::from_static(b"data: [DONE]\n\n")]);
-    let body = Body::from_stream(tokens.chain(end).map(Ok::<Bytes, Infallible>));
+/// The lines of a streamed answer.
+struct SequenceFeed {
+    model: String,
+    receiver: mpsc::UnboundedReceiver<SequenceEvent>,
+    ended: bool,
+}
+
+impl SequenceFeed {
+    /// The next event's lines. After a crash nothing follows: the connection breaks before the stream
+    /// can end, so that no cut answer looks whole.
+    async fn next_lines(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        match self.receiver.recv().await {
+            Some(SequenceEvent::Token(token)) => Some(chunk_line(&self.model, &token, None)),
+            Some(SequenceEvent::End) => {
+                self.ended = true;
+                let mut lines = chunk_line(&self.model, "", Some("stop")).to_vec();
+                lines.extend_from_slice(b"data: [DONE]\n\n");
+                Some(lines.into())
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn stream_answer(model: &str, receiver: mpsc::UnboundedReceiver<SequenceEvent>) -> Response {
+    let feed = SequenceFeed { model: model.to_owned(), receiver, ended: false };
+    let lines = futures_util::stream::unfold(feed, |mut feed| async move {
+        let lines = feed.next_lines().await?;
+        Some((Ok::<Bytes, Infallible>(lines), feed))
+    });
+    let body = Body::from_stream(lines);
     ([("content-type", "text/event-stream")], body).into_response()
 }
 
 async fn whole_answer(
     model: &str,
-    mut receiver: mpsc::UnboundedReceiver<String>,
+    mut receiver: mpsc::UnboundedReceiver<SequenceEvent>,
     tokens: usize,
 ) -> Response {
     let mut content = String::new();
-    while let Some(token) = receiver.recv().await {
-        content.push_str(&token);
+    loop {
+        match receiver.recv().await {
+            Some(SequenceEvent::Token(token)) => content.push_str(&token),
+            Some(SequenceEvent::End) => break,
+            None => std::future::pending().await,
+        }
     }
     Json(json!({
         "id": "chatcmpl-standin",
--- /dev/null
+++ b/tests/testsuite/tests/testsuite/batch.rs
@@ -0,0 +1,159 @@
+//! Batch jobs.
+
+use cuminramp_standin::{EngineSettings, PlatformFaults, expected_answer};
+use http::{Method, StatusCode};
+use serde_json::Value;
+
+use crate::support::{Fleet, FleetPlan, item_line, item_lines};
+
+/// Asserts that a job has one right answer for each of `count` items.
+fn assert_complete(fleet: &Fleet, host: usize, job: &Value, count: usize) {
+    assert_eq!(job["status"], "completed", "{job}");
+    let lines = fleet.job_lines(host, job, "output_file_id");
+    let names: Vec<&str> = lines.iter().map(|(name, _)| name.as_str()).collect();
+    let expected: Vec<String> = (0..count).map(|index| format!("item-{index:05}")).collect();
+    assert_eq!(names, expected);
+    for (index, (_, line)) in lines.iter().enumerate() {
+        let content = &line["response"]["body"]["choices"][0]["message"]["content"];
+        assert_eq!(*content, expected_answer(&format!("prompt {index}"), 4));
+    }
+}
+
+#[test]
+fn each_item_has_one_result_and_a_bad_line_its_own_error() {
+    let fleet = Fleet::start(3);
+    let unknown = item_line("odd", "x").replace("villancico-llm", "unknown-llm");
+    let lines = format!("{}\n{{broken\n{unknown}\n", item_lines(40));
+
+    let id = fleet.create_job(0, &lines);
+    let job = fleet.finished_job(1, &id);
+
+    assert_complete(&fleet, 2, &job, 40);
+    let errors = fleet.job_lines(2, &job, "error_file_id");
+    let codes: Vec<(&str, u64)> = errors
+        .iter()
+        .map(|(name, line)| (name.as_str(), line["error"]["cuminramp_code"].as_u64().unwrap()))
+        .collect();
+    assert_eq!(codes, [("line-41", 1008), ("odd", 1004)]);
+}
+
+// A host dies in the middle of a job, with leases and finished items in hand. The job would stand
+// still, or items would be answered twice.
+#[test]
+fn a_job_survives_the_death_of_a_host() {
+    let mut fleet = Fleet::start(3);
+    let id = fleet.create_job(2, &item_lines(600));
+    fleet.wait("some of it is done", |fleet| {
+        fleet.job(0, &id)["request_counts"]["completed"].as_u64() > Some(50)
+    });
+
+    fleet.hosts[2].kill();
+    let job = fleet.finished_job(0, &id);
+
+    assert_complete(&fleet, 1, &job, 600);
+}
+
+// The table loses the answers of half of its writes and is down for a while. Items would be lost, or
+// committed twice by a host that does not know that its write took effect.
+#[test]
+fn a_job_survives_lost_answers_and_an_outage() {
+    let fleet = Fleet::start(3);
+    let id = fleet.create_job(0, &item_lines(300));
+
+    fleet.set_platform(PlatformFaults { lost_answers_permille: 500, ..PlatformFaults::default() });
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    fleet.set_platform(PlatformFaults { down: true, ..PlatformFaults::default() });
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    fleet.set_platform(PlatformFaults { lost_answers_permille: 500, ..PlatformFaults::default() });
+    fleet.wait("the job ends", |fleet| fleet.job(0, &id)["status"] == "completed");
+    fleet.set_platform(PlatformFaults::default());
+
+    assert_complete(&fleet, 1, &fleet.job(1, &id), 300);
+}
+
+// A caller gets no answer and sends the whole job again, through another host.
+#[test]
+fn a_job_that_is_sent_again_is_the_same_job() {
+    let fleet = Fleet::start(2);
+    let lines = item_lines(20);
+
+    let first = fleet.create_job(0, &lines);
+    let second = fleet.create_job(1, &lines);
+    fleet.finished_job(0, &first);
+
+    assert_eq!(first, second);
+    let runs: u32 =
+        fleet.engines.iter().flat_map(|engine| engine.runs()).map(|(_, runs)| runs).sum();
+    assert_eq!(runs, 20);
+}
+
+#[test]
+fn a_cancelled_job_stops_for_good_and_keeps_what_it_had() {
+    let fleet = Fleet::start_plan(FleetPlan {
+        engine: EngineSettings { step_base_us: 20_000, slots: 2, ..FleetPlan::default().engine },
+        ..FleetPlan::default()
+    });
+    let id = fleet.create_job(0, &item_lines(2_000));
+    fleet.wait("some of it is done", |fleet| {
+        fleet.job(0, &id)["request_counts"]["completed"].as_u64() > Some(0)
+    });
+
+    let path = format!("/v1/batches/{id}/cancel");
+    let cancelled = fleet.call(1, Method::POST, &path, "").json();
+    fleet.wait("engines are idle", |fleet| {
+        fleet.engines.iter().all(|engine| engine.late_report().running == 0)
+    });
+    let ran = fleet.engines.iter().map(|engine| engine.stats().requests).sum::<u64>();
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let ran_later = fleet.engines.iter().map(|engine| engine.stats().requests).sum::<u64>();
+
+    assert_eq!(cancelled["status"], "cancelled");
+    assert_eq!(ran, ran_later);
+    let job = fleet.job(2, &id);
+    let lines = fleet.job_lines(2, &job, "output_file_id");
+    assert_eq!(Some(lines.len() as u64), job["request_counts"]["completed"].as_u64());
+}
+
+// The table is down for hours; results that were promised have to stay readable.
+#[test]
+fn results_are_readable_while_the_table_is_down() {
+    let fleet = Fleet::start(2);
+    let id = fleet.create_job(0, &item_lines(20));
+    let job = fleet.finished_job(0, &id);
+
+    fleet.set_platform(PlatformFaults { table_down: true, ..PlatformFaults::default() });
+
+    assert_eq!(fleet.job_lines(1, &job, "output_file_id").len(), 20);
+}
+
+// Another team learns of a job's identifiers. It must see neither the job nor its results.
+#[test]
+fn another_team_sees_nothing_of_a_job() {
+    let fleet = Fleet::start(1);
+    let id = fleet.create_job(0, &item_lines(5));
+    let job = fleet.finished_job(0, &id);
+    let stranger = fleet.grant(0, "boat-desk");
+
+    let output = job["output_file_id"].as_str().unwrap();
+    for path in [
+        format!("/v1/batches/{id}"),
+        format!("/v1/files/{output}"),
+        format!("/v1/files/{output}/content"),
+        format!("/v1/files/{}/content", job["input_file_id"].as_str().unwrap()),
+    ] {
+        let answer = fleet.call_as(0, &stranger, Method::GET, &path, "", &[]);
+        assert_eq!(answer.status, StatusCode::NOT_FOUND, "{path}");
+    }
+}
+
+// A job of one model runs on hosts whose engines serve another. A host that leased its chunks and
+// could run none of them would hold them for ever, with idle engines beside it.
+#[test]
+fn hosts_without_engines_of_their_own_hold_no_chunk_back() {
+    let fleet = Fleet::start_plan(FleetPlan { hosts: 6, engines: 1, ..FleetPlan::default() });
+
+    let id = fleet.create_job(0, &item_lines(200));
+    let job = fleet.finished_job(0, &id);
+
+    assert_complete(&fleet, 0, &job, 200);
+}
--- /dev/null
+++ b/tests/testsuite/tests/testsuite/configuration.rs
@@ -0,0 +1,105 @@
+//! Generations of declarations.
+
+use cuminramp_standin::PlatformFaults;
+use http::{Method, StatusCode};
+use serde_json::json;
+
+use crate::support::{Fleet, TEAM};
+
+fn generation(fleet: &Fleet, host: usize) -> u64 {
+    fleet.operator(host, Method::GET, "/operator/declarations", "").json()["generation"]
+        .as_u64()
+        .unwrap()
+}
+
+#[test]
+fn a_moved_route_is_in_force_on_every_host() {
+    let fleet = Fleet::start(3);
+    let mut declarations = fleet.declarations(1.0, 1.0);
+    declarations["pools"].as_array_mut().unwrap().push(json!({
+        "name": "other", "targets": [{"name": "other-0", "address": fleet.engines[2].address().to_string()}],
+    }));
+    declarations["routes"][0]["pool"] = json!("other");
+
+    fleet.declare(&declarations);
+    let accepted = generation(&fleet, 0);
+
+    fleet.wait("in force everywhere", |fleet| {
+        (0..3).all(|host| generation(fleet, host) == accepted)
+    });
+}
+
+// Two operators look at the same generation and each applies a file. The second would undo the first
+// without knowing.
+#[test]
+fn of_two_operators_one_gets_a_conflict() {
+    let fleet = Fleet::start(2);
+    let seen = generation(&fleet, 0);
+    fleet.wait("both hosts agree", |fleet| generation(fleet, 1) == seen);
+    let path = format!("/operator/declarations?expect={seen}");
+
+    let first = fleet.operator(0, Method::PUT, &path, &fleet.declarations(5.0, 5.0).to_string());
+    let second = fleet.operator(1, Method::PUT, &path, &fleet.declarations(6.0, 6.0).to_string());
+
+    assert_eq!(first.status, StatusCode::OK);
+    assert_eq!(second.status, StatusCode::CONFLICT);
+    assert_eq!(second.code(), 1500);
+    assert_eq!(second.json()["details"]["generation"], seen + 1);
+}
+
+#[test]
+fn a_bad_generation_is_refused_whole_with_each_reason() {
+    let fleet = Fleet::start(1);
+    let seen = generation(&fleet, 0);
+    let mut declarations = fleet.declarations(-1.0, 5.0);
+    declarations["routes"][0]["pool"] = json!("nowhere");
+
+    let answer =
+        fleet.operator(0, Method::PUT, "/operator/declarations", &declarations.to_string());
+
+    assert_eq!(answer.code(), 1501);
+    assert_eq!(answer.json()["details"]["faults"].as_array().unwrap().len(), 2);
+    assert_eq!(generation(&fleet, 0), seen);
+}
+
+// A team is removed whose key is still granted: the key would belong to nobody.
+#[test]
+fn a_team_with_a_key_is_not_removed() {
+    let fleet = Fleet::start(1);
+    let mut declarations = fleet.declarations(1.0, 1.0);
+    declarations["teams"].as_array_mut().unwrap().retain(|team| team["name"] != TEAM);
+
+    let answer =
+        fleet.operator(0, Method::PUT, "/operator/declarations", &declarations.to_string());
+
+    assert_eq!(answer.code(), 1501);
+}
+
+// The table takes a change and its answer is lost. Told that it failed, the operator would apply it
+// again or believe the old one in force.
+#[test]
+fn a_change_whose_answer_was_lost_is_accepted_once() {
+    let fleet = Fleet::start(2);
+    let seen = generation(&fleet, 0);
+    fleet
+        .set_platform(PlatformFaults { lost_answers_permille: 1_000, ..PlatformFaults::default() });
+
+    fleet.declare(&fleet.declarations(5.0, 5.0));
+
+    assert_eq!(generation(&fleet, 0), seen + 1);
+    fleet.wait("in force everywhere", |fleet| generation(fleet, 1) == seen + 1);
+}
+
+// A host starts while the platform's stores are down. It must neither serve without knowing what is
+// in force nor fall back to something older.
+#[test]
+fn a_host_that_starts_during_an_outage_learns_from_the_others() {
+    let mut fleet = Fleet::start(2);
+    let seen = generation(&fleet, 0);
+    fleet.set_platform(PlatformFaults { down: true, ..PlatformFaults::default() });
+
+    let host = fleet.add_host();
+
+    fleet.wait("it has what is in force", |fleet| generation(fleet, host) == seen);
+    fleet.wait("it serves", |fleet| fleet.chat(host, "hall", 4, true).streamed().1);
+}
--- /dev/null
+++ b/tests/testsuite/tests/testsuite/keys.rs
@@ -0,0 +1,62 @@
+//! Keys granted and withdrawn while traffic runs.
+
+use std::time::Duration;
+
+use cuminramp_standin::{EngineSettings, PlatformFaults};
+use http::{Method, StatusCode};
+
+use crate::support::{Fleet, FleetPlan};
+
+#[test]
+fn a_withdrawn_key_stops_on_every_host() {
+    let fleet = Fleet::start(3);
+    let key = fleet.grant(1, "boat-desk");
+    fleet.wait("granted", |fleet| {
+        (0..3).all(|host| fleet.models(host, &key).status == StatusCode::OK)
+    });
+
+    fleet.operator(2, Method::DELETE, &format!("/operator/keys/{key}"), "");
+
+    fleet.wait("withdrawn", |fleet| (0..3).all(|host| fleet.models(host, &key).code() == 1101));
+}
+
+// The platform is down and a key has leaked. Waiting for the table would leave it working for hours.
+#[test]
+fn a_key_is_withdrawn_while_the_table_is_down_and_stays_withdrawn() {
+    let fleet = Fleet::start(3);
+    let key = fleet.grant(0, "boat-desk");
+    fleet.wait("granted", |fleet| {
+        (0..3).all(|host| fleet.models(host, &key).status == StatusCode::OK)
+    });
+    fleet.set_platform(PlatformFaults { down: true, ..PlatformFaults::default() });
+
+    fleet.operator(0, Method::DELETE, &format!("/operator/keys/{key}"), "");
+    fleet.wait("withdrawn", |fleet| (0..3).all(|host| fleet.models(host, &key).code() == 1101));
+    fleet.set_platform(PlatformFaults::default());
+
+    fleet.wait("written", |fleet| {
+        let keys = fleet.operator(1, Method::GET, "/operator/keys", "").json();
+        keys["keys"].as_array().unwrap().iter().all(|row| row["team"] != "boat-desk")
+    });
+    assert_eq!(fleet.models(2, &key).code(), 1101);
+}
+
+// A key is withdrawn while its caller reads a long stream. The stream must not go on for its sake.
+#[test]
+fn a_stream_ends_with_an_error_when_its_key_is_withdrawn() {
+    let fleet = Fleet::start_plan(FleetPlan {
+        engine: EngineSettings { step_base_us: 50_000, ..FleetPlan::default().engine },
+        ..FleetPlan::default()
+    });
+
+    let answer = std::thread::scope(|scope| {
+        let running = scope.spawn(|| fleet.chat(0, "long", 400, true));
+        std::thread::sleep(Duration::from_millis(500));
+        fleet.operator(1, Method::DELETE, &format!("/operator/keys/{}", fleet.key), "");
+        running.join().unwrap()
+    });
+
+    let (_, whole) = answer.streamed();
+    assert!(!whole);
+    assert!(answer.text().contains("\"cuminramp_code\":1101"), "{}", answer.text());
+}
--- /dev/null
+++ b/tests/testsuite/tests/testsuite/services.rs
@@ -0,0 +1,109 @@
+//! Plain services, and calls that may not be repeated.
+
+use cuminramp_standin::PlatformFaults;
+use http::Method;
+
+use crate::support::{Fleet, chat_body};
+
+const BOOKING: &str = "seat=4&hall=2";
+
+fn book(fleet: &Fleet, host: usize, key: &str) -> crate::support::Answer {
+    let headers = [("idempotency-key", key)];
+    fleet.call_as(host, &fleet.key, Method::POST, "/bookings/confirm", BOOKING, &headers)
+}
+
+fn bookings(fleet: &Fleet) -> u32 {
+    let runs = fleet.engines[0].runs();
+    runs.iter().filter(|(call, _)| call.contains("/bookings")).map(|(_, runs)| runs).sum()
+}
+
+#[test]
+fn any_method_and_body_reach_a_service_and_the_key_does_not() {
+    let fleet = Fleet::start(1);
+
+    for method in [Method::GET, Method::PUT, Method::DELETE, Method::PATCH] {
+        let answer = fleet.call(0, method.clone(), "/bookings/7?hall=2", "notes").json();
+
+        assert_eq!(answer["method"], method.as_str());
+        assert_eq!(answer["path"], "/bookings/7?hall=2");
+        assert_eq!(answer["body"], "notes");
+        assert_eq!(answer["saw-key"], false);
+    }
+}
+
+// A caller gets no answer to a booking and sends it again through other hosts.
+#[test]
+fn a_booking_that_is_sent_again_elsewhere_runs_once_and_gets_its_answer() {
+    let fleet = Fleet::start(3);
+
+    let first = book(&fleet, 0, "booking-1");
+    let mut again = Vec::new();
+    fleet.wait("the answer is kept", |fleet| book(fleet, 1, "booking-1").status == 200);
+    again.push(book(&fleet, 1, "booking-1"));
+    again.push(book(&fleet, 2, "booking-1"));
+
+    assert_eq!(bookings(&fleet), 1);
+    assert!(again.iter().all(|answer| answer.body == first.body));
+}
+
+// The same key comes with another request, by a caller's mistake.
+#[test]
+fn a_key_that_names_another_request_is_refused() {
+    let fleet = Fleet::start(1);
+    book(&fleet, 0, "booking-1");
+
+    let headers = [("idempotency-key", "booking-1")];
+    let other = fleet.call_as(0, &fleet.key, Method::POST, "/bookings/confirm", "seat=5", &headers);
+
+    assert_eq!(other.code(), 1007);
+    assert_eq!(bookings(&fleet), 1);
+}
+
+// The service takes the booking and falls silent. Sent again, it might be confirmed twice; called
+// "not run", its caller would book anew.
+#[test]
+fn a_booking_without_an_answer_may_have_run_and_is_never_sent_again() {
+    let fleet = Fleet::start(2);
+    fleet.engines[0].set_silent(true);
+
+    let first = book(&fleet, 0, "booking-1");
+    fleet.engines[0].set_silent(false);
+    let again = book(&fleet, 1, "booking-1");
+
+    assert_eq!(first.execution(), "may have run");
+    assert_eq!(again.code(), 1305);
+    assert_ne!(again.execution(), "not run");
+    assert_eq!(bookings(&fleet), 0);
+}
+
+// The table is down, so nobody can know whether the booking was begun elsewhere.
+#[test]
+fn without_the_table_a_booking_is_not_run() {
+    let fleet = Fleet::start(1);
+    fleet.set_platform(PlatformFaults { down: true, ..PlatformFaults::default() });
+
+    let refused = book(&fleet, 0, "booking-1");
+    let chat = fleet.call(0, Method::POST, "/v1/chat/completions", &chat_body("x", 1, false));
+    fleet.set_platform(PlatformFaults::default());
+    let later = book(&fleet, 0, "booking-1");
+
+    assert_eq!((refused.code(), refused.execution().as_str()), (1400, "not run"));
+    assert_eq!(chat.status, 200);
+    assert_eq!(later.status, 200);
+    assert_eq!(bookings(&fleet), 1);
+}
+
+// The answers of all writes are lost after they took effect. A host that took its own mark for
+// another's would refuse the booking for good; one that ignored marks might run it twice.
+#[test]
+fn a_booking_whose_mark_lost_its_answer_runs_once() {
+    let fleet = Fleet::start(2);
+    fleet
+        .set_platform(PlatformFaults { lost_answers_permille: 1_000, ..PlatformFaults::default() });
+
+    let first = book(&fleet, 0, "booking-1");
+    book(&fleet, 1, "booking-1");
+
+    assert_eq!(first.status, 200, "{}", first.text());
+    assert_eq!(bookings(&fleet), 1);
+}
