Ask the richest owner for tokens, and spread a team's slices over hosts

Cause: all hosts asked a team's owners in one fixed order and at most three of them, so a part of the rate was never reached; and slices of one team lay on one host by chance. Ruled out: loans that end unspent (the share stayed when nothing was asked for ahead below one token). A team of few requests a second still has few slices and loses a larger part when one of its hosts dies in an outage.

--- a/crates/cuminramp-daemon/src/admission.rs
+++ b/crates/cuminramp-daemon/src/admission.rs
@@ -120,6 +120,7 @@
     let answer = LoanAnswer {
         amount: reply.millitokens,
         is_owner: reply.owner,
+        left: reply.left_millitokens,
         valid: Duration::from_millis(reply.valid_ms.into()),
         wait: Duration::from_millis(reply.wait_ms.into()),
     };
@@ -140,6 +141,7 @@
     BorrowReply {
         millitokens: answer.amount,
         owner: answer.is_owner,
+        left_millitokens: answer.left,
         wait_ms: answer.wait.as_millis() as u32,
         valid_ms: answer.valid.as_millis() as u32,
     }
--- a/crates/cuminramp-quota/src/handover.rs
+++ b/crates/cuminramp-quota/src/handover.rs
@@ -124,7 +124,7 @@
     }
 
     fn policy() -> LedgerPolicy {
-        LedgerPolicy { shards: 8, slices: 1, ..LedgerPolicy::default() }
+        LedgerPolicy { shards: 8, slices: 1, slice_rate: 1_000 * TOKEN, ..LedgerPolicy::default() }
     }
 
     fn shard() -> u32 {
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -1,8 +1,9 @@
 //! The buckets of one host: it admits, lends and borrows.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use cuminramp_core::{HostId, Name, SortedMap};
+use cuminramp_core::{HostId, Name, SortedMap, rank_by_score};
 use tokio::time::Instant;
 
 use crate::allotment::{Allotment, SliceLimits};
@@ -51,11 +52,11 @@
         LedgerPolicy {
             shards: 128,
             slices: 3,
-            slice_rate: 100 * TOKEN,
+            slice_rate: 10 * TOKEN,
             max_slices: 32,
             borrow_valid: Duration::from_secs(1),
             borrow_ahead: Duration::from_millis(100),
-            borrow_attempts: 3,
+            borrow_attempts: 5,
             settle: Duration::from_secs(7),
             pause_limit: Duration::from_secs(2),
             claim_wait: Duration::from_secs(10),
@@ -113,12 +114,21 @@
     pub amount: Millitokens,
     /// Whether this run owns the shard.
     pub is_owner: bool,
+    /// What is left here.
+    pub left: Millitokens,
     /// How long they may be spent, counted from when they were asked for.
     pub valid: Duration,
     /// When a token will be here again.
     pub wait: Duration,
 }
 
+/// What an owner had left at some moment.
+#[derive(Clone, Copy, Debug)]
+struct LenderHint {
+    left: Millitokens,
+    at: Instant,
+}
+
 /// Borrowed tokens that may still be spent.
 #[derive(Clone, Copy, Debug)]
 struct Stash {
@@ -135,6 +145,8 @@
     stashes: Vec<Stash>,
     /// By shard: before this moment its owner has none to lend.
     dry: SortedMap<u32, Instant>,
+    /// By shard: what its owner had left when it was last asked.
+    hints: SortedMap<u32, LenderHint>,
     /// Millitokens a second asked for here, averaged.
     demand: f64,
     demand_at: Instant,
@@ -305,7 +317,7 @@
         self.prepare(&request.team, limits, now);
         let trusted = self.trusts_itself(now);
         let valid = loan_validity(limits, &self.policy);
-        let nothing = LoanAnswer { amount: 0, is_owner: false, valid, wait: LEAST_WAIT };
+        let nothing = LoanAnswer { amount: 0, is_owner: false, left: 0, valid, wait: LEAST_WAIT };
         if !trusted || !self.shards.is_mine(request.shard) {
             return nothing;
         }
@@ -319,7 +331,8 @@
         let amount = slice.bucket.lend(request.amount, valid, now);
         slice.used |= amount > 0;
         let wait = slice.bucket.wait_for(request.amount.min(TOKEN), now);
-        LoanAnswer { amount, is_owner: true, valid, wait: wait.clamp(LEAST_WAIT, MOST_WAIT) }
+        let left = slice.bucket.level(now);
+        LoanAnswer { amount, is_owner: true, left, valid, wait: wait.clamp(LEAST_WAIT, MOST_WAIT) }
     }
 
     /// Credits tokens that an owner lent; they count from the moment the request left, which comes
@@ -335,6 +348,7 @@
         let Some(quota) = self.teams.get_mut(team) else {
             return;
         };
+        quota.hints.insert(lender.shard, LenderHint { left: answer.left, at: now });
         let until = asked_at + answer.valid;
         if answer.amount > 0 && until > now {
             quota.stashes.push(Stash { until, amount: answer.amount });
@@ -407,6 +421,7 @@
             buckets: SortedMap::new(),
             stashes: Vec::new(),
             dry: SortedMap::new(),
+            hints: SortedMap::new(),
             demand: 0.0,
             demand_at: now,
             ahead_until: now,
@@ -508,7 +523,11 @@
         wait.clamp(LEAST_WAIT, MOST_WAIT)
     }
 
-    /// Owners of this team's other slices that may have tokens.
+    /// Owners of this team's other slices that may have tokens, the richest first.
+    ///
+    /// Asked in one fixed order, the first owner would be drained by all hosts while the last one is
+    /// never asked, and the team would be refused with a part of its rate unspent. Owners that were
+    /// never asked come first, each host beginning with another one.
     fn lenders(
         &self,
         team: &Name,
@@ -522,11 +541,26 @@
         let ready = others.filter(|shard| self.dry.get(shard).is_none_or(|until| *until <= now));
         let owned =
             ready.filter_map(|shard| Some(Lender { shard, owner: shards.owner(shard)?.clone() }));
-        owned.take(policy.borrow_attempts).collect()
+        let mut lenders: Vec<Lender> = owned.collect();
+        rank_by_score(&shards.me().address, &mut lenders, |lender| &lender.owner.address);
+        lenders.sort_by_key(|lender| Reverse(self.expected_level(lender.shard, policy, now)));
+        lenders.truncate(policy.borrow_attempts);
+        lenders
+    }
+
+    /// What an owner probably has now.
+    fn expected_level(&self, shard: u32, policy: &LedgerPolicy, now: Instant) -> Millitokens {
+        let Some(hint) = self.hints.get(&shard) else { return Millitokens::MAX };
+        let slice = self.allotment.slice(0, policy);
+        let passed = now.saturating_duration_since(hint.at).as_millis() as Millitokens;
+        (hint.left + slice.rate * passed / 1_000).min(slice.burst)
     }
 
+    /// What to ask for beyond the request at hand: nothing where the next one is far off, since what
+    /// is not spent in time is lost.
     fn ahead(&self, policy: &LedgerPolicy) -> Millitokens {
-        (self.demand * policy.borrow_ahead.as_secs_f64()) as Millitokens
+        let ahead = (self.demand * policy.borrow_ahead.as_secs_f64()) as Millitokens;
+        if ahead < TOKEN { 0 } else { ahead }
     }
 
     fn plan_borrow(
@@ -575,7 +609,7 @@
     use super::*;
     use crate::ShardMove;
 
-    const LIMITS: TeamLimits = TeamLimits { rate: 20 * TOKEN, burst: 30 * TOKEN };
+    const LIMITS: TeamLimits = TeamLimits { rate: 9 * TOKEN, burst: 30 * TOKEN };
 
     fn host(number: u64) -> HostId {
         HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 }
