--- a/crates/cuminramp-daemon/src/operator/mod.rs
+++ b/crates/cuminramp-daemon/src/operator/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use axum::Router;
-use axum::extract::{Request, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
@@ -20,6 +20,9 @@
 use crate::state::DaemonState;
 use crate::sync::PublishError;
 
+/// The largest file of declarations.
+const MOST_DECLARATION_BYTES: usize = 64 << 20;
+
 /// The interface for operators.
 pub(crate) fn build_router(state: Arc<DaemonState>) -> Router {
     let guarded = Router::new()
@@ -34,6 +37,7 @@
         .route("/operator/jobs/{team}/{id}", get(views::show_job))
         .route("/operator/jobs/{team}/{id}/cancel", post(views::cancel_job))
         .layer(from_fn_with_state(state.clone(), check_operator));
+    let guarded = guarded.layer(DefaultBodyLimit::max(MOST_DECLARATION_BYTES));
     Router::new()
         .route("/healthz", get(views::show_health))
         .route("/readyz", get(views::show_readiness))
