Wait for loans over two moves, and measure work under faults

Cause: Spin, with loans that outlive a tick, found a host that lent tokens, gave its shard away and got it back from an owner that passed on its own empty bucket: it filled while the loans were still being spent. Change: nothing is passed on while an earlier owner's loans may be out unknown.

--- a/crates/cuminramp-cli/src/bench/caller.rs
+++ b/crates/cuminramp-cli/src/bench/caller.rs
@@ -35,6 +35,17 @@
     Broken(String),
 }
 
+/// Why a call that may not be repeated gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NamedFailure {
+    /// The host says that it did not run.
+    NotRun,
+    /// The host says that it ran or may have.
+    MayHaveRun,
+    /// The connection failed.
+    Broken,
+}
+
 /// A caller with a key, spreading its calls over hosts.
 pub(crate) struct BenchCaller {
     hosts: Vec<BenchHost>,
@@ -68,18 +79,48 @@
         path: &str,
         content_type: &str,
         body: Bytes,
+    ) -> Result<http::Response<hyper::body::Incoming>, CallFailure> {
+        let builder = Request::builder().method(method).header(CONTENT_TYPE, content_type);
+        self.send_built(number, builder, path, body).await
+    }
+
+    async fn send_built(
+        &self,
+        number: usize,
+        builder: http::request::Builder,
+        path: &str,
+        body: Bytes,
     ) -> Result<http::Response<hyper::body::Incoming>, CallFailure> {
         let host = self.host(number);
-        let request = Request::builder()
-            .method(method)
+        let request = builder
             .uri(format!("http://{}{path}", host.address))
             .header(AUTHORIZATION, format!("Bearer {}", self.key))
-            .header(CONTENT_TYPE, content_type)
             .body(Full::new(body))
             .map_err(|error| CallFailure::Broken(error.to_string()))?;
         host.client.send(request).await.map_err(broken)
     }
 
+    /// Makes a call that may not be repeated.
+    pub(crate) async fn call_named(
+        &self,
+        number: usize,
+        path: &str,
+        name: &str,
+        body: Bytes,
+    ) -> Result<(), NamedFailure> {
+        let builder = Request::builder().method(Method::POST).header("idempotency-key", name);
+        let sent = self.send_built(number, builder, path, body).await;
+        let response = sent.map_err(|_| NamedFailure::Broken)?;
+        if response.status() == StatusCode::OK {
+            return Ok(());
+        }
+        let execution = response.headers().get("cuminramp-execution").cloned();
+        Err(match execution.as_ref().and_then(|value| value.to_str().ok()) {
+            Some("not run") => NamedFailure::NotRun,
+            _ => NamedFailure::MayHaveRun,
+        })
+    }
+
     /// Calls and reads a whole answer.
     pub(crate) async fn call(
         &self,
--- a/crates/cuminramp-cli/src/bench/mod.rs
+++ b/crates/cuminramp-cli/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod caller;
 mod control;
+mod once;
 mod online;
 mod quota;
 mod record;
@@ -17,6 +18,7 @@
         BenchCmd::Online(flags) => online::execute(flags).await,
         BenchCmd::Batch(flags) => batch::execute(flags).await,
         BenchCmd::Quota(flags) => quota::execute(flags).await,
+        BenchCmd::Once(flags) => once::execute(flags).await,
         BenchCmd::Control(flags) => control::execute(flags).await,
         BenchCmd::Roles(flags) => roles::execute(&flags),
     }
--- a/crates/cuminramp-cli/src/flags.rs
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -130,6 +130,24 @@
                 /// Append the results to this file, a JSON line each.
                 optional --out out: PathBuf
             }
+            /// Sends calls that may not be repeated, again through other hosts where one fails, and
+            /// counts how often the service stand-in ran each.
+            cmd once {
+                /// Caller addresses, separated by commas.
+                required --callers callers: String
+                /// A key.
+                required --key key: String
+                /// Where the service stand-in listens, ip:port.
+                required --service service: String
+                /// Calls in all.
+                optional --calls calls: usize
+                /// Calls a second.
+                optional --rate rate: f64
+                /// What the run is called in the results.
+                optional --name name: String
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
             /// Watches what daemons cost while nothing, or something, is asked of them.
             cmd control {
                 /// Operator addresses of the daemons, separated by commas.
--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -183,35 +183,44 @@
     }
     let read = read_shards(state).await;
     if read.is_ok() {
-        send_handovers(state, moves, handovers).await;
+        send_handovers(state, handovers).await;
     }
     spread_news(state).await;
 }
 
+/// A shard that is given away, and what goes with it.
+struct PreparedHandover {
+    change: ShardMove,
+    handover: Handover,
+}
+
 /// What goes with own shards that are given away; claims take nothing along.
-fn collect_handovers(state: &DaemonState, moves: &[ShardMove]) -> Vec<Handover> {
+fn collect_handovers(state: &DaemonState, moves: &[ShardMove]) -> Vec<PreparedHandover> {
     let now = Instant::now();
     let mut ledger = lock(&state.ledger);
     let me = ledger.shards().me().clone();
     let given = moves.iter().filter(|change| change.owner != me);
-    given.map(|change| ledger.collect_handover(change, now)).collect()
+    given
+        .filter_map(|change| {
+            let handover = ledger.collect_handover(change, now)?;
+            Some(PreparedHandover { change: change.clone(), handover })
+        })
+        .collect()
 }
 
 /// Sends tokens after the row says whose they are. Lost on the way they are nobody's.
-async fn send_handovers(state: &Arc<DaemonState>, moves: &[ShardMove], handovers: Vec<Handover>) {
-    let me = lock(&state.ledger).shards().me().clone();
-    let given = moves.iter().filter(|change| change.owner != me);
+async fn send_handovers(state: &Arc<DaemonState>, prepared: Vec<PreparedHandover>) {
     let mut calls = tokio::task::JoinSet::new();
-    for (change, handover) in given.zip(handovers) {
+    for PreparedHandover { change, handover } in prepared {
         let record = lock(&state.ledger).shards().record(change.shard);
         let written =
             record.epoch == change.from_epoch + 1 && record.owner.as_ref() == Some(&change.owner);
         if !written {
             continue;
         }
-        let (state, owner) = (state.clone(), change.owner.clone());
+        let state = state.clone();
         state.metrics.count_peer_call("hand-over");
-        calls.spawn(async move { state.peers.hand_over(&owner, handover).await });
+        calls.spawn(async move { state.peers.hand_over(&change.owner, handover).await });
     }
     while calls.join_next().await.is_some() {}
 }
--- a/crates/cuminramp-quota/src/handover.rs
+++ b/crates/cuminramp-quota/src/handover.rs
@@ -16,8 +16,15 @@
     ///
     /// This run has released the shard and spends none of it, so what is in the buckets now belongs
     /// to whom it is sent to, and to nobody if that is lost.
-    pub fn collect_handover(&mut self, change: &ShardMove, now: Instant) -> Handover {
+    ///
+    /// Nothing is passed on while tokens that an owner before this one lent may still be spent and this
+    /// run was not told of them: the next owner would not wait for them either.
+    pub fn collect_handover(&mut self, change: &ShardMove, now: Instant) -> Option<Handover> {
         let record = self.shards.record(change.shard);
+        let waited = record.since.is_some_and(|at| at + self.policy().borrow_valid <= now);
+        if record.epoch > 1 && record.inherited.is_none() && !waited {
+            return None;
+        }
         let since = record.inherited.map(|inherited| inherited.since).or(record.since);
         let owned = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         let first_owner = match record.inherited {
@@ -35,12 +42,12 @@
                 buckets.push(HandoverBucket { team: team.to_string(), level, on_loan });
             }
         }
-        Handover {
+        Some(Handover {
             row: encode_row(&change.to_row()),
             owned_ms: owned.as_millis() as u64,
             first_owner,
             buckets,
-        }
+        })
     }
 
     /// Takes what the earlier owner of a shard passed on; says whether it was taken. A second copy,
@@ -169,7 +176,7 @@
         let (mut giver, mut taker) = ledgers(now);
         let before = admitted(&mut giver, 5, now);
 
-        let handover = giver.collect_handover(&next_owner(), now);
+        let handover = giver.collect_handover(&next_owner(), now).unwrap();
         let taken = taker.take_handover(&handover, limits_of, now);
         let after = admitted(&mut taker, 20, now);
 
@@ -182,7 +189,7 @@
     fn a_repeated_handover_changes_nothing() {
         let now = Instant::now();
         let (mut giver, mut taker) = ledgers(now);
-        let handover = giver.collect_handover(&next_owner(), now);
+        let handover = giver.collect_handover(&next_owner(), now).unwrap();
 
         let taken = taker.take_handover(&handover, limits_of, now);
         let first = admitted(&mut taker, 20, now);
@@ -208,13 +215,30 @@
         assert_eq!((while_lent, after), (0, 5));
     }
 
+    // A host lends tokens and gives its shard away, the message is lost, and the next owner gives the
+    // shard back at once. Told of an empty bucket only, the first would fill it while its loans are
+    // still being spent: a trace that the model check found.
+    #[test]
+    fn loans_are_waited_for_over_two_moves() {
+        let now = Instant::now();
+        let (mut giver, mut taker) = ledgers(now);
+        let loan = LoanRequest { team: "team".into(), shard: shard(), amount: 12 * TOKEN };
+        giver.lend(&loan, LIMITS, now);
+        take_ownership(&mut taker, &next_owner(), now);
+
+        let back = ShardMove { shard: shard(), from_epoch: 2, owner: host(1) };
+        let handover = taker.collect_handover(&back, now);
+
+        assert_eq!(handover, None);
+    }
+
     // The message comes late, after the next owner has spent what flowed in since. Both together are
     // more than one bucket would have held: a trace that the model check found.
     #[test]
     fn a_late_handover_adds_nothing_to_a_bucket_in_use() {
         let now = Instant::now();
         let (mut giver, mut taker) = ledgers(now);
-        let handover = giver.collect_handover(&next_owner(), now);
+        let handover = giver.collect_handover(&next_owner(), now).unwrap();
         take_ownership(&mut taker, &next_owner(), now);
         let later = now + Duration::from_secs(1);
 
@@ -234,7 +258,7 @@
         let loan = LoanRequest { team: "team".into(), shard: shard(), amount: 10 * TOKEN };
         giver.lend(&loan, LIMITS, now);
 
-        let handover = giver.collect_handover(&next_owner(), now);
+        let handover = giver.collect_handover(&next_owner(), now).unwrap();
         taker.take_handover(&handover, limits_of, now);
         let soon = admitted(&mut taker, 20, now + Duration::from_millis(200));
 
--- a/crates/cuminramp-settings/src/settings.rs
+++ b/crates/cuminramp-settings/src/settings.rs
@@ -296,7 +296,7 @@
             borrow_valid_ms: 1_000,
             borrow_attempts: 5,
             shard_poll_ms: 2_000,
-            moves_per_poll: 4,
+            moves_per_poll: 16,
             lease_ms: 5_000,
         }
     }
--- a/models/tokens.pml
+++ b/models/tokens.pml
@@ -16,6 +16,7 @@
 #define MAXEPOCH 3
 #define MAXINC 2
 #define NOBODY 2
+#define VALID 2       /* lent tokens may be spent for so many ticks, the one of the loan counted */
 
 typedef Host {
   byte inc;          /* this run */
@@ -65,7 +66,7 @@
 #ifdef MUTANT_NO_WAIT_FOR_LOANS
             h[i].emptyuntil = now
 #else
-            h[i].emptyuntil = now + 1
+            h[i].emptyuntil = now + VALID - 1
 #endif
        :: else -> h[i].level = 0; h[i].emptyuntil = now
        fi
@@ -121,7 +122,13 @@
        /* reads the row, and sends the handover if the row names the next owner */
        :: awake(i) ->
             if
-            :: h[i].giving && repoch == h[i].epoch + 1 && rowner == other(i) ->
+            :: h[i].giving && repoch == h[i].epoch + 1 && rowner == other(i) &&
+               /* not before loans of an owner before it have ended, unless it knows of them */
+#ifdef MUTANT_HANDOVER_HIDES_LOANS
+               true ->
+#else
+               (h[i].emptyuntil < now || h[i].epoch == 1 || h[i].inherited) ->
+#endif
                  mflying = true; mto = rowner; minc = rinc; mepoch = repoch;
                  mlevel = h[i].level; mloan = h[i].loan; mloanuntil = h[i].loanuntil
 #ifdef MUTANT_TAKE_BACK_ON_READ
@@ -158,11 +165,11 @@
        /* lends one: debits first; the answer may be lost */
        :: awake(i) && mine(i) && h[i].level > 0 && h[i].loan < B ->
             h[i].level--; h[i].used = true;
-            h[i].loan++; h[i].loanuntil = now + 1;
+            h[i].loan++; h[i].loanuntil = now + VALID;
             if
             :: awake(other(i)) && (h[other(i)].stash == 0 || h[other(i)].stashuntil <= now) ->
-                 h[other(i)].stash = 1; h[other(i)].stashuntil = now + 1
-            :: awake(other(i)) && h[other(i)].stash == 1 && h[other(i)].stashuntil == now + 1 ->
+                 h[other(i)].stash = 1; h[other(i)].stashuntil = now + VALID
+            :: awake(other(i)) && h[other(i)].stash == 1 && h[other(i)].stashuntil == now + VALID ->
                  h[other(i)].stash = 2
             :: true /* lost */
             fi
