Pace the writes of marks, and read the shard map only when there is work

Cause: 250 marked calls a second on 5 hosts made 6,176 writes for 5,000 calls (the table refused 338 as too many), and every host read the whole shard map each 2 s. Change: writes of marks keep 50 ms distance, ends 200 ms; what comes meanwhile goes along. The map is read when this host sees something to claim or to move, and once in ten polls.

--- a/crates/cuminramp-daemon/src/marks.rs
+++ b/crates/cuminramp-daemon/src/marks.rs
@@ -9,6 +9,7 @@
 use cuminramp_wire::{decode_row, encode_row};
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::state::DaemonState;
 
@@ -22,6 +23,8 @@
 const FINISH_TRIES: u32 = 240;
 /// Waits between those tries.
 const FINISH_PAUSE: Duration = Duration::from_millis(500);
+/// Ends of requests are written so many times more seldom than marks: only a resend waits for them.
+const END_PACE: u32 = 4;
 /// When a caller may ask again for an answer that is not known yet.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 
@@ -190,43 +193,63 @@
 }
 
 /// Writes marks and ends until the daemon stops.
+///
+/// A mark that comes alone is written at once. Under load writes keep a distance, and what comes
+/// meanwhile goes into the next: the table takes only so many writes a second from all hosts.
 pub(crate) async fn run_marks(state: Arc<DaemonState>) {
     let receivers = crate::state::lock(&state.marks.receivers).take();
-    let Some(MarkReceivers { mut marks, mut ends }) = receivers else {
-        return;
-    };
-    let (group_size, group_time) = (state.settings.marks.group_size, state.settings.marks.group());
-    loop {
-        let mut group = Vec::new();
-        let mut ended = Vec::new();
-        tokio::select! {
-            mark = marks.recv() => group.extend(mark),
-            end = ends.recv() => ended.extend(end),
-        }
-        tokio::time::sleep(group_time).await;
-        while group.len() < group_size
+    let Some(MarkReceivers { marks, ends }) = receivers else { return };
+    tokio::join!(gather_marks(&state, marks), gather_ends(&state, ends));
+}
+
+async fn gather_marks(state: &Arc<DaemonState>, mut marks: mpsc::Receiver<PendingMark>) {
+    let mut pace = GroupPace::new(state.settings.marks.group());
+    while let Some(first) = marks.recv().await {
+        pace.wait().await;
+        let mut group = vec![first];
+        while group.len() < state.settings.marks.group_size
             && let Ok(mark) = marks.try_recv()
         {
             group.push(mark);
         }
-        while ended.len() < group_size
+        // One write at a time would let a slow table hold all marks back behind it.
+        let state = state.clone();
+        tokio::spawn(async move { write_group(&state, group).await });
+    }
+}
+
+async fn gather_ends(state: &Arc<DaemonState>, mut ends: mpsc::UnboundedReceiver<PendingEnd>) {
+    let mut pace = GroupPace::new(state.settings.marks.group() * END_PACE);
+    while let Some(first) = ends.recv().await {
+        pace.wait().await;
+        let mut group = vec![first];
+        while group.len() < state.settings.marks.group_size
             && let Ok(end) = ends.try_recv()
         {
-            ended.push(end);
-        }
-        if group.is_empty() && ended.is_empty() {
-            return;
+            group.push(end);
         }
-        // One write at a time would let a slow table hold all marks back behind it.
         let state = state.clone();
-        tokio::spawn(async move {
-            if !group.is_empty() {
-                write_group(&state, group).await;
-            }
-            if !ended.is_empty() {
-                write_ends(&state, ended).await;
-            }
-        });
+        tokio::spawn(async move { write_ends(&state, group).await });
+    }
+}
+
+/// Keeps a distance between writes.
+struct GroupPace {
+    distance: Duration,
+    last: Option<Instant>,
+}
+
+impl GroupPace {
+    fn new(distance: Duration) -> Self {
+        GroupPace { distance, last: None }
+    }
+
+    /// Returns once the distance to the last write is kept.
+    async fn wait(&mut self) {
+        if let Some(last) = self.last {
+            tokio::time::sleep_until(last + self.distance).await;
+        }
+        self.last = Some(Instant::now());
     }
 }
 
--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -19,6 +19,8 @@
 
 /// How often the ledger looks at the clock, so that it notices when the process was paused.
 const TICK: Duration = Duration::from_millis(100);
+/// The whole map is read once in so many polls even if nothing seems to be left to do.
+const POLLS_PER_READ: u32 = 10;
 /// Rows read in one call.
 const SCAN_LIMIT: usize = 1_024;
 /// Shards claimed in one write.
@@ -67,17 +69,30 @@
 /// Reads, claims and moves shards, again and again.
 pub(crate) async fn poll_shards(state: Arc<DaemonState>) {
     tokio::time::sleep(FIRST_CLAIM_DELAY).await;
+    let mut polls_until_read = 0;
     loop {
-        if let Ok(rows) = read_shards(&state).await
-            && !lock(&state.ledger).is_doubtful()
-        {
-            claim_shards(&state, &rows).await;
-            move_shards(&state, &rows).await;
+        if polls_until_read == 0 || has_work(&state) {
+            polls_until_read = POLLS_PER_READ;
+            if let Ok(rows) = read_shards(&state).await
+                && !lock(&state.ledger).is_doubtful()
+            {
+                claim_shards(&state, &rows).await;
+                move_shards(&state, &rows).await;
+            }
         }
+        polls_until_read -= 1;
         tokio::time::sleep(state.settings.quota.shard_poll()).await;
     }
 }
 
+/// Whether, as far as this host knows from others, there is something to claim or to give away. The
+/// whole map is then read before anything is written; otherwise reading it is seldom needed, since
+/// news of it spreads with probes.
+fn has_work(state: &DaemonState) -> bool {
+    let hosts = staying_hosts(state);
+    !plan_claims(state, &hosts).is_empty() || lock(&state.ledger).shards().has_moves(&hosts)
+}
+
 async fn read_shards(state: &DaemonState) -> Result<Vec<VersionedShard>, StoreError> {
     let asked_at = Instant::now();
     let mut rows: Vec<Row> = Vec::new();
@@ -108,26 +123,28 @@
 }
 
 async fn claim_shards(state: &Arc<DaemonState>, rows: &[VersionedShard]) {
-    let now = Instant::now();
-    let hosts = staying_hosts(state);
-    let moves = {
-        let members = lock(&state.members);
-        if members.is_leaving() {
-            return;
-        }
-        let ledger = lock(&state.ledger);
-        let lease = state.settings.quota.lease() * 2;
-        let leases = state.settings.quota.policy == QuotaPolicy::ExpiringLease;
-        let is_free = |owner: &HostId| {
-            members.is_surely_dead(owner, now) || (leases && members.is_gone(owner, lease, now))
-        };
-        ledger.shards().plan_claims(&hosts, is_free)
-    };
+    let moves = plan_claims(state, &staying_hosts(state));
     for group in moves.chunks(CLAIMS_PER_WRITE) {
         write_moves(state, rows, group).await;
     }
 }
 
+/// Shards that this host should claim, as far as it knows.
+fn plan_claims(state: &DaemonState, hosts: &[Host]) -> Vec<ShardMove> {
+    let now = Instant::now();
+    let members = lock(&state.members);
+    if members.is_leaving() {
+        return Vec::new();
+    }
+    let ledger = lock(&state.ledger);
+    let lease = state.settings.quota.lease() * 2;
+    let leases = state.settings.quota.policy == QuotaPolicy::ExpiringLease;
+    let is_free = |owner: &HostId| {
+        members.is_surely_dead(owner, now) || (leases && members.is_gone(owner, lease, now))
+    };
+    ledger.shards().plan_claims(hosts, is_free)
+}
+
 async fn move_shards(state: &Arc<DaemonState>, rows: &[VersionedShard]) {
     let hosts = staying_hosts(state);
     let most = state.settings.quota.moves_per_poll;
--- a/crates/cuminramp-quota/src/shards.rs
+++ b/crates/cuminramp-quota/src/shards.rs
@@ -199,29 +199,28 @@
     ///
     /// From this call on this run spends none of them, whatever becomes of the write.
     pub fn release_moves(&mut self, hosts: &[Host], most: usize) -> Vec<ShardMove> {
-        let zones = zones_of(hosts);
-        let mut moves = Vec::new();
-        for shard in 0..self.records.len() as u32 {
-            if moves.len() >= most {
-                break;
-            }
-            if !self.is_mine(shard) {
-                continue;
-            }
-            let Some(host) = desired_owner(shard, hosts, &zones) else {
-                continue;
-            };
-            if host.id == self.me {
-                continue;
-            }
-            let record = &mut self.records[shard as usize];
-            record.released = true;
-            let owner = host.id.clone();
-            moves.push(ShardMove { shard, from_epoch: record.epoch, owner });
+        let moves: Vec<ShardMove> = self.misplaced(hosts).take(most).collect();
+        for change in &moves {
+            self.records[change.shard as usize].released = true;
         }
         moves
     }
 
+    /// Whether own shards are meant for other hosts.
+    pub fn has_moves(&self, hosts: &[Host]) -> bool {
+        self.misplaced(hosts).next().is_some()
+    }
+
+    fn misplaced<'a>(&'a self, hosts: &'a [Host]) -> impl Iterator<Item = ShardMove> + 'a {
+        let zones = zones_of(hosts);
+        let mine = self.numbered().filter(|(shard, _)| self.is_mine(*shard));
+        mine.filter_map(move |(shard, record)| {
+            let host = desired_owner(shard, hosts, &zones)?;
+            let owner = host.id.clone();
+            (owner != self.me).then_some(ShardMove { shard, from_epoch: record.epoch, owner })
+        })
+    }
+
     fn numbered(&self) -> impl Iterator<Item = (u32, &ShardRecord)> {
         self.records.iter().enumerate().map(|(shard, record)| (shard as u32, record))
     }
--- a/crates/cuminramp-settings/src/settings.rs
+++ b/crates/cuminramp-settings/src/settings.rs
@@ -437,7 +437,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct MarkSettings {
-    /// How long marks are gathered into one write.
+    /// Least time between two writes of marks; what comes meanwhile goes into the next one.
     pub group_ms: u64,
     /// Most marks in one write.
     pub group_size: usize,
@@ -447,12 +447,12 @@
 
 impl Default for MarkSettings {
     fn default() -> Self {
-        MarkSettings { group_ms: 5, group_size: 128, max_kept_bytes: 64 << 10 }
+        MarkSettings { group_ms: 50, group_size: 256, max_kept_bytes: 64 << 10 }
     }
 }
 
 durations!(MarkSettings {
-    /// How long marks are gathered into one write.
+    /// Least time between two writes of marks.
     group = group_ms;
 });
 
