Pack online work on few engines while jobs are open

Cause: a little online work touched every engine within the 250 ms for which batch stays away, so batch got next to nothing.

--- a/crates/cuminramp-daemon/src/batch/claims.rs
+++ b/crates/cuminramp-daemon/src/batch/claims.rs
@@ -1,6 +1,7 @@
 //! Finds open jobs, leases their chunks and closes jobs that are done.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cuminramp_batch::{
@@ -28,6 +29,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
 /// Jobs looked at in one step.
 const OPEN_LIMIT: usize = 1_000;
+/// Jobs whose chunks are read in one step: with thousands open, reading all would take all that the
+/// table gives.
+const JOBS_PER_STEP: usize = 8;
 /// Chunks of one job leased in one write.
 const CLAIMS_PER_JOB: usize = 4;
 
@@ -51,17 +55,19 @@
     picker: &mut JobPicker,
 ) -> Result<(), StoreError> {
     read_open_jobs(state, known).await?;
+    state.batch.has_jobs.store(!known.is_empty(), Ordering::Relaxed);
     drop_closed_chunks(state);
     let open: Vec<OpenJob> = known.iter().map(|job| open_job(state, job)).collect();
     let order: Vec<Name> = picker.order(&open).into_iter().map(|job| job.id.clone()).collect();
-    for id in order {
+    for id in order.into_iter().take(JOBS_PER_STEP) {
         let Some(job) = known.iter().find(|job| job.id == id) else {
             continue;
         };
         let room = free_room(state);
         let items = work_on(state, job, room).await?;
         if let Some(open) = open.iter().find(|open| open.id == id) {
-            picker.note(open, items);
+            // Looking counts a little, so that jobs without a free chunk don't stand before others.
+            picker.note(open, items.max(1));
         }
     }
     Ok(())
--- a/crates/cuminramp-daemon/src/batch/windows.rs
+++ b/crates/cuminramp-daemon/src/batch/windows.rs
@@ -1,11 +1,12 @@
 //! Windows of the engines that this host is steward of, and the items that wait and run.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use cuminramp_core::{Name, SortedMap, rendezvous_score};
 use cuminramp_routes::{Pool, Target};
-use cuminramp_targets::{BatchWindow, FairQueue, WindowPolicy};
+use cuminramp_targets::{BatchWindow, FairQueue, OnlinePacking, TargetSpec, WindowPolicy};
 use cuminramp_wire::peer::YieldNotice;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -58,6 +59,9 @@
     pub(crate) waiting: Mutex<WaitingItems>,
     pub(crate) held: Mutex<Vec<Arc<HeldChunk>>>,
     announced: Mutex<SortedMap<Name, Instant>>,
+    packings: Mutex<SortedMap<Name, OnlinePacking>>,
+    /// Whether any job is open.
+    pub(crate) has_jobs: AtomicBool,
     /// Wakes the runner.
     pub(crate) work: Notify,
     /// Wakes the claimer.
@@ -72,6 +76,8 @@
             waiting: Mutex::default(),
             held: Mutex::default(),
             announced: Mutex::default(),
+            packings: Mutex::default(),
+            has_jobs: AtomicBool::new(false),
             work: Notify::new(),
             hungry: Notify::new(),
         }
@@ -106,6 +112,29 @@
         }
     }
 
+    /// The targets of a pool that online work should keep to; all of them while no job is open.
+    pub(crate) fn pack_online(
+        &self,
+        state: &DaemonState,
+        pool: &Name,
+        specs: &[TargetSpec],
+    ) -> Vec<TargetSpec> {
+        if !self.has_jobs.load(Ordering::Relaxed) {
+            return specs.to_vec();
+        }
+        let now = Instant::now();
+        let here: u32 = {
+            let targets = lock(&state.targets);
+            specs.iter().map(|spec| targets.in_flight(&spec.name).0).sum()
+        };
+        // Callers spread over hosts, so others probably have as many.
+        let hosts = lock(&state.members).usable_hosts().len();
+        let in_flight = f64::from(here) * hosts as f64 + 1.0;
+        let mut packings = lock(&self.packings);
+        let packing = packings.get_or_insert_with(pool.clone(), || OnlinePacking::new(now));
+        packing.choose(specs, in_flight, now)
+    }
+
     /// Tells the engine's steward that online work is on its way, unless it was told just now.
     pub(crate) fn announce_online(&self, state: &Arc<DaemonState>, target: &Name) {
         let now = Instant::now();
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -8,7 +8,8 @@
 use cuminramp_core::{Execution, KeyDigest, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_routes::{Pool, PoolKind, Route, Team};
 use cuminramp_targets::{
-    AttemptFailure, ChoiceQuery, FailureStage, RequestTraits, RetryDecision, WorkKind, decide_retry,
+    AttemptFailure, ChoiceQuery, FailureStage, RequestTraits, RetryDecision, TargetChoice,
+    TargetSpec, WorkKind, decide_retry,
 };
 use cuminramp_wire::peer::{CrashCount, CrashReport};
 use http::HeaderMap;
@@ -253,12 +254,7 @@
     loop {
         let mut tried = job.tried.clone();
         tried.extend(job.watch.shunned_targets());
-        let choice = {
-            let mut random = lock(&state.random);
-            let query = ChoiceQuery { prefix: online.prefix, tried: &tried };
-            lock(&state.targets).choose(&specs, query, random.as_mut(), Instant::now())
-        };
-        if let Some(choice) = choice {
+        if let Some(choice) = choose_target(state, online, &specs, &tried) {
             let target = online.pool.targets[choice.index].clone();
             log::info!(
                 request = &*online.id, team = &*online.team.name, route = &*online.route.name,
@@ -279,6 +275,30 @@
     }
 }
 
+/// Chooses among the targets that online work keeps to, and among all where none of those has room.
+fn choose_target(
+    state: &DaemonState,
+    online: &OnlineRequest,
+    specs: &[TargetSpec],
+    tried: &[Name],
+) -> Option<TargetChoice> {
+    let now = Instant::now();
+    let query = ChoiceQuery { prefix: online.prefix, tried };
+    let packed = match online.pool.kind {
+        PoolKind::Engines => state.batch.pack_online(state, &online.pool.name, specs),
+        PoolKind::Services => specs.to_vec(),
+    };
+    let mut random = lock(&state.random);
+    let targets = lock(&state.targets);
+    let choice = targets.choose(&packed, query, random.as_mut(), now);
+    let placed = choice.and_then(|choice| {
+        let name = &packed[choice.index].name;
+        let index = specs.iter().position(|spec| spec.name == *name)?;
+        Some(TargetChoice { index, ..choice })
+    });
+    placed.or_else(|| targets.choose(specs, query, random.as_mut(), now))
+}
+
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.starts_with("text/event-stream"))
--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -25,8 +25,9 @@
 const SCAN_LIMIT: usize = 1_024;
 /// Shards claimed in one write.
 const CLAIMS_PER_WRITE: usize = 64;
-/// Waits for other hosts to be heard of before a new host claims what nobody owns.
-const FIRST_CLAIM_DELAY: Duration = Duration::from_secs(1);
+/// A new host waits for so many reads of the host list before it claims anything: hosts that start
+/// together would otherwise each take themselves for the only one, and then move shards for minutes.
+const LIST_READS_FIRST: u32 = 3;
 
 /// A shard's row with the version that a write compares.
 struct VersionedShard {
@@ -68,7 +69,7 @@
 
 /// Reads, claims and moves shards, again and again.
 pub(crate) async fn poll_shards(state: Arc<DaemonState>) {
-    tokio::time::sleep(FIRST_CLAIM_DELAY).await;
+    tokio::time::sleep(state.settings.peers.list_poll() * LIST_READS_FIRST).await;
     let mut polls_until_read = 0;
     loop {
         if polls_until_read == 0 || has_work(&state) {
--- a/crates/cuminramp-targets/src/lib.rs
+++ b/crates/cuminramp-targets/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`decide_retry`] is the one place that says what follows a failed attempt.
 //! - [`CrashRegister`] keeps a request that crashes targets from taking more than a few.
 //! - [`FairQueue`] serves waiting teams by weight.
+//! - [`OnlinePacking`] keeps online work to few targets while batch has work for the rest.
 //! - [`BatchWindow`] says how much batch work an engine may have.
 
 mod choice;
 mod crashes;
 mod fair_queue;
+mod packing;
 mod retry;
 mod window;
 
@@ -20,6 +22,7 @@
 };
 pub use crashes::CrashRegister;
 pub use fair_queue::FairQueue;
+pub use packing::OnlinePacking;
 pub use retry::{
     AttemptFailure, FailureStage, RequestTraits, RetryBudget, RetryDecision, decide_retry,
 };
