--- a/tests/testsuite/tests/testsuite/main.rs
+++ b/tests/testsuite/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod configuration;
 mod crashes;
+mod examples;
 mod keys;
 mod membership;
 mod online;
