--- a/crates/cuminramp-cli/src/bench/mod.rs
+++ b/crates/cuminramp-cli/src/bench/mod.rs
@@ -2,12 +2,14 @@
 
 mod batch;
 mod caller;
+mod changes;
 mod control;
 mod once;
 mod online;
 mod quota;
 mod record;
 mod roles;
+mod throughput;
 
 use crate::connection::CommandError;
 use crate::flags::{Bench, BenchCmd};
@@ -17,6 +19,8 @@
     match flags.subcommand {
         BenchCmd::Online(flags) => online::execute(flags).await,
         BenchCmd::Batch(flags) => batch::execute(flags).await,
+        BenchCmd::Throughput(flags) => throughput::execute(flags).await,
+        BenchCmd::Changes(flags) => changes::execute(flags).await,
         BenchCmd::Quota(flags) => quota::execute(flags).await,
         BenchCmd::Once(flags) => once::execute(flags).await,
         BenchCmd::Control(flags) => control::execute(flags).await,
--- a/crates/cuminramp-cli/src/flags.rs
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -94,6 +94,39 @@
                 /// Append the results to this file, a JSON line each.
                 optional --out out: PathBuf
             }
+            /// Sends requests one after the other from so many callers at once, as fast as they are
+            /// answered: through the daemons and to an engine directly, in turns.
+            cmd throughput {
+                /// Caller addresses, separated by commas.
+                required --callers callers: String
+                /// A key.
+                required --key key: String
+                /// The model.
+                required --model model: String
+                /// An engine to call directly, ip:port.
+                required --direct direct: String
+                /// Callers at once.
+                optional --concurrency concurrency: usize
+                /// Seconds of each of four turns; 15 at most.
+                optional --seconds seconds: u64
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
+            /// Grants and withdraws keys, and times until every host goes by it.
+            cmd changes {
+                /// Caller addresses, separated by commas.
+                required --callers callers: String
+                /// Operator addresses of the same hosts, separated by commas.
+                required --operators operators: String
+                /// A declared team.
+                required --team team: String
+                /// How many keys.
+                optional --count count: usize
+                /// What the run is called in the results.
+                optional --name name: String
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
             /// Sends a batch job and waits for its results.
             cmd batch {
                 /// Caller addresses, separated by commas.
--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -85,8 +85,6 @@
     FieldInvalid = 1007, 400, "invalid_request_error";
     /// One line of a batch input file can't be used; the other lines run.
     LineMalformed = 1008, 400, "invalid_request_error";
-    /// The route does not repeat requests, so an `Idempotency-Key` is needed.
-    IdempotencyKeyMissing = 1009, 400, "invalid_request_error";
     /// No `Authorization: Bearer` header came with the request.
     KeyMissing = 1100, 401, "authentication_error";
     /// The key is not known, or was withdrawn.
@@ -123,8 +121,6 @@
     DeclarationsInvalid = 1501, 422, "invalid_request_error";
     /// A setting has a wrong type, value or name.
     SettingsInvalid = 1502, 400, "invalid_request_error";
-    /// The job was cancelled.
-    JobCancelled = 1600, 409, "conflict_error";
     /// The batch item failed after its bounded number of attempts.
     ItemFailed = 1601, 422, "invalid_request_error";
     /// Something in the daemon itself went wrong.
--- a/crates/cuminramp-core/src/rendezvous.rs
+++ b/crates/cuminramp-core/src/rendezvous.rs
@@ -36,11 +36,11 @@
 /// Sorts members by falling score.
 ///
 /// ```
-/// let mut members = vec!["a", "b", "c"];
-/// cuminramp_core::rank_by_score("team", &mut members, |member| *member);
-/// let first = members[0];
-/// members.retain(|member| *member != members[1]);
-/// cuminramp_core::rank_by_score("team", &mut members, |member| *member);
+/// let mut members = vec!["a".to_owned(), "b".to_owned(), "c".to_owned()];
+/// cuminramp_core::rank_by_score("team", &mut members, |member| member.as_str());
+/// let (first, second) = (members[0].clone(), members[1].clone());
+/// members.retain(|member| *member != second);
+/// cuminramp_core::rank_by_score("team", &mut members, |member| member.as_str());
 /// assert_eq!(members[0], first);
 /// ```
 pub fn rank_by_score<T>(key: &str, members: &mut [T], name_of: impl Fn(&T) -> &str) {
