Test connections that go silent and links that are cut

An engine's pooled connections, a host's connections to others, and a host that nobody reaches, each over a relay that freezes or cuts.

--- a/crates/cuminramp-standin/src/faulty_link.rs
+++ b/crates/cuminramp-standin/src/faulty_link.rs
@@ -32,27 +32,29 @@
 #[derive(Debug)]
 pub struct FaultyLink {
     address: SocketAddr,
+    server: watch::Sender<Option<SocketAddr>>,
     mode: watch::Sender<LinkMode>,
     frozen: watch::Sender<u64>,
     stop: CancellationToken,
 }
 
 impl FaultyLink {
-    /// Opens a relay on a free loopback port towards `server`.
-    pub async fn open(server: SocketAddr) -> io::Result<Self> {
+    /// Opens a relay on a free loopback port; until it has a server it closes what connects.
+    pub async fn open() -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(LinkMode::Open);
         let (frozen, freezes) = watch::channel(0);
+        let (server, servers) = watch::channel(None);
         let stop = CancellationToken::new();
         let ended = stop.clone();
         tokio::spawn(async move {
             tokio::select! {
-                () = relay_all(listener, server, modes, freezes, ended.clone()) => {}
+                () = relay_all(listener, servers, modes, freezes, ended.clone()) => {}
                 () = ended.cancelled() => {}
             }
         });
-        Ok(FaultyLink { address, mode, frozen, stop })
+        Ok(FaultyLink { address, server, mode, frozen, stop })
     }
 
     /// Where to connect.
@@ -60,6 +62,11 @@
         self.address
     }
 
+    /// Says where connections lead from now on.
+    pub fn set_server(&self, server: SocketAddr) {
+        self.server.send_replace(Some(server));
+    }
+
     /// Changes what happens to bytes from now on.
     pub fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
@@ -79,12 +86,13 @@
 
 async fn relay_all(
     listener: TcpListener,
-    server: SocketAddr,
+    servers: watch::Receiver<Option<SocketAddr>>,
     modes: watch::Receiver<LinkMode>,
     freezes: watch::Receiver<u64>,
     stop: CancellationToken,
 ) {
     while let Ok((caller, _)) = listener.accept().await {
+        let Some(server) = *servers.borrow() else { continue };
         let (modes, freezes, stop) = (modes.clone(), freezes.clone(), stop.clone());
         tokio::spawn(async move {
             let Ok(target) = TcpStream::connect(server).await else {
--- a/tests/testsuite/tests/testsuite/main.rs
+++ b/tests/testsuite/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod batch;
 mod configuration;
+mod connections;
 mod crashes;
 mod examples;
 mod keys;
--- a/tests/testsuite/tests/testsuite/support.rs
+++ b/tests/testsuite/tests/testsuite/support.rs
@@ -8,7 +8,9 @@
 use cuminramp_daemon::{Daemon, DaemonAddresses, PlatformBorders};
 use cuminramp_http::{CallLimits, HttpClient, read_body};
 use cuminramp_settings::{DaemonSettings, parse_settings};
-use cuminramp_standin::{Engine, EngineSettings, MemoryPlatform, PlatformFaults, PlatformSettings};
+use cuminramp_standin::{
+    Engine, EngineSettings, FaultyLink, MemoryPlatform, PlatformFaults, PlatformSettings,
+};
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -245,6 +247,22 @@
         })
     }
 
+    /// Opens a link that can fail.
+    pub(crate) fn open_link(&self) -> FaultyLink {
+        self.runtime.block_on(FaultyLink::open()).unwrap()
+    }
+
+    /// Starts one more host, which other hosts reach through a link that can fail.
+    pub(crate) fn add_host_behind(&mut self, link: &FaultyLink) -> usize {
+        let settings = test_settings(self.hosts.len() % 3);
+        let host = self.add_host_with(DaemonSettings {
+            advertised_peer_address: link.address().to_string(),
+            ..settings
+        });
+        link.set_server(self.hosts[host].addresses.peer);
+        host
+    }
+
     /// Makes declarations the next generation.
     pub(crate) fn declare(&self, declarations: &Value) {
         let answer =
