--- a/crates/cuminramp-daemon/src/peer/server.rs
+++ b/crates/cuminramp-daemon/src/peer/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminramp_core::Name;
+use cuminramp_http::accept_next;
 use cuminramp_wire::peer::{
     BorrowReply, BorrowRequest, CrashReport, Handover, Probe, ProbeReply, PullReply, PullRequest,
     YieldNotice,
@@ -25,8 +26,6 @@
 
 /// A connection on which no call came for so long is closed; its peer opens another when it needs to.
 const IDLE_LIMIT: Duration = Duration::from_secs(120);
-/// Waits between tries when the system can't accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Clone)]
 struct PeerAnswers {
@@ -72,18 +71,7 @@
 
 /// Serves other daemons until the state stops.
 pub(crate) async fn serve_peers(state: Arc<DaemonState>, listener: TcpListener) {
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            },
-            () = state.stop.cancelled() => return,
-        };
-        let _ = stream.set_nodelay(true);
+    while let Some(stream) = accept_next(&listener, &state.stop).await {
         let framed =
             LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
--- a/crates/cuminramp-http/src/lib.rs
+++ b/crates/cuminramp-http/src/lib.rs
@@ -4,4 +4,4 @@
 mod server;
 
 pub use client::{CallError, CallLimits, HttpClient, read_body};
-pub use server::{ServeLimits, serve_router};
+pub use server::{ServeLimits, accept_next, serve_router};
--- a/crates/cuminramp-http/src/server.rs
+++ b/crates/cuminramp-http/src/server.rs
@@ -22,6 +22,25 @@
     pub connections: usize,
 }
 
+/// Accepts the next connection; `None` once `stop` is cancelled. Where the system can't accept, as when
+/// descriptors have run out, it tries again after a while.
+pub async fn accept_next(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return None,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                // Small writes are tokens of a stream or calls between hosts: each leaves at once.
+                let _ = stream.set_nodelay(true);
+                return Some(stream);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 /// Serves `router` on `listener` until `drain` is cancelled, then finishes what is in flight.
 ///
 /// Returns once every connection has ended. A caller that sends half a head holds a connection for
@@ -37,16 +56,10 @@
     let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(limits.connections));
     loop {
         let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            },
-            () = drain.cancelled() => break,
+            stream = accept_next(&listener, &drain) => stream,
             () = abort.cancelled() => return,
         };
+        let Some(stream) = stream else { break };
         // Over the limit the newest connection is closed at once: the caller sees that and tries
         // another host, where waiting in a queue nobody reads would look like a dead host.
         let Ok(permit) = permits.clone().try_acquire_owned() else {
@@ -76,8 +89,6 @@
     router: Router,
     limits: ServeLimits,
 ) -> http1::Connection<TokioIo<TcpStream>, RouterService> {
-    // Small writes are tokens of a stream: each has to leave at once.
-    let _ = stream.set_nodelay(true);
     let service = TowerToHyperService::new(router);
     http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cuminramp-quota/src/lib.rs
+++ b/crates/cuminramp-quota/src/lib.rs
@@ -17,6 +17,7 @@
 mod handover;
 mod ledger;
 mod shards;
+mod team;
 
 pub use allotment::{TeamLimits, slice_count, slice_shards};
 pub use baseline::StaticSplit;
