Keep tests in files of their own, and a test's verdict off the clock

quota::a_team_gets_its_rate_and_burst_once_over_all_hosts asked for 30 admitted requests within 2 s. With all cores compiling beside it only 6 calls came back in that time, one run of four: a time in disguise. It now floods until twice the burst is admitted, checks the bound after each half second as strictly as before, and fails only if that takes a minute.

--- /dev/null
+++ b/crates/cuminramp-batch/src/chunk/tests.rs
@@ -0,0 +1,79 @@
+use cuminramp_core::HostId;
+use cuminramp_wire::rows::{ChunkRow, SuspectItem};
+use proptest::prelude::*;
+
+use super::*;
+
+fn host(number: u64) -> HostId {
+    HostId { address: format!("10.0.0.{number}:1").into(), incarnation: 1 }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Lease(u64),
+    Commit(usize),
+    Release(usize),
+    Suspect(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (0..3u64).prop_map(Step::Lease),
+        (0..6usize).prop_map(Step::Commit),
+        (0..6usize).prop_map(Step::Release),
+        (0..6usize).prop_map(Step::Suspect),
+    ];
+    proptest::collection::vec(step, 0..40)
+}
+
+proptest! {
+    // Hosts are paused with a lease in hand, others take over, and all of them try to commit, in
+    // any order. A second commit would give an item two results.
+    #[test]
+    fn only_the_last_lease_commits_and_only_once(steps in steps()) {
+        let mut row = ChunkRow::default();
+        let mut leases: Vec<LeaseHolder> = Vec::new();
+        let mut commits = 0;
+        for step in steps {
+            match step {
+                Step::Lease(number) => {
+                    if let Ok(next) = lease_chunk(&row, &host(number)) {
+                        leases.push(LeaseHolder { host: host(number), fence: next.fence });
+                        row = next;
+                    }
+                }
+                Step::Commit(index) => {
+                    let Some(lease) = leases.get(index) else { continue };
+                    if let Ok(next) = commit_chunk(&row, lease, "s", ChunkTally::default()) {
+                        prop_assert_eq!(lease.fence, row.fence);
+                        commits += 1;
+                        row = next;
+                    }
+                }
+                Step::Release(index) => {
+                    let Some(lease) = leases.get(index) else { continue };
+                    row = release_chunk(&row, lease).unwrap_or(row);
+                }
+                Step::Suspect(index) => {
+                    let Some(lease) = leases.get(index) else { continue };
+                    let suspects = [SuspectItem { index: 1, crashes: 1 }];
+                    row = note_suspects(&row, lease, &suspects).unwrap_or(row);
+                }
+            }
+        }
+        prop_assert!(commits <= 1);
+    }
+}
+
+// A poison item kills the engine of one host after another. Were its crashes counted by each
+// host for itself, every host would lose engines to it.
+#[test]
+fn crashes_are_remembered_by_the_next_holder() {
+    let row = lease_chunk(&ChunkRow::default(), &host(1)).unwrap();
+    let lease = LeaseHolder { host: host(1), fence: row.fence };
+    let row = note_suspects(&row, &lease, &[SuspectItem { index: 4, crashes: 1 }]).unwrap();
+
+    let row = lease_chunk(&row, &host(2)).unwrap();
+
+    assert_eq!(row.suspects, [SuspectItem { index: 4, crashes: 1 }]);
+}
--- a/crates/cuminramp-batch/src/input.rs
+++ b/crates/cuminramp-batch/src/input.rs
@@ -83,30 +83,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use proptest::prelude::*;
-    use test_case::test_case;
-
-    use super::{parse_input, parse_line};
-
-    #[test_case("not json", "line-3"; "no json")]
-    #[test_case(r#"{"custom_id": "x"}"#, "x"; "fields missing")]
-    #[test_case(r#"{"custom_id": "x", "method": "GET", "url": "/v1/chat/completions", "body": {}}"#, "x"; "method")]
-    #[test_case(r#"{"custom_id": "x", "method": "POST", "url": "/v1/other", "body": {}}"#, "x"; "url")]
-    #[test_case(r#"{"custom_id": "x", "method": "POST", "url": "/v1/chat/completions", "body": {}}"#, "x"; "no model")]
-    fn a_bad_line_has_an_error_of_its_own(line: &str, name: &str) {
-        let fault = parse_line(line, 3).unwrap_err();
-
-        assert_eq!(fault.custom_id, name);
-        assert_eq!(fault.refusal.code.number(), 1008);
-    }
-
-    proptest! {
-        #[test]
-        fn any_text_gives_one_outcome_a_line(text in "[ -~\n]{0,400}") {
-            let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-
-            prop_assert_eq!(parse_input(&text, 1).len(), lines);
-        }
-    }
-}
+mod tests;
--- a/crates/cuminramp-batch/src/layout.rs
+++ b/crates/cuminramp-batch/src/layout.rs
@@ -89,26 +89,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use proptest::prelude::*;
-
-    use super::ChunkLayout;
-
-    proptest! {
-        #[test]
-        fn chunks_cover_the_file_without_gap_or_overlap(text in "[a\n]{0,300}", least in 1..9u32) {
-            let layout = ChunkLayout::cut(&text, least, least + 5);
-
-            let items: u32 = layout.chunks.iter().map(|place| place.items).sum();
-            prop_assert_eq!(items, layout.items);
-            prop_assert!(layout.chunks.windows(2).all(|pair| pair[0].end == pair[1].start));
-            for place in &layout.chunks {
-                let part = &text[place.start as usize..place.end as usize];
-                let lines = part.lines().filter(|line| !line.trim().is_empty()).count();
-                prop_assert_eq!(lines as u32, place.items);
-                let before = text[..place.start as usize].matches('\n').count() as u32;
-                prop_assert_eq!(before + 1, place.first_line);
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/cuminramp-batch/src/picker.rs
+++ b/crates/cuminramp-batch/src/picker.rs
@@ -76,44 +76,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::{JobPicker, OpenJob};
-
-    fn job(id: &str, team: &str, weight: u32) -> OpenJob {
-        OpenJob { id: id.into(), team: team.into(), weight }
-    }
-
-    fn serve(picker: &mut JobPicker, jobs: &[OpenJob], picks: usize) -> Vec<String> {
-        let mut order = Vec::new();
-        for _ in 0..picks {
-            let first = picker.order(jobs)[0].clone();
-            picker.note(&first, 10);
-            order.push(first.id.to_string());
-        }
-        order
-    }
-
-    #[test]
-    fn teams_are_served_by_weight_and_jobs_in_turn() {
-        let jobs = [job("a1", "a", 3), job("a2", "a", 3), job("b", "b", 1)];
-        let mut picker = JobPicker::new();
-
-        let order = serve(&mut picker, &jobs, 80);
-
-        let count = |id: &str| order.iter().filter(|picked| *picked == id).count();
-        assert_eq!((count("a1"), count("a2"), count("b")), (30, 30, 20));
-    }
-
-    // A team's large job has run for hours when another team sends a small one. If the small one
-    // were owed all those hours, the large one would stand still.
-    #[test]
-    fn a_team_that_comes_later_gets_its_share_and_no_arrears() {
-        let mut picker = JobPicker::new();
-        serve(&mut picker, &[job("large", "a", 1)], 1_000);
-
-        let both = [job("large", "a", 1), job("small", "b", 1)];
-        let order = serve(&mut picker, &both, 20);
-
-        assert_eq!(order.iter().filter(|id| *id == "small").count(), 10);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/cuminramp-membership/src/table/tests.rs
@@ -0,0 +1,217 @@
+use std::time::Duration;
+
+use cuminramp_core::{Host, HostId, SeededRandom};
+use tokio::time::Instant;
+
+use super::{ListedHost, MemberAction, MemberPolicy, MemberTable};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn host(number: u32, incarnation: u64) -> Host {
+    Host {
+        id: HostId { address: format!("10.0.0.{number}:1").into(), incarnation },
+        caller_address: format!("10.0.0.{number}:2").into(),
+        zone: format!("zone-{}", number % 3).into(),
+    }
+}
+
+fn table(number: u32, now: Instant) -> MemberTable {
+    MemberTable::new(host(number, 1), MemberPolicy::default(), now)
+}
+
+fn listed(numbers: impl Iterator<Item = u32>) -> Vec<ListedHost> {
+    numbers
+        .map(|number| ListedHost { address: host(number, 1).id.address, leaving: false })
+        .collect()
+}
+
+/// Tables of `count` hosts that know each other.
+fn acquainted(count: u32, now: Instant) -> Vec<MemberTable> {
+    let mut tables: Vec<MemberTable> = (0..count).map(|number| table(number, now)).collect();
+    let states: Vec<_> = tables.iter().map(MemberTable::my_state).collect();
+    for table in &mut tables {
+        table.on_list(&listed(0..count), now);
+        for state in &states {
+            table.on_heard(state, now);
+        }
+    }
+    tables
+}
+
+/// Runs one step of every table over a network where `reaches(from, to)` says what arrives.
+fn step(
+    tables: &mut [MemberTable],
+    random: &mut SeededRandom,
+    reaches: &dyn Fn(usize, usize) -> bool,
+    now: Instant,
+) {
+    for from in 0..tables.len() {
+        for action in tables[from].tick(random, now) {
+            let MemberAction::Probe(address) = action else {
+                continue;
+            };
+            let to = index_of(tables, &address);
+            if exchange(tables, from, to, reaches, now) {
+                continue;
+            }
+            for action in tables[from].on_probe_failed(&address, random, now) {
+                let MemberAction::ProbeThrough { helpers, .. } = action else {
+                    continue;
+                };
+                let helped = helpers.iter().any(|helper| {
+                    let helper = index_of(tables, helper);
+                    exchange(tables, from, helper, reaches, now)
+                        && exchange(tables, helper, to, reaches, now)
+                });
+                if !helped {
+                    tables[from].on_unreachable(&address, now);
+                }
+            }
+        }
+    }
+}
+
+fn index_of(tables: &[MemberTable], address: &str) -> usize {
+    tables.iter().position(|table| *table.me().id.address == *address).unwrap()
+}
+
+fn exchange(
+    tables: &mut [MemberTable],
+    from: usize,
+    to: usize,
+    reaches: &dyn Fn(usize, usize) -> bool,
+    now: Instant,
+) -> bool {
+    if !reaches(from, to) {
+        return false;
+    }
+    let receiver = tables[to].me().id.address.clone();
+    deliver(tables, from, to, Some(&receiver), now);
+    if !reaches(to, from) {
+        return false;
+    }
+    deliver(tables, to, from, None, now);
+    true
+}
+
+fn deliver(tables: &mut [MemberTable], from: usize, to: usize, about: Option<&str>, now: Instant) {
+    let state = tables[from].my_state();
+    let updates = tables[from].take_updates(about);
+    for update in &updates {
+        tables[to].on_update(update, now);
+    }
+    tables[to].on_heard(&state, now);
+}
+
+// A host is killed. Callers who are told to use it hang until they give up.
+#[test]
+fn a_silent_host_leaves_the_answers_of_all_within_two_seconds() {
+    let start = Instant::now();
+    let mut tables = acquainted(11, start);
+    let mut random = SeededRandom::new(1);
+    let dead = |from: usize, to: usize| from != 0 && to != 0;
+
+    for tick in 1..=8 {
+        step(&mut tables, &mut random, &dead, start + Duration::from_millis(250) * tick);
+    }
+
+    assert!(tables[1..].iter().all(|table| table.usable_hosts().len() == 10));
+}
+
+// One link between two live hosts is cut, in one direction or both. If that counted as death,
+// a host that serves would vanish from the answers.
+#[test]
+fn a_cut_link_between_two_hosts_is_not_a_death() {
+    let start = Instant::now();
+    let mut tables = acquainted(11, start);
+    let mut random = SeededRandom::new(2);
+    let cut = |from: usize, to: usize| !matches!((from, to), (0, 1) | (2, 3) | (3, 2));
+
+    for tick in 1..=80 {
+        step(&mut tables, &mut random, &cut, start + Duration::from_millis(250) * tick);
+    }
+
+    let dead = tables
+        .iter()
+        .any(|table| table.members().any(|member| member.status == super::MemberStatus::Dead));
+    assert!(!dead);
+}
+
+// A host is paused for longer than any time-out and wakes: others hold it for dead.
+#[test]
+fn a_host_that_wakes_is_used_again() {
+    let start = Instant::now();
+    let mut tables = acquainted(11, start);
+    let mut random = SeededRandom::new(3);
+    let paused = |from: usize, to: usize| from != 0 && to != 0;
+    for tick in 1..=40 {
+        step(&mut tables, &mut random, &paused, start + Duration::from_millis(250) * tick);
+    }
+
+    for tick in 41..=60 {
+        step(&mut tables, &mut random, &|_, _| true, start + Duration::from_millis(250) * tick);
+    }
+
+    assert!(tables.iter().all(|table| table.usable_hosts().len() == 11));
+}
+
+// A paused host is held for dead and the platform still lists it. Were its shards taken over,
+// it would spend them too once it wakes.
+#[test]
+fn a_listed_host_is_never_surely_dead() {
+    let start = Instant::now();
+    let mut table = acquainted(3, start).remove(0);
+    let id = host(1, 1).id;
+    table.on_unreachable(&id.address, start);
+    table.tick(&mut SeededRandom::new(4), start + 4 * SECOND);
+    let late = start + 60 * SECOND;
+
+    let while_listed = table.is_surely_dead(&id, late);
+    table.on_list(&listed([0, 2].into_iter()), late);
+    let at_once = table.is_surely_dead(&id, late);
+    let after_lag = table.is_surely_dead(&id, late + 11 * SECOND);
+
+    assert_eq!((while_listed, at_once, after_lag), (false, false, true));
+}
+
+#[test]
+fn a_later_run_at_the_same_address_proves_the_end_of_the_earlier() {
+    let start = Instant::now();
+    let mut table = acquainted(3, start).remove(0);
+    let restarted = MemberTable::new(host(1, 2), MemberPolicy::default(), start);
+
+    table.on_heard(&restarted.my_state(), start);
+
+    assert!(table.is_surely_dead(&host(1, 1).id, start));
+    assert!(!table.is_surely_dead(&host(1, 2).id, start));
+}
+
+// An availability zone is cut off. If both sides held the other for dead and took over its
+// shards, every token would be spent twice.
+#[test]
+fn only_the_larger_side_of_a_cut_hears_a_majority() {
+    let start = Instant::now();
+    let mut tables = acquainted(11, start);
+    let mut random = SeededRandom::new(5);
+    let cut = |from: usize, to: usize| (from < 4) == (to < 4);
+
+    for tick in 1..=60 {
+        step(&mut tables, &mut random, &cut, start + Duration::from_millis(250) * tick);
+    }
+
+    assert!(tables[..4].iter().all(|table| !table.hears_majority()));
+    assert!(tables[4..].iter().all(MemberTable::hears_majority));
+}
+
+#[test]
+fn a_leaving_host_is_used_no_more_and_still_answers() {
+    let start = Instant::now();
+    let mut tables = acquainted(3, start);
+    tables[0].leave(start);
+
+    let state = tables[0].my_state();
+    tables[1].on_heard(&state, start);
+
+    assert_eq!(tables[1].usable_hosts().len(), 2);
+    assert_eq!(tables[1].usable_peers().len(), 2);
+}
--- a/crates/cuminramp-quota/src/allotment.rs
+++ b/crates/cuminramp-quota/src/allotment.rs
@@ -139,44 +139,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::time::Duration;
-
-    use proptest::prelude::*;
-    use tokio::time::Instant;
-
-    use super::{Allotment, TeamLimits};
-    use crate::LedgerPolicy;
-
-    const SETTLE: Duration = Duration::from_secs(7);
-
-    proptest! {
-        // An operator changes a team's rate and hosts take the change at different moments. Slices
-        // cut the old way on one host and the new way on another must not add up to more than both.
-        #[test]
-        fn hosts_of_two_generations_stay_under_the_larger_limit(
-            old_rate in 1..2_000u64,
-            new_rate in 1..2_000u64,
-            behind in proptest::collection::vec(any::<bool>(), 40),
-        ) {
-            let policy = LedgerPolicy::default();
-            let now = Instant::now();
-            let old = TeamLimits { rate: old_rate * 1_000, burst: old_rate * 1_000 };
-            let new = TeamLimits { rate: new_rate * 1_000, burst: new_rate * 1_000 };
-            let unchanged = Allotment::new(old);
-            let mut changed = Allotment::new(old);
-            changed.update(new, SETTLE, now);
-
-            let rate_of = |index: u32| {
-                let behind = behind[index as usize];
-                if behind { unchanged.slice(index, &policy) } else { changed.slice(index, &policy) }
-            };
-            let total: u64 = (0..32).map(|index| rate_of(index).rate).sum();
-            changed.update(new, SETTLE, now + SETTLE);
-            let after: u64 = (0..32).map(|index| changed.slice(index, &policy).rate).sum();
-
-            prop_assert!(total <= old.rate);
-            prop_assert!(after <= new.rate && after + 32 > new.rate);
-        }
-    }
-}
+mod tests;
--- a/crates/cuminramp-routes/src/planner.rs
+++ b/crates/cuminramp-routes/src/planner.rs
@@ -71,48 +71,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use test_case::test_case;
-
-    use super::{RoutePlanner, RouteQuery};
-    use crate::{Configuration, Route};
-
-    fn route(name: &str, model: Option<&str>, prefix: Option<&str>) -> Route {
-        Route {
-            name: name.into(),
-            model: model.map(Into::into),
-            path_prefix: prefix.map(Into::into),
-            pool: "p".into(),
-            repeatable: None,
-            timeout_ms: 1,
-        }
-    }
-
-    fn configuration() -> Configuration {
-        let mut configuration = Configuration::default();
-        for row in [
-            route("chat", Some("llm"), None),
-            route("bookings", None, Some("/bookings")),
-            route("seats", None, Some("/bookings/seats")),
-        ] {
-            configuration.routes.insert(row.name.clone(), row);
-        }
-        configuration
-    }
-
-    #[test_case(RouteQuery::Model("llm"), Some("chat"))]
-    #[test_case(RouteQuery::Model("other"), None)]
-    #[test_case(RouteQuery::Path("/bookings"), Some("bookings"))]
-    #[test_case(RouteQuery::Path("/bookings/7"), Some("bookings"))]
-    #[test_case(RouteQuery::Path("/bookings/seats/7"), Some("seats"))]
-    #[test_case(RouteQuery::Path("/bookings2"), None)]
-    #[test_case(RouteQuery::Path("/"), None)]
-    fn a_query_takes_the_route_that_matches_most(query: RouteQuery<'_>, expected: Option<&str>) {
-        let configuration = configuration();
-        let planner = RoutePlanner::new(&configuration);
-
-        let planned = planner.plan(&configuration, query);
-
-        assert_eq!(planned.map(|route| &*route.name), expected);
-    }
-}
+mod tests;
--- a/crates/cuminramp-settings/src/check.rs
+++ b/crates/cuminramp-settings/src/check.rs
@@ -194,31 +194,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use test_case::test_case;
-
-    use super::parse_settings;
-    use crate::DaemonSettings;
-
-    #[test]
-    fn no_settings_mean_the_defaults() {
-        let settings = parse_settings("// nothing\n{}").unwrap();
-
-        assert_eq!(settings, DaemonSettings::default());
-    }
-
-    #[test_case(r#"{"peers": {"probe-interval-ms": "1"}}"#, "peers.probe-interval-ms"; "wrong type")]
-    #[test_case(r#"{"peers": {"probe-interval-ms": -1}}"#, "peers.probe-interval-ms"; "negative")]
-    #[test_case(r#"{"peers": 3}"#, "peers"; "section as number")]
-    #[test_case(r#"{"pears": {}}"#, "pears"; "unknown section")]
-    #[test_case(r#"{"caller-address": "host:1"}"#, "caller-address"; "not an ip")]
-    #[test_case(r#"{"quota": {"shards": 0}}"#, "quota.shards"; "zero")]
-    #[test_case(r#"{"targets": {"eject-share": 1.5}}"#, "targets.eject-share"; "share above one")]
-    #[test_case("{\n\"peers\": {", "line 2 column 10"; "broken json")]
-    fn a_fault_names_its_place(text: &str, place: &str) {
-        let faults = parse_settings(text).unwrap_err();
-
-        assert_eq!(faults[0].place, place);
-        assert!(faults[0].to_string().starts_with("1502 "));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/cuminramp-targets/src/choice/tests.rs
@@ -0,0 +1,152 @@
+use std::time::Duration;
+
+use cuminramp_core::SeededRandom;
+use tokio::time::Instant;
+
+use super::*;
+
+const QUERY: ChoiceQuery<'static> = ChoiceQuery { prefix: None, tried: &[] };
+
+fn specs(count: usize) -> Vec<TargetSpec> {
+    let spec = |index| TargetSpec { name: format!("e{index}").into(), slots: 4, leaving: false };
+    (0..count).map(spec).collect()
+}
+
+fn table(specs: &[TargetSpec], now: Instant) -> TargetTable {
+    let mut table = TargetTable::new(TargetPolicy::default());
+    table.set_targets(specs, now);
+    table
+}
+
+fn counts(table: &TargetTable, specs: &[TargetSpec], now: Instant) -> Vec<usize> {
+    let mut random = SeededRandom::new(1);
+    let mut counts = vec![0; specs.len()];
+    for _ in 0..1_000 {
+        if let Some(choice) = table.choose(specs, QUERY, &mut random, now) {
+            counts[choice.index] += 1;
+        }
+    }
+    counts
+}
+
+// A target goes silent: requests sent to it wait until they time out, one after another.
+#[test]
+fn a_silent_target_is_set_aside_at_once_and_tried_again_with_one_request() {
+    let now = Instant::now();
+    let specs = specs(4);
+    let mut table = table(&specs, now);
+    table.on_start("e0", WorkKind::Online, now);
+    table.on_finish("e0", WorkKind::Online);
+
+    let news = table.on_outcome("e0", AttemptEnd::Silent, now);
+    let aside = counts(&table, &specs, now)[0];
+    let later = now + Duration::from_millis(1_001);
+    let back = counts(&table, &specs, later)[0];
+    table.on_start("e0", WorkKind::Online, later);
+    let second = counts(&table, &specs, later)[0];
+
+    assert!(news);
+    assert_eq!((aside, second), (0, 0));
+    assert!(back > 0);
+}
+
+// Something between this host and all targets fails for a moment. If all were set aside, callers
+// would be refused while every target is idle.
+#[test]
+fn no_more_than_the_allowed_share_is_set_aside() {
+    let now = Instant::now();
+    let specs = specs(4);
+    let mut table = table(&specs, now);
+
+    for spec in &specs {
+        table.on_outcome(&spec.name, AttemptEnd::Silent, now);
+    }
+
+    assert_eq!(counts(&table, &specs, now).iter().filter(|count| **count > 0).count(), 2);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let now = Instant::now();
+    let mut specs = specs(3);
+    specs[1].leaving = true;
+    let table = table(&specs, now);
+
+    assert_eq!(counts(&table, &specs, now)[1], 0);
+}
+
+#[test]
+fn a_target_that_failed_the_request_is_the_last_to_get_it_again() {
+    let now = Instant::now();
+    let specs = specs(2);
+    let table = table(&specs, now);
+    let mut random = SeededRandom::new(1);
+    let mut choose = |tried: &[Name]| {
+        table.choose(&specs, ChoiceQuery { prefix: None, tried }, &mut random, now)
+    };
+
+    let other = choose(&["e0".into()]).unwrap();
+    let again = choose(&["e0".into(), "e1".into()]);
+
+    assert_eq!(other.index, 1);
+    assert!(again.is_some());
+}
+
+// All slots are in use as far as reports tell. More requests would wait inside the engine, where
+// nobody can serve one team before another or take them back.
+#[test]
+fn full_targets_get_nothing_until_the_report_ages() {
+    let now = Instant::now();
+    let specs = specs(2);
+    let mut table = table(&specs, now);
+    for spec in &specs {
+        table.on_report(&spec.name, LoadSnapshot { requests: 8, at: now });
+    }
+
+    let full = table.choose(&specs, QUERY, &mut SeededRandom::new(1), now);
+    let later = now + Duration::from_secs(3);
+    let aged = table.choose(&specs, QUERY, &mut SeededRandom::new(1), later);
+
+    assert!(full.is_none());
+    assert!(aged.is_some());
+}
+
+#[test]
+fn a_prefix_goes_to_one_target_until_that_is_much_busier() {
+    let now = Instant::now();
+    let specs = specs(5);
+    let mut table = table(&specs, now);
+    let query = ChoiceQuery { prefix: Some(9), tried: &[] };
+    let mut random = SeededRandom::new(1);
+
+    let first = table.choose(&specs, query, &mut random, now).unwrap();
+    let same = table.choose(&specs, query, &mut random, now).unwrap();
+    for _ in 0..3 {
+        table.on_start(&specs[first.index].name, WorkKind::Online, now);
+    }
+    let busy = table.choose(&specs, query, &mut random, now).unwrap();
+
+    assert_eq!(first, same);
+    assert_eq!(first.reason, ChoiceReason::Prefix);
+    assert_eq!(busy.reason, ChoiceReason::Wait);
+}
+
+// A target is added while traffic runs. Flooded at once with a cold cache, its first requests
+// would be the slowest of all.
+#[test]
+fn a_new_target_is_given_work_little_by_little() {
+    let now = Instant::now();
+    let mut specs = specs(2);
+    let mut table = table(&specs[..1], now);
+    specs[1].slots = 20;
+    table.set_targets(&specs, now);
+    for target in ["e1", "e1", "e0", "e0", "e0"] {
+        table.on_start(target, WorkKind::Online, now);
+    }
+
+    let at_once = counts(&table, &specs, now)[1];
+    let later = counts(&table, &specs, now + WARM_TIME)[1];
+
+    assert_eq!(at_once, 0);
+    assert!(later > 0);
+}
--- a/tests/testsuite/tests/testsuite/quota.rs
+++ b/tests/testsuite/tests/testsuite/quota.rs
@@ -9,6 +9,8 @@
 
 const RATE: f64 = 20.0;
 const BURST: f64 = 30.0;
+/// A healthy run takes a small part of it.
+const FLOOD_LIMIT: Duration = Duration::from_secs(60);
 
 fn fleet(hosts: usize) -> Fleet {
     Fleet::start_plan(FleetPlan { hosts, rate: RATE, burst: BURST, ..FleetPlan::default() })
@@ -52,10 +54,12 @@
     let fleet = fleet(5);
     let started = Instant::now();
 
-    let admitted = flood(&fleet, 0..5, Duration::from_secs(2));
-
-    assert!(admitted <= most(started), "{admitted} admitted");
-    assert!(admitted >= BURST as usize, "{admitted} admitted");
+    let mut admitted = 0;
+    while admitted < 2 * BURST as usize {
+        admitted += flood(&fleet, 0..5, Duration::from_millis(500));
+        assert!(admitted <= most(started), "{admitted} admitted");
+        assert!(started.elapsed() < FLOOD_LIMIT, "only {admitted} admitted");
+    }
 }
 
 // All of a team's callers connect to one host, which holds only a third of its rate. That it can
