Let a refusal speak for all attempts of a request

Cause: what was known of a request was taken from its last attempt alone. A target that took it and fell silent, then one that could not be reached, or no target with room: the refusal said "not run", untruly. Found by reading the dispatch loop. Change: a job keeps the most that any attempt may have done, and the one place that decides takes it in. Test: retry a_second_attempt_does_not_hide_what_the_first_may_have_done. Also: a service's own headers come back to the caller.

--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 use std::time::Duration;
 
-/// What is known about whether a refused request ran on a target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What is known about whether a refused request ran on a target; of several attempts the greatest
+/// counts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Execution {
     /// No target was given a byte of it.
     NotRun,
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -9,11 +9,13 @@
 use cuminramp_routes::{Pool, PoolKind, Route, Team};
 use cuminramp_targets::{
     AttemptFailure, ChoiceQuery, FailureStage, RequestTraits, RetryDecision, TargetChoice,
-    TargetSpec, WorkKind, decide_retry,
+    TargetSpec, WorkKind, decide_retry, execution_after,
 };
 use cuminramp_wire::peer::{CrashCount, CrashReport};
 use http::HeaderMap;
-use http::header::{CONTENT_TYPE, HeaderName};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use tokio::time::Instant;
 
 use crate::borders::{TargetAnswer, TargetRequest};
@@ -57,13 +59,14 @@
         }
     }
 
-    pub(crate) fn traits(&self, state: &DaemonState) -> RequestTraits {
+    pub(crate) fn traits(&self, state: &DaemonState, earlier: Execution) -> RequestTraits {
         let engines = self.pool.kind == PoolKind::Engines;
         RequestTraits {
             is_repeatable: self.route.is_repeatable(),
             is_resumable: engines && !state.settings.targets.resume_header.is_empty(),
             deadline: self.deadline,
             max_attempts: state.settings.retries.attempts,
+            earlier,
         }
     }
 }
@@ -151,16 +154,13 @@
         if job.online.is_stream && is_event_stream(&answer.headers) {
             return Ok(relay_stream(state.clone(), job, lease, answer));
         }
-        let status = answer.status;
-        let content_type = answer.headers.get(CONTENT_TYPE).cloned();
+        let (status, headers) = (answer.status, kept_headers(&answer.headers));
         match read_whole(state, &job, &lease, answer).await {
             Ok(body) => {
                 job.watch.note_success();
                 let mut response = Response::new(Body::from(body));
                 *response.status_mut() = status;
-                if let Some(content_type) = content_type {
-                    response.headers_mut().insert(CONTENT_TYPE, content_type);
-                }
+                *response.headers_mut() = headers;
                 return Ok(response);
             }
             Err(WholeError::Withdrawn) => return Err(withdrawn_refusal()),
@@ -179,7 +179,11 @@
 ) -> Result<(TargetLease, TargetAnswer), Refusal> {
     loop {
         job.attempt += 1;
-        let lease = find_target(state, job).await?;
+        let earlier = job.earlier;
+        let lease = find_target(state, job).await.map_err(|refusal| {
+            let execution = refusal.execution.max(earlier);
+            refusal.with_execution(execution)
+        })?;
         let request = job.next_request(state);
         let wait = job.online.first_byte_wait(state);
         match start_attempt(state, &lease, request, wait, job.online.deadline).await {
@@ -201,8 +205,9 @@
     if failure.is_crash {
         job.watch.note_crash();
     }
-    let traits = job.online.traits(state);
+    let traits = job.online.traits(state, job.earlier);
     let failure = job.with_progress(failure);
+    job.earlier = job.earlier.max(execution_after(failure.stage));
     let now = Instant::now();
     let decision = decide_retry(&traits, failure, job.attempt, now, || lock(&state.budget).spend());
     let word = match decision {
@@ -275,6 +280,15 @@
     }
 }
 
+/// The headers of a target's answer without those that belong to its connection.
+fn kept_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        kept.remove(name);
+    }
+    kept
+}
+
 /// Chooses among the targets that online work keeps to, and among all where none of those has room.
 fn choose_target(
     state: &DaemonState,
--- a/crates/cuminramp-daemon/src/dispatch/relay.rs
+++ b/crates/cuminramp-daemon/src/dispatch/relay.rs
@@ -31,13 +31,22 @@
     pub(crate) watch: CrashWatch,
     pub(crate) attempt: u32,
     pub(crate) tried: Vec<Name>,
+    /// What the attempts so far left.
+    pub(crate) earlier: Execution,
     /// Tokens that the caller has.
     tokens: usize,
 }
 
 impl RelayJob {
     pub(crate) fn new(online: OnlineRequest, watch: CrashWatch) -> Self {
-        RelayJob { online, watch, attempt: 0, tried: Vec::new(), tokens: 0 }
+        RelayJob {
+            online,
+            watch,
+            attempt: 0,
+            tried: Vec::new(),
+            earlier: Execution::NotRun,
+            tokens: 0,
+        }
     }
 
     pub(crate) fn next_request(&self, state: &DaemonState) -> TargetRequest {
--- a/crates/cuminramp-standin/src/engine_http.rs
+++ b/crates/cuminramp-standin/src/engine_http.rs
@@ -225,12 +225,12 @@
     let body = String::from_utf8_lossy(&body).into_owned();
     let runs = shared.core.count_run(&format!("{} {} {body}", head.method, head.uri));
     let saw_key = head.headers.contains_key("authorization");
-    Json(json!({
+    let answer = json!({
         "method": head.method.as_str(),
         "path": head.uri.to_string(),
         "body": body,
         "runs": runs,
         "saw-key": saw_key,
-    }))
-    .into_response()
+    });
+    ([("x-service", "stand-in")], Json(answer)).into_response()
 }
--- a/crates/cuminramp-targets/src/lib.rs
+++ b/crates/cuminramp-targets/src/lib.rs
@@ -25,5 +25,6 @@
 pub use packing::OnlinePacking;
 pub use retry::{
     AttemptFailure, FailureStage, RequestTraits, RetryBudget, RetryDecision, decide_retry,
+    execution_after,
 };
 pub use window::{BatchWindow, WindowPolicy};
--- a/crates/cuminramp-targets/src/retry.rs
+++ b/crates/cuminramp-targets/src/retry.rs
@@ -43,6 +43,9 @@
     pub deadline: Instant,
     /// Attempts in all.
     pub max_attempts: u32,
+    /// What earlier attempts left: a request that one target may have run is not made "not run" by
+    /// another that could not be reached.
+    pub earlier: Execution,
 }
 
 /// What to do next.
@@ -78,6 +81,7 @@
 ///     is_resumable: false,
 ///     deadline: now + std::time::Duration::from_secs(1),
 ///     max_attempts: 3,
+///     earlier: Execution::NotRun,
 /// };
 /// let failure = AttemptFailure { stage: FailureStage::Sent, is_crash: false };
 /// let decision = decide_retry(&traits, failure, 1, now, || true);
@@ -91,7 +95,7 @@
     now: Instant,
     may_retry: impl FnOnce() -> bool,
 ) -> RetryDecision {
-    let execution = execution_after(failure.stage);
+    let execution = execution_after(failure.stage).max(traits.earlier);
     let give_up = |code| RetryDecision::GiveUp { code, execution };
     if let FailureStage::Partial { events } = failure.stage
         && events > 0
@@ -118,7 +122,8 @@
     }
 }
 
-fn execution_after(stage: FailureStage) -> Execution {
+/// What one attempt that came so far leaves.
+pub fn execution_after(stage: FailureStage) -> Execution {
     match stage {
         FailureStage::NotSent | FailureStage::Refused => Execution::NotRun,
         FailureStage::Sent => Execution::MayHaveRun,
--- a/crates/cuminramp-targets/src/retry/tests.rs
+++ b/crates/cuminramp-targets/src/retry/tests.rs
@@ -8,7 +8,13 @@
 
 fn traits(is_repeatable: bool, is_resumable: bool, now: Instant) -> RequestTraits {
     let deadline = now + Duration::from_secs(1);
-    RequestTraits { is_repeatable, is_resumable, deadline, max_attempts: 3 }
+    RequestTraits {
+        is_repeatable,
+        is_resumable,
+        deadline,
+        max_attempts: 3,
+        earlier: Execution::NotRun,
+    }
 }
 
 const PARTIAL: FailureStage = FailureStage::Partial { events: 5 };
@@ -61,3 +67,20 @@
 
     assert_eq!(decision, RetryDecision::GiveUp { code: expected, execution: Execution::NotRun });
 }
+
+// The first target takes a request and falls silent; the second can't be reached. Told "not run", the
+// caller would send anew what the first may have run.
+#[test]
+fn a_second_attempt_does_not_hide_what_the_first_may_have_done() {
+    let now = Instant::now();
+    let traits = RequestTraits { earlier: Execution::MayHaveRun, ..traits(true, true, now) };
+    let failure = AttemptFailure { stage: FailureStage::NotSent, is_crash: false };
+
+    let decision = decide_retry(&traits, failure, 3, now, || true);
+
+    let expected = RetryDecision::GiveUp {
+        code: ResultCode::TargetsUnavailable,
+        execution: Execution::MayHaveRun,
+    };
+    assert_eq!(decision, expected);
+}
--- a/tests/testsuite/tests/testsuite/services.rs
+++ b/tests/testsuite/tests/testsuite/services.rs
@@ -18,11 +18,13 @@
 }
 
 #[test]
-fn any_method_and_body_reach_a_service_and_the_key_does_not() {
+fn any_method_and_body_reach_a_service_the_key_does_not_and_its_headers_come_back() {
     let fleet = Fleet::start(1);
 
     for method in [Method::GET, Method::PUT, Method::DELETE, Method::PATCH] {
-        let answer = fleet.call(0, method.clone(), "/bookings/7?hall=2", "notes").json();
+        let answer = fleet.call(0, method.clone(), "/bookings/7?hall=2", "notes");
+        assert_eq!(answer.headers["x-service"], "stand-in");
+        let answer = answer.json();
 
         assert_eq!(answer["method"], method.as_str());
         assert_eq!(answer["path"], "/bookings/7?hall=2");
