Send nobody to a host that the platform takes away

The list's mark of a leaving host was read and dropped; now such a host is used no more, and gives its shards away, though it does not know yet.

--- a/crates/cuminramp-membership/src/member.rs
+++ b/crates/cuminramp-membership/src/member.rs
@@ -62,6 +62,8 @@
     pub since: Instant,
     /// Since when the platform's list lacks it; `None` while it is listed.
     pub unlisted_since: Option<Instant>,
+    /// Whether the platform is about to take it away.
+    pub listed_leaving: bool,
 }
 
 impl Member {
@@ -78,9 +80,15 @@
             sequence: state.sequence,
             since: now,
             unlisted_since: Some(now),
+            listed_leaving: false,
         }
     }
 
+    /// Whether it takes new work.
+    pub fn is_usable(&self) -> bool {
+        self.status == MemberStatus::Alive && !self.listed_leaving
+    }
+
     /// The statement to pass on.
     pub(crate) fn to_state(&self) -> HostState {
         HostState {
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -103,6 +103,7 @@
             sequence: 0,
             since: now,
             unlisted_since: None,
+            listed_leaving: false,
         };
         MemberTable {
             policy,
@@ -208,7 +209,11 @@
         self.list_read_at = Some(now);
         self.listed = hosts.iter().map(|host| host.address.clone()).collect();
         self.listed.sort();
+        let leaves =
+            |address: &str| hosts.iter().any(|host| host.leaving && *host.address == *address);
+        self.me.listed_leaving = leaves(&self.me.host.id.address);
         for (address, member) in self.members.iter_mut() {
+            member.listed_leaving = leaves(address);
             member.unlisted_since = match self.listed.binary_search(address) {
                 Ok(_) => None,
                 Err(_) => member.unlisted_since.or(Some(now)),
@@ -250,7 +255,7 @@
     /// Hosts that take new work, this one among them unless it leaves, sorted by address.
     pub fn usable_hosts(&self) -> Vec<Host> {
         let members = self.members.values().chain(std::iter::once(&self.me));
-        let usable = members.filter(|member| member.status == MemberStatus::Alive);
+        let usable = members.filter(|member| member.is_usable());
         let mut hosts: Vec<Host> = usable.map(|member| member.host.clone()).collect();
         hosts.sort();
         hosts
@@ -347,6 +352,7 @@
                 return;
             }
             news.unlisted_since = known.unlisted_since;
+            news.listed_leaving = known.listed_leaving;
         } else if self.is_listed(&address) {
             news.unlisted_since = None;
         }
--- a/crates/cuminramp-membership/src/table/tests.rs
+++ b/crates/cuminramp-membership/src/table/tests.rs
@@ -215,3 +215,20 @@
     assert_eq!(tables[1].usable_hosts().len(), 2);
     assert_eq!(tables[1].usable_peers().len(), 2);
 }
+
+// The platform is about to take a host away, and the host does not know. Callers who are told to use
+// it would be cut off.
+#[test]
+fn a_host_that_the_platform_takes_away_is_used_no_more() {
+    let start = Instant::now();
+    let mut tables = acquainted(3, start);
+    let mut hosts = listed(0..3);
+    hosts[2].leaving = true;
+
+    for table in &mut tables {
+        table.on_list(&hosts, start);
+    }
+
+    assert!(tables.iter().all(|table| table.usable_hosts().len() == 2));
+    assert!(tables[..2].iter().all(|table| table.usable_peers().len() == 2));
+}
