Tell callers who come before the rate is shared out what is the matter

Cause: hosts that start together wait for the host list before they claim shards, and until then refused every request as above its team's rate: the three-zones example got 150 of 150 refusals with 1200. Change: such a refusal is 1402 with a time to come back, and /readyz stays 503 until every part of the rates has an owner; the wait is two reads of the list. Test: quota callers_who_come_before_the_rate_is_shared_out_are_told_so.

--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -114,7 +114,7 @@
     StoreUnavailable = 1400, 503, "service_unavailable";
     /// The host is draining and takes no new requests.
     HostDraining = 1401, 503, "service_unavailable";
-    /// The host has no configuration in force yet.
+    /// The host has no configuration in force yet, or no host owns a part of the team's rate yet.
     ConfigurationUnknown = 1402, 503, "service_unavailable";
     /// Another change came first; the answer shows the generation now in force.
     GenerationConflict = 1500, 409, "conflict_error";
--- a/crates/cuminramp-daemon/src/admission.rs
+++ b/crates/cuminramp-daemon/src/admission.rs
@@ -16,6 +16,9 @@
 /// Tokens a request is charged that names no limit of its own.
 const DEFAULT_MAX_TOKENS: u64 = 16;
 
+/// When to come back to hosts that have just started.
+const START_WAIT: Duration = Duration::from_secs(1);
+
 /// What a request of `team` costs.
 pub(crate) fn request_cost(team: &Team, max_tokens: Option<u64>) -> Millitokens {
     match team.charge {
@@ -68,8 +71,18 @@
 
 fn rate_refusal(state: &DaemonState, team: &Team, wait: Duration) -> Refusal {
     log::info!(team = &*team.name, decision = "refused", wait_ms = wait.as_millis() as u64; "rate");
+    let limits = TeamLimits::from_tokens(team.rate, team.burst);
+    let ledger = lock(&state.ledger);
+    let (doubtful, has_owner) = (ledger.is_doubtful(), ledger.has_owner(&team.name, limits));
+    drop(ledger);
+    if !has_owner {
+        let message =
+            "no host owns a part of the team's rate yet, as when all hosts have just started";
+        let refusal = Refusal::not_run(ResultCode::ConfigurationUnknown, message);
+        return refusal.with_retry_after(START_WAIT);
+    }
     // A host that doubts what it owns refuses for its own sake, not for the team's.
-    if lock(&state.ledger).is_doubtful() {
+    if doubtful {
         let message = "this host can't tell what is left of the team's rate";
         return Refusal::not_run(ResultCode::KeysUnconfirmed, message).with_retry_after(wait);
     }
--- a/crates/cuminramp-daemon/src/operator/views.rs
+++ b/crates/cuminramp-daemon/src/operator/views.rs
@@ -21,16 +21,20 @@
     "ok"
 }
 
-/// The daemon can serve: it has a configuration, and is not leaving.
+/// The daemon can serve: it has a configuration, every part of teams' rates has an owner, and it is
+/// not leaving.
 pub(crate) async fn show_readiness(State(state): State<Arc<DaemonState>>) -> Response {
     let now = Instant::now();
+    let owned = lock(&state.ledger).shards().is_complete();
     let body = json!({
         "generation": state.configuration.generation(),
+        "shards-owned": owned,
         "confirmed": state.is_confirmed(now),
         "leaving": state.drain.is_cancelled(),
         "table-age-ms": state.contact.age(now).as_millis() as u64,
     });
     let ready = state.ready.load(Ordering::Relaxed)
+        && owned
         && state.configuration.generation() > 0
         && state.is_confirmed(now)
         && !state.drain.is_cancelled();
--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -27,7 +27,7 @@
 const CLAIMS_PER_WRITE: usize = 64;
 /// A new host waits for so many reads of the host list before it claims anything: hosts that start
 /// together would otherwise each take themselves for the only one, and then move shards for minutes.
-const LIST_READS_FIRST: u32 = 3;
+const LIST_READS_FIRST: u32 = 2;
 
 /// A shard's row with the version that a write compares.
 struct VersionedShard {
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::team::TeamQuota;
-use crate::{Millitokens, ShardMap, TOKEN, TeamLimits, slice_shards};
+use crate::{Millitokens, ShardMap, TOKEN, TeamLimits, slice_count, slice_shards};
 
 /// The shortest time for which lent tokens are valid.
 pub(crate) const LEAST_VALID: Duration = Duration::from_millis(20);
@@ -221,6 +221,13 @@
         self.doubtful_since.is_some()
     }
 
+    /// Whether any host is known to own a part of a team's rate; before that nobody can admit it.
+    pub fn has_owner(&self, team: &str, limits: TeamLimits) -> bool {
+        let count = slice_count(limits, &self.policy);
+        slice_shards(team, count, self.policy.shards)
+            .any(|shard| self.shards.owner(shard).is_some())
+    }
+
     /// Drops teams that were not used for long; their buckets would be full by now.
     pub fn forget_unused(&mut self, now: Instant) {
         let limit = self.policy.forget_after;
--- a/crates/cuminramp-quota/src/shards.rs
+++ b/crates/cuminramp-quota/src/shards.rs
@@ -95,6 +95,11 @@
         record.is_some_and(|record| !record.released && record.owner.as_ref() == Some(&self.me))
     }
 
+    /// Whether every shard is known to have an owner.
+    pub fn is_complete(&self) -> bool {
+        self.records.iter().all(|record| record.owner.is_some())
+    }
+
     /// How many shards this run owns.
     pub fn owned_count(&self) -> usize {
         (0..self.records.len() as u32).filter(|shard| self.is_mine(*shard)).count()
--- a/examples/three-zones.sh
+++ b/examples/three-zones.sh
@@ -45,9 +45,12 @@
   "$bin/cuminramp" --operator "$operator" show >/dev/null 2>&1 && break
   sleep 0.1
 done
-sleep 3 # the lagging list shows the hosts to each other
-"$bin/cuminramp" --operator "$operator" apply "$work/declarations.jsonc" --wait 10
+"$bin/cuminramp" --operator "$operator" apply "$work/declarations.jsonc"
 key=$("$bin/cuminramp" --operator "$operator" grant parish-desk --label demo)
+for _ in $(seq 200); do # until every part of teams' rates has an owner
+  curl -sf "http://$operator/readyz" >/dev/null && break
+  sleep 0.1
+done
 "$bin/cuminramp" --operator "$operator" hosts
 
 callers="127.0.0.1:$((base + 10)),127.0.0.1:$((base + 11)),127.0.0.1:$((base + 12))"
--- a/tests/testsuite/tests/testsuite/quota.rs
+++ b/tests/testsuite/tests/testsuite/quota.rs
@@ -94,3 +94,15 @@
 
     assert!(admitted <= most(started), "{admitted} admitted");
 }
+
+// All hosts start at once, as after a power cut, and callers are back before the hosts have shared out
+// the rate. Told that they are above their rate, they would look for a fault of their own.
+#[test]
+fn callers_who_come_before_the_rate_is_shared_out_are_told_so() {
+    let fleet = Fleet::start_unready();
+
+    let answer = fleet.chat(0, "hall", 1, false);
+
+    assert_eq!((answer.code(), answer.execution().as_str()), (1402, "not run"));
+    assert_eq!(fleet.operator(0, http::Method::GET, "/readyz", "").status, 503);
+}
--- a/tests/testsuite/tests/testsuite/support.rs
+++ b/tests/testsuite/tests/testsuite/support.rs
@@ -172,6 +172,21 @@
 
     /// A fleet as planned, ready to serve.
     pub(crate) fn start_plan(plan: FleetPlan) -> Self {
+        let mut fleet = Self::start_stand_ins(&plan);
+        for _ in 0..plan.hosts {
+            fleet.add_host();
+        }
+        fleet.wait("hosts know each other", |fleet| {
+            (0..fleet.hosts.len()).all(|host| fleet.live_hosts(host) == fleet.hosts.len())
+        });
+        fleet.declare(&fleet.declarations(plan.rate, plan.burst));
+        fleet.key = fleet.grant(0, TEAM);
+        fleet.wait_for_key();
+        fleet.wait("shards are owned", |fleet| fleet.all_shards_owned());
+        fleet
+    }
+
+    fn start_stand_ins(plan: &FleetPlan) -> Self {
         let runtime = new_runtime();
         let (platform, engines) = runtime.block_on(async {
             let platform = Arc::new(MemoryPlatform::new(platform_settings()));
@@ -183,24 +198,26 @@
             (platform, engines)
         });
         let limits = CallLimits { connect: CALL_LIMIT, first_byte: CALL_LIMIT };
-        let mut fleet = Fleet {
+        Fleet {
             runtime,
             platform,
             hosts: Vec::new(),
             engines,
             key: String::new(),
             client: HttpClient::new(limits),
-        };
-        for _ in 0..plan.hosts {
-            fleet.add_host();
         }
-        fleet.wait("hosts know each other", |fleet| {
-            (0..fleet.hosts.len()).all(|host| fleet.live_hosts(host) == fleet.hosts.len())
-        });
+    }
+
+    /// One host that waits for long before it claims shards, with a key in force.
+    pub(crate) fn start_unready() -> Self {
+        let plan = FleetPlan { hosts: 0, ..FleetPlan::default() };
+        let mut fleet = Self::start_stand_ins(&plan);
+        let mut settings = test_settings(0);
+        settings.peers.list_poll_ms = 600_000;
+        fleet.add_host_with(settings);
         fleet.declare(&fleet.declarations(plan.rate, plan.burst));
         fleet.key = fleet.grant(0, TEAM);
         fleet.wait_for_key();
-        fleet.wait("shards are owned", |fleet| fleet.all_shards_owned());
         fleet
     }
 
