--- a/crates/cuminramp-cli/src/connection.rs
+++ b/crates/cuminramp-cli/src/connection.rs
@@ -140,6 +140,15 @@
         let reason = fault["reason"].as_str().unwrap_or_default();
         text.push_str(&format!("\n  {place}: {reason}"));
     }
+    for change in body["details"]["difference"].as_array().into_iter().flatten() {
+        let field = |name: &str| change[name].as_str().unwrap_or_default().to_owned();
+        text.push_str(&format!(
+            "\n  would {} {} {}",
+            field("change"),
+            field("table"),
+            field("name")
+        ));
+    }
     match status {
         StatusCode::CONFLICT => CommandError::Conflict(text),
         StatusCode::SERVICE_UNAVAILABLE => CommandError::Unreachable(text),
--- a/crates/cuminramp-daemon/src/operator/declarations.rs
+++ b/crates/cuminramp-daemon/src/operator/declarations.rs
@@ -5,7 +5,7 @@
 use axum::Json;
 use axum::extract::{Query, State};
 use axum::response::{IntoResponse, Response};
-use cuminramp_routes::{DeclarationFault, parse_declarations, plan_changes};
+use cuminramp_routes::{DeclarationFault, Declarations, parse_declarations, plan_changes};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -46,7 +46,7 @@
     let generation = in_force.configuration.generation;
     let expected = query.expect.unwrap_or(generation);
     if expected != generation {
-        return publish_failure(&state, PublishError::Conflict { generation });
+        return conflict_answer(&state, &desired);
     }
     let changes = plan_changes(&in_force.configuration, &desired);
     let names: Vec<Value> = changes.iter().map(describe_change).collect();
@@ -59,10 +59,21 @@
             Json(json!({"generation": generation, "changes": names, "applied": true}))
                 .into_response()
         }
+        Err(PublishError::Conflict { .. }) => conflict_answer(&state, &desired),
         Err(error) => publish_failure(&state, error),
     }
 }
 
+/// Tells an operator who came second what the file would change of what is in force now: both what the
+/// file is for and what it would undo.
+fn conflict_answer(state: &DaemonState, desired: &Declarations) -> Response {
+    let in_force = state.configuration.in_force();
+    let changes = plan_changes(&in_force.configuration, desired);
+    let difference: Vec<Value> = changes.iter().map(describe_change).collect();
+    let generation = in_force.configuration.generation;
+    publish_failure(state, PublishError::Conflict { generation, difference })
+}
+
 fn describe_change(change: &cuminramp_wire::rows::Change) -> Value {
     use cuminramp_wire::rows::change::Entry;
     let (what, table, name) = match &change.entry {
--- a/crates/cuminramp-daemon/src/operator/mod.rs
+++ b/crates/cuminramp-daemon/src/operator/mod.rs
@@ -66,10 +66,11 @@
 /// the operator needs to see.
 fn publish_failure(state: &DaemonState, error: PublishError) -> Response {
     let (code, message, details) = match error {
-        PublishError::Conflict { generation } => {
+        PublishError::Conflict { generation, difference } => {
             let message =
                 format!("generation {generation} is in force now; look at it and try again");
-            (ResultCode::GenerationConflict, message, json!({"generation": generation}))
+            let details = json!({"generation": generation, "difference": difference});
+            (ResultCode::GenerationConflict, message, details)
         }
         PublishError::Invalid(faults) => {
             let message = format!("refused whole: {} faults", faults.len());
--- a/crates/cuminramp-daemon/src/sync/publisher.rs
+++ b/crates/cuminramp-daemon/src/sync/publisher.rs
@@ -8,6 +8,7 @@
 use cuminramp_wire::rows::change::Entry;
 use cuminramp_wire::rows::{Change, ChangeSet, HeadRow};
 use cuminramp_wire::{decode_row, encode_row};
+use serde_json::Value;
 
 use crate::peer::spread_news;
 use crate::state::DaemonState;
@@ -28,6 +29,8 @@
     Conflict {
         /// The one in force.
         generation: u64,
+        /// What the change would alter of it, as the operators' interface shows changes.
+        difference: Vec<Value>,
     },
     /// The result would be wrong.
     Invalid(Vec<DeclarationFault>),
@@ -53,7 +56,7 @@
     let version = row.as_ref().map_or(0, |row| row.version);
     let head: HeadRow = row.and_then(|row| decode_row(&row.value).ok()).unwrap_or_default();
     if head.generation != expected {
-        return Err(PublishError::Conflict { generation: head.generation });
+        return Err(PublishError::Conflict { generation: head.generation, difference: Vec::new() });
     }
     let set = ChangeSet { generation: expected + 1, writer: state.writer_mark(), changes };
     check_changes(state, &set)?;
@@ -86,7 +89,10 @@
 fn check_changes(state: &DaemonState, set: &ChangeSet) -> Result<(), PublishError> {
     let in_force = state.configuration.in_force();
     let Ok(next) = in_force.configuration.apply(set) else {
-        return Err(PublishError::Conflict { generation: in_force.configuration.generation });
+        return Err(PublishError::Conflict {
+            generation: in_force.configuration.generation,
+            difference: Vec::new(),
+        });
     };
     let faults = next.check();
     if faults.is_empty() { Ok(()) } else { Err(PublishError::Invalid(faults)) }
@@ -94,7 +100,7 @@
 
 async fn conflict_now(state: &DaemonState) -> PublishError {
     let _ = read_generations(state).await;
-    PublishError::Conflict { generation: state.configuration.generation() }
+    PublishError::Conflict { generation: state.configuration.generation(), difference: Vec::new() }
 }
 
 /// Finds out whether a write whose answer was lost took effect.
--- a/tests/testsuite/tests/testsuite/configuration.rs
+++ b/tests/testsuite/tests/testsuite/configuration.rs
@@ -44,7 +44,9 @@
     assert_eq!(first.status, StatusCode::OK);
     assert_eq!(second.status, StatusCode::CONFLICT);
     assert_eq!(second.code(), 1500);
-    assert_eq!(second.json()["details"]["generation"], seen + 1);
+    let details = &second.json()["details"];
+    assert_eq!(details["generation"], seen + 1);
+    assert_eq!(details["difference"], json!([{"change": "set", "table": "team", "name": TEAM}]));
 }
 
 #[test]
