Take an engine without load reports for alive

Cause: an answer that is no report counted as none, and two in a row as silence: a pool of engines without a report at the usual path was set aside by half, and requests on it broken off. Found by reading the poll. Test: online engines_without_load_reports_are_used; it fails without the change.

--- a/crates/cuminramp-daemon/src/sync/targets.rs
+++ b/crates/cuminramp-daemon/src/sync/targets.rs
@@ -26,9 +26,7 @@
 /// What an engine says of its load.
 #[derive(Deserialize)]
 struct LoadBody {
-    #[serde(default)]
     running: u32,
-    #[serde(default)]
     waiting: u32,
     #[serde(default)]
     age_ms: u64,
@@ -100,33 +98,40 @@
     }
 }
 
-/// Asks one engine; says whether it answered.
+/// Asks one engine; says whether it answered. An engine that answers without a report, since it has
+/// none at this path, lives all the same: taken for silent, every engine of its kind would be set aside.
 async fn poll_load(state: &DaemonState, target: &Target) -> bool {
-    let asked = tokio::time::timeout(REPORT_LIMIT, read_report(state, target)).await;
-    let Ok(Some(report)) = asked else {
-        return false;
-    };
-    lock(&state.targets).on_report(&target.name, report);
+    let asked_at = Instant::now();
+    let asked = tokio::time::timeout(REPORT_LIMIT, read_answer(state, target)).await;
+    let Ok(Some(answer)) = asked else { return false };
+    if let Ok(body) = serde_json::from_slice::<LoadBody>(&answer) {
+        let age = Duration::from_millis(body.age_ms);
+        let at = asked_at.checked_sub(age).unwrap_or(asked_at);
+        let report = LoadSnapshot { requests: body.running + body.waiting, at };
+        lock(&state.targets).on_report(&target.name, report);
+    }
     true
 }
 
-async fn read_report(state: &DaemonState, target: &Target) -> Option<LoadSnapshot> {
+/// The body of an engine's answer, empty where it says that it has no report; `None` where no answer
+/// came.
+async fn read_answer(state: &DaemonState, target: &Target) -> Option<Bytes> {
     let request = TargetRequest {
         method: Method::GET,
         path: state.settings.targets.load_path.clone(),
         headers: HeaderMap::new(),
         body: Bytes::new(),
     };
-    let asked_at = Instant::now();
     let mut answer = state.caller.call(&target.address, request, REPORT_LIMIT).await.ok()?;
+    if !answer.status.is_success() {
+        return Some(Bytes::new());
+    }
     let mut whole = BytesMut::new();
     while let Some(part) = answer.body.next().await {
         whole.extend_from_slice(&part.ok()?);
         if whole.len() > MOST_REPORT_BYTES {
-            return None;
+            return Some(Bytes::new());
         }
     }
-    let body: LoadBody = serde_json::from_slice(&whole).ok()?;
-    let at = asked_at.checked_sub(Duration::from_millis(body.age_ms)).unwrap_or(asked_at);
-    Some(LoadSnapshot { requests: body.running + body.waiting, at })
+    Some(whole.freeze())
 }
--- a/crates/cuminramp-standin/src/engine.rs
+++ b/crates/cuminramp-standin/src/engine.rs
@@ -33,6 +33,8 @@
     pub prefill_steps: usize,
     /// Prefixes the cache holds.
     pub prefix_entries: usize,
+    /// Whether it reports its load at all.
+    pub reports_load: bool,
     /// How late load reports are, in milliseconds.
     pub report_lag_ms: u64,
     /// How long a crashed engine is away, in milliseconds.
@@ -52,6 +54,7 @@
             step_sequence_us: 200,
             prefill_steps: 3,
             prefix_entries: 64,
+            reports_load: true,
             report_lag_ms: 500,
             restart_ms: 1_000,
             crash_marker: "CRASH-THE-ENGINE".into(),
--- a/crates/cuminramp-standin/src/engine_http.rs
+++ b/crates/cuminramp-standin/src/engine_http.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::engine::EngineShared;
-use crate::engine_core::{LoadReport, SequenceEvent, SequenceRequest};
+use crate::engine_core::{SequenceEvent, SequenceRequest};
 
 /// Tokens of an answer where the caller names no number.
 const DEFAULT_TOKENS: usize = 16;
@@ -177,9 +177,12 @@
     .into_response()
 }
 
-async fn show_load(State(shared): Shared) -> Json<LoadReport> {
+async fn show_load(State(shared): Shared) -> Response {
     be_silent(&shared).await;
-    Json(shared.core.late_report())
+    if !shared.settings.reports_load {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    Json(shared.core.late_report()).into_response()
 }
 
 async fn take_order(State(shared): Shared, Json(order): Json<OrderBody>) -> Response {
--- a/tests/testsuite/tests/testsuite/online.rs
+++ b/tests/testsuite/tests/testsuite/online.rs
@@ -82,3 +82,20 @@
 
     assert_eq!(answer.streamed(), (expected_answer("evening", 60), true));
 }
+
+// Engines of another make have no load report at the usual path. Taken for silent, all of them would be
+// set aside, and requests in flight on them broken off.
+#[test]
+fn engines_without_load_reports_are_used() {
+    let fleet = Fleet::start_plan(FleetPlan {
+        hosts: 1,
+        engine: EngineSettings { reports_load: false, ..FleetPlan::default().engine },
+        ..FleetPlan::default()
+    });
+
+    std::thread::sleep(Duration::from_millis(600));
+
+    let targets = fleet.operator(0, http::Method::GET, "/operator/targets", "").json();
+    let rows = targets["targets"].as_array().unwrap();
+    assert!(rows.iter().all(|row| row["set-aside"] == false), "{targets}");
+}
