--- a/crates/cuminramp-daemon/src/batch/runner.rs
+++ b/crates/cuminramp-daemon/src/batch/runner.rs
@@ -24,6 +24,8 @@
 
 /// How often windows are looked at.
 const STEP: Duration = Duration::from_millis(20);
+/// How often it is looked whether there is work, while there is none.
+const IDLE_STEP: Duration = Duration::from_millis(200);
 /// Items at once on an engine that this host is not steward of.
 const STRANDED_WINDOW: u32 = 1;
 /// Waits before an item that no target took is queued again.
@@ -32,6 +34,11 @@
 /// Fills windows with items, again and again.
 pub(crate) async fn run_items(state: Arc<DaemonState>) {
     loop {
+        if !state.batch.has_work() {
+            // Looking at all engines for nothing is most of what an idle host does.
+            let _ = tokio::time::timeout(IDLE_STEP, state.batch.work.notified()).await;
+            continue;
+        }
         let mut slots = 0;
         for pool in engine_pools(&state) {
             let stranded = is_stranded(&state, &pool);
--- a/crates/cuminramp-daemon/src/batch/windows.rs
+++ b/crates/cuminramp-daemon/src/batch/windows.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Whether there is anything of batch to look after.
+    pub(crate) fn has_work(&self) -> bool {
+        self.has_jobs.load(Ordering::Relaxed)
+            || lock(&self.waiting).len() > 0
+            || lock(&self.engines).values().any(|engine| !engine.running.is_empty())
+    }
+
     /// The targets of a pool that online work should keep to; all of them while no job is open.
     pub(crate) fn pack_online(
         &self,
