--- a/crates/cuminramp-core/src/digest.rs
+++ b/crates/cuminramp-core/src/digest.rs
@@ -27,25 +27,6 @@
         KeyDigest(Sha256::digest(key.as_bytes()).into())
     }
 
-    /// Reads 64 hexadecimal digits.
-    ///
-    /// ```
-    /// use cuminramp_core::KeyDigest;
-    /// let digest = KeyDigest::of_key("sk-1");
-    /// assert_eq!(KeyDigest::from_hex(&digest.to_string()), Some(digest));
-    /// assert_eq!(KeyDigest::from_hex("zz"), None);
-    /// ```
-    pub fn from_hex(text: &str) -> Option<Self> {
-        if text.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
-            return None;
-        }
-        let mut bytes = [0; DIGEST_BYTES];
-        for (index, byte) in bytes.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[index * 2..index * 2 + 2], 16).ok()?;
-        }
-        Some(KeyDigest(bytes))
-    }
-
     /// Reads the bytes of a row.
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
         bytes.try_into().ok().map(KeyDigest)
--- a/crates/cuminramp-daemon/src/batch/windows.rs
+++ b/crates/cuminramp-daemon/src/batch/windows.rs
@@ -119,15 +119,16 @@
             || lock(&self.engines).values().any(|engine| !engine.running.is_empty())
     }
 
-    /// The targets of a pool that online work should keep to; all of them while no job is open.
+    /// The targets of a pool that online work should keep to; `None`, which is all of them, while no
+    /// job is open.
     pub(crate) fn pack_online(
         &self,
         state: &DaemonState,
         pool: &Name,
         specs: &[TargetSpec],
-    ) -> Vec<TargetSpec> {
+    ) -> Option<Vec<TargetSpec>> {
         if !self.has_jobs.load(Ordering::Relaxed) {
-            return specs.to_vec();
+            return None;
         }
         let now = Instant::now();
         let here: u32 = {
@@ -139,7 +140,7 @@
         let in_flight = f64::from(here) * hosts as f64 + 1.0;
         let mut packings = lock(&self.packings);
         let packing = packings.get_or_insert_with(pool.clone(), || OnlinePacking::new(now));
-        packing.choose(specs, in_flight, now)
+        Some(packing.choose(specs, in_flight, now))
     }
 
     /// Tells the engine's steward that online work is on its way, unless it was told just now.
--- a/crates/cuminramp-daemon/src/borders.rs
+++ b/crates/cuminramp-daemon/src/borders.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminramp_core::HostId;
+use cuminramp_core::{HostId, hash_parts};
 use cuminramp_http::CallError;
 use cuminramp_platform::{HostList, ObjectStore, TableStore};
 use cuminramp_wire::peer::{
@@ -40,6 +40,14 @@
     pub body: Bytes,
 }
 
+impl TargetRequest {
+    /// Tells one request from another by method, path and body.
+    pub(crate) fn content_hash(&self) -> u64 {
+        let body = String::from_utf8_lossy(&self.body);
+        hash_parts(&[self.method.as_str(), &self.path, &body])
+    }
+}
+
 /// The bytes of an answer as they come; an error is the last item.
 pub type TargetBody = Pin<Box<dyn Stream<Item = Result<Bytes, CallError>> + Send>>;
 
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -5,7 +5,7 @@
 
 use axum::body::Body;
 use axum::response::Response;
-use cuminramp_core::{Execution, KeyDigest, Name, Refusal, ResultCode, hash_parts};
+use cuminramp_core::{Execution, KeyDigest, Name, Refusal, ResultCode};
 use cuminramp_routes::{Pool, PoolKind, Route, Team};
 use cuminramp_targets::{
     AttemptFailure, ChoiceQuery, FailureStage, RequestTraits, RetryDecision, TargetChoice,
@@ -43,12 +43,6 @@
 }
 
 impl OnlineRequest {
-    /// Tells one whole request from another.
-    pub(crate) fn body_hash(&self) -> u64 {
-        let body = String::from_utf8_lossy(&self.request.body);
-        hash_parts(&[self.request.method.as_str(), &self.request.path, &body])
-    }
-
     /// How long the head of an answer may take: that of a stream comes before its first token, any
     /// other comes when all is done.
     fn first_byte_wait(&self, state: &DaemonState) -> Duration {
@@ -300,12 +294,12 @@
     let query = ChoiceQuery { prefix: online.prefix, tried };
     let packed = match online.pool.kind {
         PoolKind::Engines => state.batch.pack_online(state, &online.pool.name, specs),
-        PoolKind::Services => specs.to_vec(),
+        PoolKind::Services => None,
     };
     let mut random = lock(&state.random);
     let targets = lock(&state.targets);
-    let choice = targets.choose(&packed, query, random.as_mut(), now);
-    let placed = choice.and_then(|choice| {
+    let placed = packed.and_then(|packed| {
+        let choice = targets.choose(&packed, query, random.as_mut(), now)?;
         let name = &packed[choice.index].name;
         let index = specs.iter().position(|spec| spec.name == *name)?;
         Some(TargetChoice { index, ..choice })
--- a/crates/cuminramp-daemon/src/dispatch/relay.rs
+++ b/crates/cuminramp-daemon/src/dispatch/relay.rs
@@ -5,7 +5,7 @@
 use axum::body::Body;
 use axum::response::Response;
 use bytes::{Bytes, BytesMut};
-use cuminramp_core::{Execution, Name, Refusal, ResultCode};
+use cuminramp_core::{Execution, KeyDigest, Name, Refusal, ResultCode};
 use cuminramp_targets::{AttemptEnd, AttemptFailure, FailureStage};
 use futures_util::StreamExt;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
@@ -78,13 +78,14 @@
     mut answer: TargetAnswer,
 ) -> Result<Bytes, WholeError> {
     let mut whole = BytesMut::new();
-    let mut keys = state.configuration.watch();
+    let withdrawn = key_withdrawn(state, job.online.key);
+    tokio::pin!(withdrawn);
     loop {
         let limit = progress_limit(state, job);
         let part = tokio::select! {
             part = tokio::time::timeout_at(limit, answer.body.next()) => part,
             () = lease.silenced.cancelled() => return Err(WholeError::Failed(partial_failure(0, false))),
-            () = key_withdrawn(state, job, &mut keys) => return Err(WholeError::Withdrawn),
+            () = &mut withdrawn => return Err(WholeError::Withdrawn),
         };
         match part {
             Ok(None) => return Ok(whole.freeze()),
@@ -111,16 +112,11 @@
     silence.min(job.online.deadline)
 }
 
-/// Ends when the caller's key is in force no more.
-async fn key_withdrawn(
-    state: &DaemonState,
-    job: &RelayJob,
-    changes: &mut tokio::sync::watch::Receiver<u64>,
-) {
-    loop {
-        if state.configuration.find_key(&job.online.key).is_none() {
-            return;
-        }
+/// Ends when a caller's key is in force no more. Made once for an answer: it looks the key up again only
+/// when keys change, not with each part.
+async fn key_withdrawn(state: &DaemonState, key: KeyDigest) {
+    let mut changes = state.configuration.watch();
+    while state.configuration.find_key(&key).is_some() {
         if changes.changed().await.is_err() {
             return std::future::pending().await;
         }
@@ -201,7 +197,9 @@
 
     async fn pass_events(&mut self, lease: &TargetLease, mut answer: TargetAnswer) -> StreamEnd {
         let mut cutter = EventCutter::default();
-        let mut keys = self.state.configuration.watch();
+        let state = self.state.clone();
+        let withdrawn = key_withdrawn(&state, self.job.online.key);
+        tokio::pin!(withdrawn);
         loop {
             let limit = progress_limit(&self.state, &self.job);
             let part = tokio::select! {
@@ -210,7 +208,7 @@
                 () = lease.silenced.cancelled() => {
                     return StreamEnd::Failed(partial_failure(self.job.tokens, false));
                 }
-                () = key_withdrawn(&self.state, &self.job, &mut keys) => return StreamEnd::Withdrawn,
+                () = &mut withdrawn => return StreamEnd::Withdrawn,
             };
             match part {
                 Ok(Some(Ok(bytes))) => {
--- a/crates/cuminramp-daemon/src/entry/auth.rs
+++ b/crates/cuminramp-daemon/src/entry/auth.rs
@@ -1,11 +1,17 @@
 //! Who calls.
 
+use std::sync::Arc;
+
+use axum::extract::FromRequestParts;
 use axum::http::HeaderMap;
+use axum::http::request::Parts;
+use axum::response::Response;
 use cuminramp_core::{KeyDigest, Refusal, ResultCode};
 use cuminramp_routes::Team;
 use http::header::AUTHORIZATION;
 use tokio::time::Instant;
 
+use crate::entry::answers::refusal_response;
 use crate::state::DaemonState;
 
 /// What stands before the key.
@@ -17,6 +23,17 @@
     pub(crate) key: KeyDigest,
 }
 
+impl FromRequestParts<Arc<DaemonState>> for KnownCaller {
+    type Rejection = Response;
+
+    async fn from_request_parts(
+        parts: &mut Parts,
+        state: &Arc<DaemonState>,
+    ) -> Result<Self, Self::Rejection> {
+        authenticate(state, &parts.headers).map_err(|refusal| refusal_response(state, &refusal))
+    }
+}
+
 /// Finds the team of the key that came with a request.
 ///
 /// A host that can't know which keys are in force says so, and does not run the request: the key may
--- a/crates/cuminramp-daemon/src/entry/batches.rs
+++ b/crates/cuminramp-daemon/src/entry/batches.rs
@@ -4,7 +4,6 @@
 
 use axum::Json;
 use axum::extract::{Path, Request, State};
-use axum::http::HeaderMap;
 use axum::response::Response;
 use cuminramp_core::{Refusal, ResultCode};
 use serde::Deserialize;
@@ -70,25 +69,19 @@
 /// Shows a job.
 pub(crate) async fn show_batch(
     State(state): State<Arc<DaemonState>>,
+    KnownCaller { team, .. }: KnownCaller,
     Path(id): Path<String>,
-    headers: HeaderMap,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(KnownCaller { team, .. }) => describe_job(&state, &team.name, &id).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = describe_job(&state, &team.name, &id).await;
     answer(&state, outcome.map(Json))
 }
 
 /// Lists a team's jobs.
 pub(crate) async fn list_batches(
     State(state): State<Arc<DaemonState>>,
-    headers: HeaderMap,
+    KnownCaller { team, .. }: KnownCaller,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(KnownCaller { team, .. }) => list_jobs(&state, &team.name).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = list_jobs(&state, &team.name).await;
     let outcome = outcome.map(|jobs| json!({"object": "list", "data": jobs, "has_more": false}));
     answer(&state, outcome.map(Json))
 }
@@ -96,12 +89,9 @@
 /// Cancels a job.
 pub(crate) async fn cancel_batch(
     State(state): State<Arc<DaemonState>>,
+    KnownCaller { team, .. }: KnownCaller,
     Path(id): Path<String>,
-    headers: HeaderMap,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(KnownCaller { team, .. }) => cancel_job(&state, &team.name, &id).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = cancel_job(&state, &team.name, &id).await;
     answer(&state, outcome.map(Json))
 }
--- a/crates/cuminramp-daemon/src/entry/calls.rs
+++ b/crates/cuminramp-daemon/src/entry/calls.rs
@@ -4,7 +4,7 @@
 
 use axum::extract::{Request, State};
 use axum::response::Response;
-use cuminramp_core::{Execution, Refusal, ResultCode, hash_parts};
+use cuminramp_core::{Execution, Refusal, ResultCode};
 use cuminramp_routes::RouteQuery;
 use http::HeaderMap;
 use http::header::{
@@ -52,15 +52,8 @@
         headers: forwarded_headers(&head.headers),
         body,
     };
-    let traits = WorkTraits {
-        prefix: None,
-        fingerprint: hash_parts(&[
-            target_request.method.as_str(),
-            &target_request.path,
-            &String::from_utf8_lossy(&target_request.body),
-        ]),
-        is_stream: false,
-    };
+    let traits =
+        WorkTraits { prefix: None, fingerprint: target_request.content_hash(), is_stream: false };
     let online = make_online(state, caller, route, pool, target_request, traits);
     run_marked(state, online, &head.headers).await
 }
@@ -100,7 +93,7 @@
         let message = format!("Idempotency-Key must have 1 to {MOST_KEY_CHARS} characters");
         return Err(Refusal::not_run(ResultCode::FieldInvalid, message));
     }
-    match begin_marked(state, &online.team.name, key, online.body_hash()).await? {
+    match begin_marked(state, &online.team.name, key, online.request.content_hash()).await? {
         MarkDecision::Answered(row) => Ok(kept_answer(row.status, &row.content_type, row.answer)),
         MarkDecision::Run(mark) => {
             // The caller may go away; the request goes on, and its end has to be written.
--- a/crates/cuminramp-daemon/src/entry/chat.rs
+++ b/crates/cuminramp-daemon/src/entry/chat.rs
@@ -13,7 +13,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Method};
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use crate::admission::{admit_request, request_cost};
@@ -38,7 +38,7 @@
     max_tokens: Option<u64>,
     #[serde(default)]
     max_completion_tokens: Option<u64>,
-    messages: Vec<serde_json::Value>,
+    messages: Vec<Value>,
 }
 
 /// Answers a chat request.
@@ -147,17 +147,14 @@
 /// Lists the models that have a route.
 pub(crate) async fn list_models(
     State(state): State<Arc<DaemonState>>,
-    headers: HeaderMap,
-) -> Response {
-    let outcome = authenticate(&state, &headers).map(|_| {
-        let in_force = state.configuration.in_force();
-        let models = in_force.planner.models();
-        let data: Vec<_> = models
-            .map(|model| json!({"id": &**model, "object": "model", "created": 0, "owned_by": "cuminramp"}))
-            .collect();
-        Json(json!({"object": "list", "data": data}))
-    });
-    answer(&state, outcome)
+    _: KnownCaller,
+) -> Json<Value> {
+    let in_force = state.configuration.in_force();
+    let models = in_force.planner.models();
+    let data: Vec<Value> = models
+        .map(|model| json!({"id": &**model, "object": "model", "created": 0, "owned_by": "cuminramp"}))
+        .collect();
+    Json(json!({"object": "list", "data": data}))
 }
 
 /// An answer that was kept.
--- a/crates/cuminramp-daemon/src/entry/files.rs
+++ b/crates/cuminramp-daemon/src/entry/files.rs
@@ -6,7 +6,6 @@
 use axum::Json;
 use axum::body::Body;
 use axum::extract::{FromRequest, Multipart, Path, Request, State};
-use axum::http::HeaderMap;
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use cuminramp_core::{Refusal, ResultCode};
@@ -168,13 +167,10 @@
 /// Shows a file.
 pub(crate) async fn show_file(
     State(state): State<Arc<DaemonState>>,
+    caller: KnownCaller,
     Path(id): Path<String>,
-    headers: HeaderMap,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(caller) => describe_file(&state, &caller, &id).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = describe_file(&state, &caller, &id).await;
     answer(&state, outcome.map(Json))
 }
 
@@ -196,12 +192,9 @@
 /// Lists the files that a team uploaded.
 pub(crate) async fn list_files(
     State(state): State<Arc<DaemonState>>,
-    headers: HeaderMap,
+    caller: KnownCaller,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(caller) => scan_files(&state, &caller).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = scan_files(&state, &caller).await;
     answer(&state, outcome.map(Json))
 }
 
@@ -216,13 +209,10 @@
 /// Reads a file's content.
 pub(crate) async fn read_file(
     State(state): State<Arc<DaemonState>>,
+    caller: KnownCaller,
     Path(id): Path<String>,
-    headers: HeaderMap,
 ) -> Response {
-    let outcome = match authenticate(&state, &headers) {
-        Ok(caller) => read_content(&state, &caller, &id).await,
-        Err(refusal) => Err(refusal),
-    };
+    let outcome = read_content(&state, &caller, &id).await;
     let outcome =
         outcome.map(|content| ([("content-type", "application/jsonl")], content).into_response());
     answer(&state, outcome)
--- a/crates/cuminramp-daemon/src/entry/steering.rs
+++ b/crates/cuminramp-daemon/src/entry/steering.rs
@@ -4,16 +4,13 @@
 
 use axum::Json;
 use axum::extract::{Query, State};
-use axum::http::HeaderMap;
-use axum::response::Response;
-use cuminramp_core::{HostId, Refusal};
+use cuminramp_core::HostId;
 use cuminramp_quota::{TeamLimits, slice_count, slice_shards};
 use cuminramp_routes::Team;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::entry::answers::answer;
-use crate::entry::auth::authenticate;
+use crate::entry::auth::KnownCaller;
 use crate::state::{DaemonState, lock};
 
 /// What a caller may say of itself.
@@ -26,15 +23,13 @@
 /// Answers `GET /cuminramp/hosts`.
 pub(crate) async fn show_hosts(
     State(state): State<Arc<DaemonState>>,
+    caller: KnownCaller,
     Query(query): Query<SteeringQuery>,
-    headers: HeaderMap,
-) -> Response {
-    let outcome = steer(&state, query.zone.as_deref(), &headers);
-    answer(&state, outcome.map(Json))
+) -> Json<Value> {
+    Json(steer(&state, query.zone.as_deref(), &caller))
 }
 
-fn steer(state: &DaemonState, zone: Option<&str>, headers: &HeaderMap) -> Result<Value, Refusal> {
-    let caller = authenticate(state, headers)?;
+fn steer(state: &DaemonState, zone: Option<&str>, caller: &KnownCaller) -> Value {
     let zone = zone.unwrap_or(&state.me.zone);
     let owners = owners_of(state, &caller.team);
     let usable = lock(&state.members).usable_hosts();
@@ -46,7 +41,7 @@
         .collect();
     let addresses: Vec<&str> = answer.hosts.iter().map(|host| &*host.caller_address).collect();
     log::info!(team = &*caller.team.name, zone = zone, hosts = addresses.join(",").as_str(); "steering");
-    Ok(json!({"hosts": hosts, "keep-ms": answer.keep.as_millis() as u64}))
+    json!({"hosts": hosts, "keep-ms": answer.keep.as_millis() as u64})
 }
 
 /// The runs that own the shards of a team's rate.
--- a/crates/cuminramp-daemon/src/sync/configuration.rs
+++ b/crates/cuminramp-daemon/src/sync/configuration.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use cuminramp_core::KeyDigest;
-use cuminramp_platform::StoreError;
+use cuminramp_platform::{StoreError, Version};
 use cuminramp_routes::{
     CatchUp, Configuration, GenerationLog, KeyGrant, RoutePlanner, WithdrawalSet,
 };
@@ -150,21 +150,32 @@
     }
 }
 
-/// Brings this host up to the table's generation.
-pub(crate) async fn read_generations(state: &DaemonState) -> Result<(), StoreError> {
+/// The row of the newest generation, with the version that a write compares.
+#[derive(Default)]
+pub(crate) struct VersionedHead {
+    pub(crate) row: HeadRow,
+    pub(crate) version: Version,
+}
+
+/// Reads the row of the newest generation; one that is not there is generation 0.
+pub(crate) async fn read_head(state: &DaemonState) -> Result<VersionedHead, StoreError> {
     let asked_at = Instant::now();
     let rows = state.platform.table.read(&[HEAD_KEY.to_owned()]).await?;
     state.note_table(asked_at);
-    let Some(head) = rows.into_iter().next().flatten() else {
-        return Ok(());
-    };
-    let Ok(head) = decode_row::<HeadRow>(&head.value) else {
-        return Ok(());
+    let Some(found) = rows.into_iter().next().flatten() else {
+        return Ok(VersionedHead::default());
     };
-    if head.generation <= state.configuration.generation() {
-        return Ok(());
+    let row = decode_row(&found.value).unwrap_or_default();
+    Ok(VersionedHead { row, version: found.version })
+}
+
+/// Brings this host up to the table's generation, and returns the row that names it.
+pub(crate) async fn read_generations(state: &DaemonState) -> Result<VersionedHead, StoreError> {
+    let head = read_head(state).await?;
+    if head.row.generation > state.configuration.generation() {
+        read_missing(state, &head.row).await?;
     }
-    read_missing(state, &head).await
+    Ok(head)
 }
 
 async fn read_missing(state: &DaemonState, head: &HeadRow) -> Result<(), StoreError> {
--- a/crates/cuminramp-daemon/src/sync/publisher.rs
+++ b/crates/cuminramp-daemon/src/sync/publisher.rs
@@ -12,7 +12,7 @@
 
 use crate::peer::spread_news;
 use crate::state::DaemonState;
-use crate::sync::configuration::read_generations;
+use crate::sync::configuration::{VersionedHead, read_generations, read_head};
 use crate::sync::{HEAD_KEY, change_key, snapshot_name};
 
 /// How often a write whose answer was lost is read back.
@@ -50,11 +50,8 @@
     expected: u64,
     changes: Vec<Change>,
 ) -> Result<u64, PublishError> {
-    read_generations(state).await.map_err(unavailable)?;
-    let rows = state.platform.table.read(&[HEAD_KEY.to_owned()]).await.map_err(unavailable)?;
-    let row = rows.into_iter().next().flatten();
-    let version = row.as_ref().map_or(0, |row| row.version);
-    let head: HeadRow = row.and_then(|row| decode_row(&row.value).ok()).unwrap_or_default();
+    let VersionedHead { row: head, version } =
+        read_generations(state).await.map_err(unavailable)?;
     if head.generation != expected {
         return Err(PublishError::Conflict { generation: head.generation, difference: Vec::new() });
     }
@@ -145,18 +142,12 @@
 }
 
 async fn point_to_snapshot(state: &DaemonState, generation: u64) -> Result<(), StoreError> {
-    let rows = state.platform.table.read(&[HEAD_KEY.to_owned()]).await?;
-    let Some(row) = rows.into_iter().next().flatten() else {
-        return Ok(());
-    };
-    let Ok(head) = decode_row::<HeadRow>(&row.value) else {
-        return Ok(());
-    };
-    if head.snapshot >= generation {
+    let VersionedHead { row: head, version } = read_head(state).await?;
+    if head.generation == 0 || head.snapshot >= generation {
         return Ok(());
     }
     let next = HeadRow { snapshot: generation, ..head };
-    let transaction = Transaction::default().put_at(HEAD_KEY, row.version, encode_row(&next));
+    let transaction = Transaction::default().put_at(HEAD_KEY, version, encode_row(&next));
     state.platform.table.commit(transaction).await.map(drop)
 }
 
--- a/crates/cuminramp-http/src/client.rs
+++ b/crates/cuminramp-http/src/client.rs
@@ -39,16 +39,7 @@
     Silent(String),
 }
 
-impl CallError {
-    /// Whether the other end surely saw nothing.
-    ///
-    /// ```
-    /// assert!(cuminramp_http::CallError::NotSent(String::new()).is_not_sent());
-    /// ```
-    pub fn is_not_sent(&self) -> bool {
-        matches!(self, CallError::NotSent(_))
-    }
-}
+impl CallError {}
 
 impl fmt::Display for CallError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -183,16 +183,10 @@
         self.suspect(address, now)
     }
 
-    /// A host spoke for itself, by a probe or an answer: proof that this run lives. Returns whether
-    /// it contradicts a suspicion, in which case the host should be told of it.
-    pub fn on_heard(&mut self, state: &HostState, now: Instant) -> bool {
-        let contradicts = self.members.get(state.address.as_str()).is_some_and(|known| {
-            known.host.id.incarnation == state.incarnation
-                && known.sequence >= state.sequence
-                && matches!(known.status, MemberStatus::Suspect | MemberStatus::Dead)
-        });
+    /// A host spoke for itself, by a probe or an answer. One that is held for suspect or dead is told so
+    /// with the next message, see [`take_updates`](Self::take_updates), and contradicts.
+    pub fn on_heard(&mut self, state: &HostState, now: Instant) {
         self.merge(state, now);
-        contradicts
     }
 
     /// News of any host, passed on by another.
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -234,11 +234,6 @@
         self.teams.retain(|_, team| now.saturating_duration_since(team.used_at) < limit);
     }
 
-    /// How many teams have buckets here.
-    pub fn team_count(&self) -> usize {
-        self.teams.len()
-    }
-
     /// Decides on a request of `team` that costs `cost`. `borrowed` says that owners were asked for
     /// it already, so that a shortage is a refusal.
     pub fn admit(
--- a/crates/cuminramp-standin/src/engine.rs
+++ b/crates/cuminramp-standin/src/engine.rs
@@ -128,11 +128,6 @@
         self.shared.switches.silent.store(silent, Ordering::Relaxed);
     }
 
-    /// Makes it fail each request before running it, or work again.
-    pub fn set_failing(&self, failing: bool) {
-        self.shared.switches.failing.store(failing, Ordering::Relaxed);
-    }
-
     /// How often each prompt or service call ran, sorted by its text.
     pub fn runs(&self) -> Vec<(String, u32)> {
         self.shared.core.runs()
--- a/crates/cuminramp-targets/src/fair_queue.rs
+++ b/crates/cuminramp-targets/src/fair_queue.rs
@@ -101,11 +101,6 @@
     pub fn is_empty(&self) -> bool {
         self.length == 0
     }
-
-    /// How many items of one team wait.
-    pub fn team_len(&self, team: &str) -> usize {
-        self.lines.get(team).map_or(0, |line| line.items.len())
-    }
 }
 
 #[cfg(test)]
