Add the decisions of hosts that share load, rate and jobs by beats

Cause: callers' streams, whole jobs and rates have to be served by equal hosts without a coordinator, and what each needs to know of the others is only a few milliseconds old when it decides. The crate holds the decisions apart from I/O: declarations that never go back, beliefs about peers, rates by told counts, placement with batch that gives way, and the order of job items.

--- /dev/null
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -0,0 +1,77 @@
+//! What hosts tell each other many times a second.
+
+use cuminramp_core::{AvailabilityZone, Incarnation, Name, hash_parts};
+use serde::{Deserialize, Serialize};
+
+/// The short form of a name in beats; the names themselves would make up most of a beat's bytes.
+///
+/// ```
+/// assert_eq!(cuminramp_fleet::name_hash("a"), cuminramp_fleet::name_hash("a"));
+/// assert_ne!(cuminramp_fleet::name_hash("a"), cuminramp_fleet::name_hash("b"));
+/// ```
+pub fn name_hash(name: &str) -> u32 {
+    hash_parts(&[name]) as u32
+}
+
+/// What one host has in flight at one target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetLoad {
+    /// The target, as [`name_hash`] gives it.
+    pub target: u32,
+    /// Online requests.
+    pub online: u16,
+    /// Batch items.
+    pub batch: u16,
+}
+
+/// What one host has admitted of one team since its start.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TeamUsage {
+    /// The team, as [`name_hash`] gives it.
+    pub team: u32,
+    /// Requests admitted since the host's start; it only grows.
+    pub admitted: u32,
+}
+
+/// Where a host can be reached, passed on by hosts that know it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownHost {
+    /// Where other hosts reach it, `ip:port`.
+    pub address: Name,
+    /// Its latest run.
+    pub incarnation: Incarnation,
+    /// Where callers reach it, `ip:port`.
+    pub caller_address: Name,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+}
+
+/// The whole of what a host tells of itself. A beat replaces the one before it, so a lost, repeated
+/// or late one does no harm.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostBeat {
+    /// The sender.
+    pub host: KnownHost,
+    /// Grows with each beat of a run; a lower one came late and is dropped.
+    pub sequence: u64,
+    /// Whether it takes requests.
+    pub is_ready: bool,
+    /// Whether it has ended its last admission and will not admit again in this run.
+    pub has_left: bool,
+    /// Whether the receiver should answer with a beat of its own at once, as a new host asks.
+    pub wants_answer: bool,
+    /// Version of the declarations that it has in force.
+    pub declarations: u64,
+    /// Version up to which it knows the targets.
+    pub targets: u64,
+    /// Batch items that wait at it for a place.
+    pub waiting_items: u32,
+    /// What it has in flight; targets with nothing are left out.
+    pub loads: Vec<TargetLoad>,
+    /// What it has admitted of teams, all of them or those that asked lately.
+    pub usage: Vec<TeamUsage>,
+    /// Whether `usage` names every team of which it admitted anything.
+    pub is_usage_whole: bool,
+    /// Some of the hosts it knows.
+    pub known: Vec<KnownHost>,
+}
--- /dev/null
+++ b/crates/cuminramp-fleet/src/declarations/tests.rs
@@ -0,0 +1,77 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{
+    CallerLimits, DeclarationStore, FleetDeclarations, PoolShare, RouteKind, RouteRule, TeamRule,
+};
+
+fn route(prefix: &str) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Stream,
+        pools: vec![PoolShare { pool: "p".into(), weight: 1 }],
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        gap: None,
+        max_attempts: 2,
+        is_public: false,
+        is_resumable: true,
+        due: Duration::ZERO,
+        keep: Duration::ZERO,
+        waiting_tokens: 0,
+    }
+}
+
+fn declared(version: u64) -> FleetDeclarations {
+    let team =
+        TeamRule { name: "parish".into(), keys: vec!["k1".into()], rate: 1.0, burst: 1.0 };
+    let routes = vec![route("/a/"), route("/a/b/")];
+    FleetDeclarations::new(version, CallerLimits::default(), routes, vec![], vec![team])
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let declarations = declared(1);
+
+    let found = declarations.find_route("a.example", "/a/b/c").map(|rule| rule.prefix.clone());
+
+    assert_eq!(found.as_deref(), Some("/a/b/"));
+    assert!(declarations.find_route("b.example", "/a/b/c").is_none());
+    assert!(declarations.find_route("a.example", "/ab").is_none());
+}
+
+#[test]
+fn a_key_names_its_team_only() {
+    let declarations = declared(1);
+
+    assert_eq!(declarations.find_team("k1").map(|team| &*team.name), Some("parish"));
+    assert!(declarations.find_team("k2").is_none());
+}
+
+/// A host that was cut off passes on the version it had, or an answer of the store overtakes a
+/// later one. A caller would find that a route which had worked is gone again.
+#[test]
+fn an_earlier_version_is_never_taken_again() {
+    let mut store = DeclarationStore::default();
+
+    let taken: Vec<bool> =
+        [5, 3, 5, 9].into_iter().map(|version| store.offer(Arc::new(declared(version)))).collect();
+
+    assert_eq!(taken, [true, false, false, true]);
+    assert_eq!(store.current().map(|held| held.version()), Some(9));
+}
+
+#[test]
+fn pools_get_requests_by_their_weights() {
+    let mut rule = route("/a/");
+    rule.pools = vec![
+        PoolShare { pool: "p".into(), weight: 9 },
+        PoolShare { pool: "q".into(), weight: 1 },
+    ];
+
+    let to_q = (0..100).filter(|spread| rule.pick_pool(*spread).map(|pool| &**pool) == Some("q"));
+
+    assert_eq!(to_q.count(), 10);
+}
--- /dev/null
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -0,0 +1,357 @@
+//! The items of the jobs that this host holds, and which of them goes next.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_core::{Name, SortedMap};
+use tokio::time::Instant;
+
+/// One item as the caller handed it in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ItemSpec {
+    /// Its identity, unique in its job.
+    pub id: Name,
+    /// The path that targets get.
+    pub path: Name,
+    /// Headers that targets get.
+    pub headers: Vec<(Name, Name)>,
+    /// The body that targets get.
+    pub body: Bytes,
+    /// Prompt tokens and the most output tokens together.
+    pub tokens: u64,
+}
+
+/// A job as it was accepted.
+#[derive(Clone, Debug)]
+pub struct JobSpec {
+    /// Its identity.
+    pub id: Name,
+    /// The team that handed it in.
+    pub team: Name,
+    /// The name of its route.
+    pub route: Name,
+    /// The `Host` header that targets get.
+    pub host: Name,
+    /// When results are due.
+    pub due: Instant,
+    /// When items may be given up.
+    pub give_up: Instant,
+    /// Runs of an item that may fail before it is given up.
+    pub max_attempts: u32,
+    /// Its items.
+    pub items: Vec<Arc<ItemSpec>>,
+}
+
+/// How far an item has come on targets that did not finish it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ItemProgress {
+    /// The last whole event that came; `None` before the first.
+    pub last_event: Option<u64>,
+    /// The data of all whole events, separated by line feeds.
+    pub text: String,
+    /// Time on targets that led to this.
+    pub ran: Duration,
+}
+
+/// An item to send to a target now.
+#[derive(Clone, Debug)]
+pub struct ItemStart {
+    /// Its job.
+    pub job: Name,
+    /// Its index in the job.
+    pub index: usize,
+    /// The item.
+    pub item: Arc<ItemSpec>,
+    /// Where it goes on.
+    pub progress: ItemProgress,
+}
+
+/// How a run of an item ended without an end of the item.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ItemFailure {
+    /// It gave way, or no target took it: nothing is held against it.
+    GaveWay,
+    /// The connection broke or fell silent while the target worked on it.
+    Broken,
+    /// The target answered that the run failed.
+    Failed,
+    /// The target answered that the item can never be done.
+    Impossible,
+}
+
+/// What became of an item.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ItemOutcome {
+    /// Its whole output.
+    Complete(String),
+    /// It was given up.
+    GivenUp,
+}
+
+/// An item with its outcome.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FinishedItem {
+    /// Its index in the job.
+    pub index: usize,
+    /// What became of it.
+    pub outcome: ItemOutcome,
+}
+
+/// Pauses and estimates for items.
+#[derive(Clone, Copy, Debug)]
+pub struct JobPolicy {
+    /// Time an item takes on a target, assumed until items have been seen.
+    pub first_run: Duration,
+    /// Pause before a failed item is tried again.
+    pub failure_pause: Duration,
+    /// Pause before an item is tried again at which several targets broke: it may have broken them.
+    pub crash_pause: Duration,
+    /// Breaks before the first event after which an item is paused so.
+    pub crash_limit: u32,
+}
+
+impl Default for JobPolicy {
+    fn default() -> Self {
+        JobPolicy {
+            first_run: Duration::from_secs(5),
+            failure_pause: Duration::from_millis(150),
+            crash_pause: Duration::from_secs(20),
+            crash_limit: 3,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ItemPhase {
+    Waiting,
+    Running,
+    Finished,
+}
+
+#[derive(Debug)]
+struct ItemEntry {
+    item: Arc<ItemSpec>,
+    phase: ItemPhase,
+    progress: ItemProgress,
+    failures: u32,
+    breaks: u32,
+    not_before: Option<Instant>,
+}
+
+/// A job that this host holds.
+#[derive(Debug)]
+pub struct HeldJob {
+    spec: JobSpec,
+    items: Vec<ItemEntry>,
+    unfinished: usize,
+}
+
+impl HeldJob {
+    /// What was accepted.
+    pub fn spec(&self) -> &JobSpec {
+        &self.spec
+    }
+
+    /// Tokens of the items that are not finished.
+    pub fn unfinished_tokens(&self) -> u64 {
+        let open = self.items.iter().filter(|entry| entry.phase != ItemPhase::Finished);
+        open.map(|entry| entry.item.tokens).sum()
+    }
+
+    /// Whether every item is finished.
+    pub fn is_finished(&self) -> bool {
+        self.unfinished == 0
+    }
+
+    /// What is known of items that are under way, by index.
+    pub fn progress(&self) -> impl Iterator<Item = (usize, &ItemProgress)> {
+        let begun = self.items.iter().enumerate().filter(|(_, entry)| {
+            entry.phase == ItemPhase::Waiting && entry.progress.last_event.is_some()
+        });
+        begun.map(|(index, entry)| (index, &entry.progress))
+    }
+}
+
+/// All jobs that this host holds.
+#[derive(Debug)]
+pub struct JobBoard {
+    policy: JobPolicy,
+    jobs: SortedMap<Name, HeldJob>,
+    run: Duration,
+}
+
+/// How much a new sample weighs in the average time that an item takes.
+const RUN_WEIGHT: f64 = 0.1;
+
+impl JobBoard {
+    /// Holds nothing yet.
+    pub fn new(policy: JobPolicy) -> Self {
+        JobBoard { policy, jobs: SortedMap::new(), run: policy.first_run }
+    }
+
+    /// Takes a job over, with the items that are finished already and what is known of others.
+    pub fn hold(
+        &mut self,
+        spec: JobSpec,
+        finished: &[Name],
+        mut known: Vec<(Name, ItemProgress)>,
+    ) {
+        let entry = |item: &Arc<ItemSpec>| {
+            let at = known.iter().position(|(id, _)| *id == item.id);
+            let progress = at.map(|at| known.swap_remove(at).1).unwrap_or_default();
+            let is_finished = finished.contains(&item.id);
+            ItemEntry {
+                item: item.clone(),
+                phase: if is_finished { ItemPhase::Finished } else { ItemPhase::Waiting },
+                progress,
+                failures: 0,
+                breaks: 0,
+                not_before: None,
+            }
+        };
+        let items: Vec<ItemEntry> = spec.items.iter().map(entry).collect();
+        let unfinished = items.iter().filter(|e| e.phase != ItemPhase::Finished).count();
+        self.jobs.insert(spec.id.clone(), HeldJob { spec, items, unfinished });
+    }
+
+    /// Lets a job go: it ended, is done, or another host holds it now.
+    pub fn drop_job(&mut self, id: &str) -> Option<HeldJob> {
+        self.jobs.remove(id)
+    }
+
+    /// A job that this host holds.
+    pub fn get(&self, id: &str) -> Option<&HeldJob> {
+        self.jobs.get(id)
+    }
+
+    /// All held jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &HeldJob> {
+        self.jobs.values()
+    }
+
+    /// How many items wait for a place now.
+    pub fn waiting(&self, now: Instant) -> u32 {
+        let items = self.jobs.values().flat_map(|job| &job.items);
+        items.filter(|entry| is_due_to_run(entry, now)).count() as u32
+    }
+
+    /// The next item of a job on `route`, and counts it as running.
+    ///
+    /// Jobs that are due sooner go first, so that whole jobs finish rather than all jobs half. An
+    /// item that can't be done in time any more waits behind those that still can: it would only
+    /// make another late as well.
+    pub fn next(&mut self, accepts: impl Fn(&JobSpec) -> bool, now: Instant) -> Option<ItemStart> {
+        let run = self.run;
+        let mut best: Option<((bool, Instant, usize), Name)> = None;
+        for (id, job) in self.jobs.iter().filter(|(_, job)| accepts(&job.spec)) {
+            for (index, entry) in job.items.iter().enumerate() {
+                if !is_due_to_run(entry, now) {
+                    continue;
+                }
+                let is_late = now + run.saturating_sub(entry.progress.ran) > job.spec.due;
+                let rank = (is_late, job.spec.due, index);
+                if best.as_ref().is_none_or(|(held, _)| rank < *held) {
+                    best = Some((rank, id.clone()));
+                }
+            }
+        }
+        let ((_, _, index), id) = best?;
+        let entry = &mut self.jobs.get_mut(&id)?.items[index];
+        entry.phase = ItemPhase::Running;
+        let progress = std::mem::take(&mut entry.progress);
+        Some(ItemStart { job: id, index, item: entry.item.clone(), progress })
+    }
+
+    /// An item's whole output is there. `None` where the job is no longer held or the item was
+    /// finished before.
+    pub fn complete(
+        &mut self,
+        job: &str,
+        index: usize,
+        progress: ItemProgress,
+    ) -> Option<FinishedItem> {
+        let run = self.run.as_secs_f64() * (1.0 - RUN_WEIGHT)
+            + progress.ran.as_secs_f64() * RUN_WEIGHT;
+        self.run = Duration::from_secs_f64(run);
+        self.finish(job, index, ItemOutcome::Complete(progress.text))
+    }
+
+    fn finish(&mut self, job: &str, index: usize, outcome: ItemOutcome) -> Option<FinishedItem> {
+        let job = self.jobs.get_mut(job)?;
+        let entry = job.items.get_mut(index)?;
+        if entry.phase == ItemPhase::Finished {
+            return None;
+        }
+        entry.phase = ItemPhase::Finished;
+        entry.progress = ItemProgress::default();
+        job.unfinished -= 1;
+        Some(FinishedItem { index, outcome })
+    }
+
+    /// A run ended early. The item waits again, or is given up: when a target says that it can never
+    /// be done, or when it has failed as often as its route allows.
+    pub fn fail(
+        &mut self,
+        job: &str,
+        index: usize,
+        failure: ItemFailure,
+        progress: ItemProgress,
+        now: Instant,
+    ) -> Option<FinishedItem> {
+        let policy = self.policy;
+        let held = self.jobs.get_mut(job)?;
+        let most = held.spec.max_attempts;
+        let entry = held.items.get_mut(index)?;
+        if entry.phase == ItemPhase::Finished {
+            return None;
+        }
+        entry.phase = ItemPhase::Waiting;
+        let has_moved = progress.last_event > entry.progress.last_event;
+        entry.progress = progress;
+        match failure {
+            ItemFailure::GaveWay => {}
+            ItemFailure::Impossible => return self.finish(job, index, ItemOutcome::GivenUp),
+            ItemFailure::Failed => {
+                entry.failures += 1;
+                entry.not_before = Some(now + policy.failure_pause);
+                if entry.failures >= most {
+                    return self.finish(job, index, ItemOutcome::GivenUp);
+                }
+            }
+            ItemFailure::Broken => {
+                entry.breaks = if has_moved { 0 } else { entry.breaks + 1 };
+                let is_suspect = entry.breaks >= policy.crash_limit;
+                let pause = if is_suspect { policy.crash_pause } else { policy.failure_pause };
+                entry.not_before = Some(now + pause);
+            }
+        }
+        None
+    }
+
+    /// Gives up what may be given up by now; returns each with its job.
+    pub fn give_up_old(&mut self, now: Instant) -> Vec<(Name, FinishedItem)> {
+        let mut given_up = Vec::new();
+        for (id, job) in self.jobs.iter_mut() {
+            if job.spec.give_up > now {
+                continue;
+            }
+            for (index, entry) in job.items.iter_mut().enumerate() {
+                if entry.phase == ItemPhase::Waiting {
+                    entry.phase = ItemPhase::Finished;
+                    job.unfinished -= 1;
+                    let finished = FinishedItem { index, outcome: ItemOutcome::GivenUp };
+                    given_up.push((id.clone(), finished));
+                }
+            }
+        }
+        given_up
+    }
+}
+
+fn is_due_to_run(entry: &ItemEntry, now: Instant) -> bool {
+    entry.phase == ItemPhase::Waiting && entry.not_before.is_none_or(|at| at <= now)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -0,0 +1,143 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, advance};
+
+use super::{
+    FinishedItem, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, JobBoard, JobPolicy, JobSpec,
+};
+
+fn item(id: &str) -> Arc<ItemSpec> {
+    Arc::new(ItemSpec {
+        id: id.into(),
+        path: "/x/1".into(),
+        headers: vec![],
+        body: "b".into(),
+        tokens: 10,
+    })
+}
+
+fn job(id: &str, due: u64, items: &[&str]) -> JobSpec {
+    let now = Instant::now();
+    JobSpec {
+        id: id.into(),
+        team: "t".into(),
+        route: "r".into(),
+        host: "a.example".into(),
+        due: now + Duration::from_secs(due),
+        give_up: now + Duration::from_secs(60),
+        max_attempts: 3,
+        items: items.iter().map(|id| item(id)).collect(),
+    }
+}
+
+fn board(jobs: Vec<JobSpec>) -> JobBoard {
+    let mut board = JobBoard::new(JobPolicy::default());
+    for job in jobs {
+        board.hold(job, &[], vec![]);
+    }
+    board
+}
+
+fn take(board: &mut JobBoard) -> Option<(String, usize, ItemProgress)> {
+    let start = board.next(|_| true, Instant::now())?;
+    Some((start.job.to_string(), start.index, start.progress))
+}
+
+fn progress(last: u64) -> ItemProgress {
+    ItemProgress { last_event: Some(last), text: "x".into(), ran: Duration::from_secs(1) }
+}
+
+/// Many jobs wait and some can't be done in time any more. Were they served first, those that still
+/// can would be late as well, and every caller would be disappointed.
+#[tokio::test(start_paused = true)]
+async fn items_that_cannot_be_in_time_wait_behind_those_that_can() {
+    let mut board = board(vec![job("late", 3, &["l"]), job("soon", 10, &["s"]), job("far", 20, &["f"])]);
+
+    let order: Vec<String> = std::iter::from_fn(|| take(&mut board)).map(|taken| taken.0).collect();
+
+    assert_eq!(order, ["soon", "far", "late"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_item_that_gave_way_goes_on_from_its_last_event() {
+    let mut board = board(vec![job("j", 10, &["a"])]);
+    let first = take(&mut board);
+
+    let given_up = board.fail("j", 0, ItemFailure::GaveWay, progress(7), Instant::now());
+    let second = take(&mut board);
+
+    assert_eq!(first.map(|taken| taken.2.last_event), Some(None));
+    assert_eq!(given_up, None);
+    assert_eq!(second.map(|taken| taken.2), Some(progress(7)));
+}
+
+/// A scanned page can't be read, whichever target tries. The rest of the job must not wait for it.
+#[tokio::test(start_paused = true)]
+async fn an_item_that_can_never_be_done_ends_with_an_error_of_its_own() {
+    let mut board = board(vec![job("j", 10, &["a", "b"])]);
+    take(&mut board);
+
+    let given_up = board.fail("j", 0, ItemFailure::Impossible, ItemProgress::default(), Instant::now());
+
+    assert_eq!(given_up, Some(FinishedItem { index: 0, outcome: ItemOutcome::GivenUp }));
+    assert_eq!(take(&mut board).map(|taken| taken.1), Some(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_item_is_given_up_after_as_many_failures_as_its_route_allows() {
+    let mut board = board(vec![job("j", 10, &["a"])]);
+
+    let mut outcomes = Vec::new();
+    for _ in 0..3 {
+        take(&mut board);
+        let end =
+            board.fail("j", 0, ItemFailure::Failed, ItemProgress::default(), Instant::now());
+        outcomes.push(end.is_some());
+        advance(Duration::from_secs(1)).await;
+    }
+
+    assert_eq!(outcomes, [false, false, true]);
+}
+
+/// One item crashes each target that begins to run it. Sent on at once it would take target after
+/// target down, and online callers with them.
+#[tokio::test(start_paused = true)]
+async fn an_item_at_which_targets_break_is_held_back() {
+    let mut board = board(vec![job("j", 10, &["a"])]);
+    for _ in 0..3 {
+        take(&mut board);
+        board.fail("j", 0, ItemFailure::Broken, ItemProgress::default(), Instant::now());
+        advance(Duration::from_millis(200)).await;
+    }
+
+    let soon = take(&mut board);
+    advance(Duration::from_secs(20)).await;
+    let later = take(&mut board);
+
+    assert!(soon.is_none());
+    assert!(later.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_items_are_given_up_and_their_tokens_no_longer_wait() {
+    let mut board = board(vec![job("j", 10, &["a", "b"])]);
+    assert_eq!(board.get("j").map(|job| job.unfinished_tokens()), Some(20));
+
+    advance(Duration::from_secs(61)).await;
+    let given_up = board.give_up_old(Instant::now());
+
+    assert_eq!(given_up.len(), 2);
+    assert_eq!(board.get("j").map(|job| (job.unfinished_tokens(), job.is_finished())), Some((0, true)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_taken_over_leaves_out_what_is_finished() {
+    let mut board = JobBoard::new(JobPolicy::default());
+    let known = vec![("b".into(), progress(4))];
+
+    board.hold(job("j", 10, &["a", "b"]), &["a".into()], known);
+
+    assert_eq!(take(&mut board), Some(("j".into(), 1, progress(4))));
+    assert!(take(&mut board).is_none());
+}
--- /dev/null
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions of hosts that share load, rate and jobs without a coordinator.
+//!
+//! Nothing here does I/O. The gateway feeds these machines with events and the time, and carries out
+//! what they decide:
+//!
+//! - [`FleetDeclarations`] says which routes, pools, teams and keys are in force;
+//! - [`HostBeat`] is what hosts tell each other many times a second, and [`PeerTable`] what a host
+//!   believes of the others by it;
+//! - [`QuotaBook`] holds teams to their rate and burst over all hosts;
+//! - [`TargetBoard`] places requests and batch items on targets, and says which items give way;
+//! - [`JobBoard`] orders the items of the jobs that this host holds.
+
+mod beat;
+mod declarations;
+mod jobs;
+mod peers;
+mod quota;
+mod targets;
+
+pub use beat::{HostBeat, KnownHost, TargetLoad, TeamUsage, name_hash};
+pub use declarations::{
+    CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
+    TeamRule,
+};
+pub use jobs::{
+    FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
+    JobPolicy, JobSpec,
+};
+pub use peers::{PeerPolicy, PeerRecord, PeerTable};
+pub use quota::{QuotaBook, QuotaDecision};
+pub use targets::{
+    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+};
--- /dev/null
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -0,0 +1,190 @@
+//! What a host believes of the others.
+
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name, SortedMap};
+use tokio::time::Instant;
+
+use crate::beat::{HostBeat, KnownHost};
+
+/// When a host is no longer believed to be there.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerPolicy {
+    /// Silence after which callers are no longer sent to a host and its share of rates is kept for
+    /// it. A little more than three beats, so that one lost datagram means nothing.
+    pub silence: Duration,
+    /// Silence after which a host's jobs are taken over.
+    pub lost: Duration,
+}
+
+/// What is known of one host.
+#[derive(Clone, Debug)]
+pub struct PeerRecord {
+    /// Where it is.
+    pub host: KnownHost,
+    /// When a beat came last; `None` if none has come from this run.
+    pub heard_at: Option<Instant>,
+    /// When this run became known.
+    pub known_at: Instant,
+    /// The newest beat.
+    pub beat: Option<HostBeat>,
+    /// It has said that it admits nothing any more.
+    pub has_left: bool,
+}
+
+impl PeerRecord {
+    /// Its identity.
+    pub fn id(&self) -> HostId {
+        HostId { address: self.host.address.clone(), incarnation: self.host.incarnation }
+    }
+}
+
+/// All other hosts that this host knows.
+#[derive(Debug)]
+pub struct PeerTable {
+    me: KnownHost,
+    policy: PeerPolicy,
+    peers: SortedMap<Name, PeerRecord>,
+}
+
+impl PeerTable {
+    /// Knows nobody yet.
+    pub fn new(me: KnownHost, policy: PeerPolicy) -> Self {
+        PeerTable { me, policy, peers: SortedMap::new() }
+    }
+
+    /// This host.
+    pub fn me(&self) -> &KnownHost {
+        &self.me
+    }
+
+    /// Takes note of a host that a row or another host names; says whether this run was unknown.
+    pub fn learn(&mut self, host: &KnownHost, now: Instant) -> bool {
+        if host.address == self.me.address {
+            return false;
+        }
+        let held = self.peers.get(&host.address);
+        if held.is_some_and(|record| record.host.incarnation >= host.incarnation) {
+            return false;
+        }
+        let record = PeerRecord {
+            host: host.clone(),
+            heard_at: None,
+            known_at: now,
+            beat: None,
+            has_left: false,
+        };
+        self.peers.insert(host.address.clone(), record);
+        true
+    }
+
+    /// Takes a beat; `false` if it is older than what is known.
+    pub fn hear(&mut self, beat: HostBeat, now: Instant) -> bool {
+        if beat.host.address == self.me.address {
+            return false;
+        }
+        self.learn(&beat.host, now);
+        let Some(record) = self.peers.get_mut(&beat.host.address) else {
+            return false;
+        };
+        let is_old = record.host.incarnation > beat.host.incarnation
+            || record.beat.as_ref().is_some_and(|held| held.sequence >= beat.sequence);
+        if is_old {
+            return false;
+        }
+        record.heard_at = Some(now);
+        record.has_left = beat.has_left;
+        record.beat = Some(beat);
+        true
+    }
+
+    /// Forgets when every host was last heard, as after a pause of this host: what it believes is
+    /// as old as the pause was long.
+    pub fn doubt_all(&mut self) {
+        for (_, record) in self.peers.iter_mut() {
+            record.heard_at = None;
+        }
+    }
+
+    /// Takes a host out that the table no longer lists.
+    pub fn forget(&mut self, address: &str) {
+        self.peers.remove(address);
+    }
+
+    /// Every other host.
+    pub fn iter(&self) -> impl Iterator<Item = &PeerRecord> {
+        self.peers.values()
+    }
+
+    /// One host.
+    pub fn get(&self, address: &str) -> Option<&PeerRecord> {
+        self.peers.get(address)
+    }
+
+    /// Whether a host was heard within the policy's silence.
+    pub fn is_heard(&self, record: &PeerRecord, now: Instant) -> bool {
+        record.heard_at.is_some_and(|at| now.duration_since(at) < self.policy.silence)
+    }
+
+    /// Hosts that were heard lately, and all that may be admitting requests, this one included.
+    pub fn heard_of_all(&self, now: Instant) -> (usize, usize) {
+        let others = self.peers.values().filter(|record| !record.has_left);
+        let (mut heard, mut all) = (1, 1);
+        for record in others {
+            all += 1;
+            heard += usize::from(self.is_heard(record, now));
+        }
+        (heard, all)
+    }
+
+    /// Whether a run is surely or probably over, so that its jobs can be taken over; what it still
+    /// writes is refused by the version of the job's row.
+    pub fn is_lost(&self, id: &HostId, now: Instant) -> bool {
+        if id.address == self.me.address {
+            return id.incarnation != self.me.incarnation;
+        }
+        let Some(record) = self.peers.get(&id.address) else {
+            return true;
+        };
+        if record.host.incarnation != id.incarnation || record.has_left {
+            return record.host.incarnation > id.incarnation || record.has_left;
+        }
+        let since = record.heard_at.unwrap_or(record.known_at);
+        now.duration_since(since) > self.policy.lost
+    }
+
+    /// Whether at least half of the others are heard: a host that hears fewer is itself the one cut
+    /// off, and takes over nothing.
+    pub fn hears_most(&self, now: Instant) -> bool {
+        let (heard, all) = self.heard_of_all(now);
+        heard * 2 >= all
+    }
+
+    /// Hosts for callers in `zone`: live ones of the zone, all live ones where it has fewer than
+    /// `fewest`, and those that are only known by name where none is heard.
+    pub fn steer(&self, zone: &str, is_me_ready: bool, fewest: usize, now: Instant) -> Vec<Name> {
+        let mut live: Vec<&KnownHost> = Vec::new();
+        if is_me_ready {
+            live.push(&self.me);
+        }
+        for record in self.peers.values() {
+            let is_ready = record.beat.as_ref().is_some_and(|beat| beat.is_ready);
+            if is_ready && !record.has_left && self.is_heard(record, now) {
+                live.push(&record.host);
+            }
+        }
+        if live.len() <= 1 {
+            let unheard = self.peers.values().filter(|record| !record.has_left);
+            live.extend(unheard.filter(|record| !self.is_heard(record, now)).map(|r| &r.host));
+        }
+        let near: Vec<Name> =
+            live.iter().filter(|host| &*host.zone == zone).map(|h| h.caller_address.clone()).collect();
+        if near.len() >= fewest {
+            return near;
+        }
+        live.iter().map(|host| host.caller_address.clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -0,0 +1,94 @@
+use std::time::Duration;
+
+use cuminramp_core::HostId;
+use tokio::time::{Instant, advance};
+
+use super::{PeerPolicy, PeerTable};
+use crate::beat::{HostBeat, KnownHost};
+
+fn known(address: &str, incarnation: u64, zone: &str) -> KnownHost {
+    KnownHost {
+        address: address.into(),
+        incarnation,
+        caller_address: format!("{address}-callers").into(),
+        zone: zone.into(),
+    }
+}
+
+fn beat(host: KnownHost, sequence: u64) -> HostBeat {
+    HostBeat {
+        host,
+        sequence,
+        is_ready: true,
+        has_left: false,
+        wants_answer: false,
+        declarations: 1,
+        targets: 1,
+        waiting_items: 0,
+        loads: vec![],
+        usage: vec![],
+        is_usage_whole: true,
+        known: vec![],
+    }
+}
+
+fn table() -> PeerTable {
+    let policy =
+        PeerPolicy { silence: Duration::from_millis(350), lost: Duration::from_millis(1_500) };
+    PeerTable::new(known("a", 1, "z1"), policy)
+}
+
+/// A host dies without a word. Callers that were sent to it would wait a second for each
+/// connection that nobody accepts.
+#[tokio::test(start_paused = true)]
+async fn callers_are_not_sent_to_a_host_that_fell_silent() {
+    let mut table = table();
+    table.hear(beat(known("b", 1, "z1"), 1), Instant::now());
+
+    let before = table.steer("z1", true, 1, Instant::now());
+    advance(Duration::from_millis(400)).await;
+    table.hear(beat(known("c", 1, "z1"), 1), Instant::now());
+    let after = table.steer("z1", true, 1, Instant::now());
+
+    assert_eq!(before.len(), 2);
+    assert_eq!(after.iter().map(|name| &**name).collect::<Vec<_>>(), ["a-callers", "c-callers"]);
+}
+
+/// A datagram overtakes a later one, or one of an earlier run arrives late. Its load would be
+/// counted in place of the present one.
+#[tokio::test(start_paused = true)]
+async fn a_beat_that_came_late_is_dropped() {
+    let mut table = table();
+    let now = Instant::now();
+
+    let heard = [
+        table.hear(beat(known("b", 2, "z1"), 5), now),
+        table.hear(beat(known("b", 2, "z1"), 4), now),
+        table.hear(beat(known("b", 1, "z1"), 9), now),
+        table.hear(beat(known("b", 3, "z1"), 1), now),
+    ];
+
+    assert_eq!(heard, [true, false, false, true]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_of_an_earlier_run_and_of_a_silent_host_may_be_taken_over() {
+    let mut table = table();
+    let id = |incarnation| HostId { address: "b".into(), incarnation };
+    table.hear(beat(known("b", 2, "z1"), 1), Instant::now());
+
+    assert!(table.is_lost(&id(1), Instant::now()));
+    assert!(!table.is_lost(&id(2), Instant::now()));
+    advance(Duration::from_millis(1_600)).await;
+    assert!(table.is_lost(&id(2), Instant::now()));
+    assert!(!table.hears_most(Instant::now()) || table.heard_of_all(Instant::now()) == (1, 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_with_too_few_hosts_gets_those_of_others() {
+    let mut table = table();
+    table.hear(beat(known("b", 1, "z2"), 1), Instant::now());
+
+    assert_eq!(table.steer("z2", true, 2, Instant::now()).len(), 2);
+    assert_eq!(table.steer("z2", true, 1, Instant::now()).len(), 1);
+}
