--- /dev/null
+++ b/crates/cuminramp-daemon/src/cmd/gateway.rs
@@ -0,0 +1,69 @@
+//! `cuminrampd gateway`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use cuminramp_daemon::start_logging;
+use cuminramp_gateway::Gateway;
+use cuminramp_platform_adapter::{
+    PlatformCalls, PlatformFleet, PlatformStore, SETTINGS_VARIABLE,
+};
+use cuminramp_settings::{GatewaySettings, parse_gateway_settings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cmd::{EXIT_SETTINGS, wait_for_signal};
+use crate::flags;
+
+/// Runs until a signal, then leaves.
+pub(crate) async fn execute(flags: flags::Gateway) -> ExitCode {
+    let path = flags.settings.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let Some(path) = path else {
+        eprintln!("1502 SettingsInvalid: name settings or set {SETTINGS_VARIABLE}");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match load(&path) {
+        Ok(settings) => settings,
+        Err(reason) => {
+            eprintln!("{reason}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    start_logging(&settings.log_level);
+    let store = Arc::new(PlatformStore::new(&settings.store_address));
+    let started =
+        Gateway::start(settings, store, Arc::new(PlatformCalls), Arc::new(PlatformFleet)).await;
+    let gateway = match started {
+        Ok(gateway) => gateway,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    tokio::spawn(reload_on_signal(path));
+    wait_for_signal().await;
+    gateway.leave().await;
+    ExitCode::SUCCESS
+}
+
+fn load(path: &std::path::Path) -> Result<GatewaySettings, String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| format!("1502 SettingsInvalid: {}: {error}", path.display()))?;
+    parse_gateway_settings(&text).map_err(|faults| {
+        let lines: Vec<String> =
+            faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect();
+        lines.join("\n")
+    })
+}
+
+/// Reads the settings again at each SIGHUP. Without a handler the signal would end the process and
+/// cut off every caller.
+async fn reload_on_signal(path: PathBuf) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
+    while hangups.recv().await.is_some() {
+        match load(&path) {
+            Ok(_) => log::info!(outcome = "read"; "reload"),
+            Err(reason) => log::warn!(outcome = "kept", reason = reason.as_str(); "reload"),
+        }
+    }
+}
--- a/crates/cuminramp-daemon/src/cmd/mod.rs
+++ b/crates/cuminramp-daemon/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each subcommand.
 
 pub(crate) mod check;
+pub(crate) mod gateway;
 pub(crate) mod quickstart;
 pub(crate) mod run;
 
@@ -13,6 +14,26 @@
 /// The exit status for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
 
+fn run_on(mut builder: tokio::runtime::Builder, work: impl Future<Output = ExitCode>) -> ExitCode {
+    match builder.enable_all().build() {
+        Ok(runtime) => runtime.block_on(work),
+        Err(error) => {
+            eprintln!("1900 Internal: no runtime: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a command on a runtime with a thread for each core.
+pub(crate) fn on_threads(work: impl Future<Output = ExitCode>) -> ExitCode {
+    run_on(tokio::runtime::Builder::new_multi_thread(), work)
+}
+
+/// Runs a command on one thread, as suits a host with a part of a core.
+pub(crate) fn on_one_thread(work: impl Future<Output = ExitCode>) -> ExitCode {
+    run_on(tokio::runtime::Builder::new_current_thread(), work)
+}
+
 /// Reads settings, or says what is wrong with them.
 fn load_settings(path: &Path) -> Result<DaemonSettings, ExitCode> {
     let text = std::fs::read_to_string(path).map_err(|error| {
--- a/crates/cuminramp-daemon/src/flags.rs
+++ b/crates/cuminramp-daemon/src/flags.rs
@@ -11,6 +11,11 @@
             /// Settings in JSON with comments.
             required --settings settings: PathBuf
         }
+        /// Serves callers' streams and whole jobs on a host of a shared fleet, until SIGTERM.
+        cmd gateway {
+            /// Settings in JSON with comments; without, the file that CUMINRAMP_CONFIG names.
+            optional --settings settings: PathBuf
+        }
         /// Checks settings and says everything that is wrong with them.
         cmd check {
             /// Settings in JSON with comments.
--- a/crates/cuminramp-daemon/src/lib.rs
+++ b/crates/cuminramp-daemon/src/lib.rs
@@ -27,4 +27,4 @@
     PeerCaller, PlatformBorders, TargetAnswer, TargetBody, TargetCaller, TargetRequest,
 };
 pub use daemon::{Daemon, DaemonAddresses, StartError};
-pub use logging::start_logging;
+pub use logging::{BoundedOutput, start_logging};
--- a/crates/cuminramp-daemon/src/main.rs
+++ b/crates/cuminramp-daemon/src/main.rs
@@ -5,12 +5,12 @@
 mod cmd;
 mod flags;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let flags = flags::Cuminrampd::from_env_or_exit();
     match flags.subcommand {
-        flags::CuminrampdCmd::Run(flags) => cmd::run::execute(flags).await,
+        flags::CuminrampdCmd::Run(flags) => cmd::on_threads(cmd::run::execute(flags)),
+        flags::CuminrampdCmd::Gateway(flags) => cmd::on_one_thread(cmd::gateway::execute(flags)),
         flags::CuminrampdCmd::Check(flags) => cmd::check::execute(&flags),
-        flags::CuminrampdCmd::Quickstart(flags) => cmd::quickstart::execute(flags).await,
+        flags::CuminrampdCmd::Quickstart(flags) => cmd::on_threads(cmd::quickstart::execute(flags)),
     }
 }
--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -134,6 +134,8 @@
     item: Arc<ItemSpec>,
     phase: ItemPhase,
     progress: ItemProgress,
+    /// The last event that was known when the present run began.
+    begun_after: Option<u64>,
     failures: u32,
     breaks: u32,
     not_before: Option<Instant>,
@@ -205,6 +207,7 @@
                 item: item.clone(),
                 phase: if is_finished { ItemPhase::Finished } else { ItemPhase::Waiting },
                 progress,
+                begun_after: None,
                 failures: 0,
                 breaks: 0,
                 not_before: None,
@@ -260,6 +263,7 @@
         let entry = &mut self.jobs.get_mut(&id)?.items[index];
         entry.phase = ItemPhase::Running;
         let progress = std::mem::take(&mut entry.progress);
+        entry.begun_after = progress.last_event;
         Some(ItemStart { job: id, index, item: entry.item.clone(), progress })
     }
 
@@ -307,7 +311,7 @@
             return None;
         }
         entry.phase = ItemPhase::Waiting;
-        let has_moved = progress.last_event > entry.progress.last_event;
+        let has_moved = progress.last_event > entry.begun_after;
         entry.progress = progress;
         match failure {
             ItemFailure::GaveWay => {}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/entry/connections.rs
@@ -0,0 +1,73 @@
+//! Accepts callers' connections.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_http::accept_next;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{AnswerBody, answer_call};
+use crate::state::GatewayState;
+
+/// Idle connections are kept this much longer than callers use them, so that no request crosses
+/// the close.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// The least buffer that the server library takes for heads.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+
+/// Serves callers until the gateway stops. A host that drains still accepts: callers that have not
+/// heard yet would otherwise fail.
+pub(crate) async fn serve_callers(state: Arc<GatewayState>, listener: TcpListener) {
+    while let Some(stream) = accept_next(&listener, &state.stop).await {
+        let state = state.clone();
+        tokio::spawn(serve_connection(state, stream));
+    }
+}
+
+async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream) {
+    let limits = state.declared().map(|declared| declared.limits()).unwrap_or_default();
+    let service_state = state.clone();
+    let service = service_fn(move |request| answer_one(service_state.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let drained = state.drain_idle.cancelled();
+    tokio::pin!(drained);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            outcome = &mut connection => {
+                if let Err(error) = outcome {
+                    log::debug!(reason = error.to_string().as_str(); "connection-ended");
+                }
+                return;
+            }
+            () = &mut drained, if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+async fn answer_one(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let _held = state.tasks.token();
+    let mut response = answer_call(&state, request).await;
+    if state.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! Connections of callers, and what each call on them asks for.
+
+mod answers;
+mod calls;
+mod connections;
+mod service_points;
+
+pub(crate) use answers::{AnswerBody, PROMISES, refusal_response, whole_response};
+pub(crate) use calls::answer_call;
+pub(crate) use connections::serve_callers;
+pub(crate) use service_points::{serve_metrics, serve_readiness, serve_steering};
--- /dev/null
+++ b/crates/cuminramp-gateway/src/entry/service_points.rs
@@ -0,0 +1,114 @@
+//! Small answers beside callers' requests: steering, readiness and metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_http::accept_next;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::state::{GatewayState, lock};
+
+/// Until the head of a small call is whole.
+const HEAD_LIMIT: Duration = Duration::from_secs(5);
+/// Hosts of a zone under which callers are sent to other zones as well: with one alone, its loss
+/// would leave them with nowhere to go until they ask again.
+const FEWEST_IN_ZONE: usize = 2;
+/// Most hosts in a steering answer.
+const MOST_HOSTS: usize = 64;
+
+type SmallAnswer = Response<Full<Bytes>>;
+
+async fn serve_small(
+    state: Arc<GatewayState>,
+    listener: TcpListener,
+    answer: fn(&GatewayState, &Request<Incoming>) -> SmallAnswer,
+) {
+    while let Some(stream) = accept_next(&listener, &state.stop).await {
+        let state = state.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let response = answer(&state, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!(reason = error.to_string().as_str(); "connection-ended");
+            }
+        });
+    }
+}
+
+fn small(status: StatusCode, body: impl Into<Bytes>) -> SmallAnswer {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Tells callers which hosts to use.
+pub(crate) async fn serve_steering(state: Arc<GatewayState>, listener: TcpListener) {
+    serve_small(state, listener, |state, request| {
+        let (mut parts, ()) = Request::new(()).into_parts();
+        parts.uri = request.uri().clone();
+        parts.method = request.method().clone();
+        let Some(call) = state.calls.read_steering(&parts) else {
+            return small(StatusCode::NOT_FOUND, "{}");
+        };
+        let is_ready = state.is_ready();
+        let peers = lock(&state.peers);
+        let mut hosts = peers.steer(&call.zone, is_ready, FEWEST_IN_ZONE, Instant::now());
+        drop(peers);
+        hosts.truncate(MOST_HOSTS);
+        if hosts.is_empty() {
+            return small(StatusCode::SERVICE_UNAVAILABLE, "{}");
+        }
+        let keep = Duration::from_secs_f64(state.settings.steering_keep_s);
+        small(StatusCode::OK, state.calls.write_steering(&hosts, keep))
+    })
+    .await;
+}
+
+/// Tells the platform whether this host takes callers.
+pub(crate) async fn serve_readiness(state: Arc<GatewayState>, listener: TcpListener) {
+    serve_small(state, listener, |state, _| {
+        if state.is_ready() {
+            small(StatusCode::OK, r#"{"ready":true}"#)
+        } else {
+            small(StatusCode::SERVICE_UNAVAILABLE, r#"{"ready":false}"#)
+        }
+    })
+    .await;
+}
+
+/// Serves metrics as text.
+pub(crate) async fn serve_metrics(state: Arc<GatewayState>, listener: TcpListener) {
+    serve_small(state, listener, |state, _| {
+        let version = state.declared().map_or(0, |declared| declared.version());
+        let (heard, _) = lock(&state.peers).heard_of_all(Instant::now());
+        let held = lock(&state.jobs).jobs().count();
+        state.metrics.note_state(version, heard, held);
+        match state.metrics.render() {
+            Ok(text) => {
+                let mut response = small(StatusCode::OK, text);
+                let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => small(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -0,0 +1,275 @@
+//! A running gateway.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cuminramp_core::{HostId, Name, SeededRandom};
+use cuminramp_fleet::{
+    JobBoard, JobPolicy, KnownHost, PeerPolicy, PeerTable, PlacementPolicy, TargetBoard,
+};
+use cuminramp_settings::GatewaySettings;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::borders::{CallFormat, FleetFormat, FleetStore};
+use crate::entry::{serve_callers, serve_metrics, serve_readiness, serve_steering};
+use crate::jobs::{JobsFollower, hand_jobs_over, run_items, take_jobs_over};
+use crate::metrics::GatewayMetrics;
+use crate::peers::{
+    BeatSocket, forget_silent, greet_host, receive_beats, send_beats, serve_calls, tell_all,
+    watch_pauses,
+};
+use crate::state::{GatewayState, lock};
+use crate::sync::{
+    DeclarationsFollower, TargetsFollower, announce_host, drop_missing_targets, follow_table,
+    learn_hosts, withdraw_host,
+};
+
+/// Beliefs about hosts: three and a half beats of 100 ms, and long enough for a process to be
+/// killed and started again.
+const PEERS: PeerPolicy =
+    PeerPolicy { silence: Duration::from_millis(350), lost: Duration::from_millis(1_500) };
+/// Between two looks at what grows old: silent hosts, missing targets, idle connections.
+const UPKEEP_EVERY: Duration = Duration::from_millis(100);
+/// Between two reads of all hosts' rows. New hosts greet by themselves; this finds what that missed.
+const LEARN_EVERY: Duration = Duration::from_secs(5);
+/// Pause after such a read failed.
+const LEARN_PAUSE: Duration = Duration::from_millis(400);
+/// Time that callers need to learn that this host leaves: they keep answers for two seconds, some
+/// three times as long; those still on an open connection are told on it.
+const LEAVE_SHARE: f64 = 0.55;
+/// What is kept back of the grace for the last answers and beats.
+const LEAVE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Why a gateway did not start.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    Listen {
+        /// The setting.
+        setting: &'static str,
+        /// The address.
+        address: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The metrics can't be set up.
+    Metrics(String),
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GatewayError::Listen { setting, address, source } => write!(
+                formatter,
+                "1502 SettingsInvalid: {setting}: can't listen on {address}: {source}"
+            ),
+            GatewayError::Metrics(reason) => write!(formatter, "1900 Internal: metrics: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// A running gateway.
+pub struct Gateway {
+    state: Arc<GatewayState>,
+}
+
+async fn listen(setting: &'static str, address: &str) -> Result<TcpListener, GatewayError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| GatewayError::Listen { setting, address: address.to_owned(), source })
+}
+
+/// The number of this run: later runs on a host have higher ones.
+fn new_incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |passed| passed.as_micros() as u64)
+}
+
+fn make_state(
+    settings: GatewaySettings,
+    store: Arc<dyn FleetStore>,
+    calls: Arc<dyn CallFormat>,
+    fleet: Arc<dyn FleetFormat>,
+) -> Result<GatewayState, GatewayError> {
+    let now = Instant::now();
+    let me = KnownHost {
+        address: settings.peer_address.as_str().into(),
+        incarnation: new_incarnation(),
+        caller_address: settings.caller_address.as_str().into(),
+        zone: settings.availability_zone.as_str().into(),
+    };
+    let id = HostId { address: me.address.clone(), incarnation: me.incarnation };
+    let metrics = GatewayMetrics::new().map_err(|error| GatewayError::Metrics(error.to_string()))?;
+    Ok(GatewayState {
+        declarations: Default::default(),
+        quota: Default::default(),
+        board: TargetBoard::new(id, me.zone.clone(), PlacementPolicy::default()).into(),
+        peers: PeerTable::new(me.clone(), PEERS).into(),
+        jobs: JobBoard::new(JobPolicy::default()).into(),
+        directory: Default::default(),
+        keepers: Default::default(),
+        running: Default::default(),
+        connections: Default::default(),
+        news: Default::default(),
+        random: std::sync::Mutex::new(Box::new(SeededRandom::new(rand::rng().next_u64()))),
+        metrics,
+        beat_socket: OnceLock::new(),
+        asks_for_news: Semaphore::new(1),
+        beat_wanted: Notify::new(),
+        items_wanted: Notify::new(),
+        started: now,
+        is_draining: AtomicBool::new(false),
+        has_left: AtomicBool::new(false),
+        tasks: TaskTracker::new(),
+        drain: CancellationToken::new(),
+        drain_idle: CancellationToken::new(),
+        stop: CancellationToken::new(),
+        settings,
+        me,
+        store,
+        calls,
+        fleet,
+    })
+}
+
+impl Gateway {
+    /// Starts a gateway on the given store and formats.
+    pub async fn start(
+        settings: GatewaySettings,
+        store: Arc<dyn FleetStore>,
+        calls: Arc<dyn CallFormat>,
+        fleet: Arc<dyn FleetFormat>,
+    ) -> Result<Self, GatewayError> {
+        let callers = listen("caller-address", &settings.caller_address).await?;
+        let readiness = listen("readiness-address", &settings.readiness_address).await?;
+        let steering = listen("steering-address", &settings.steering_address).await?;
+        let metrics = listen("metrics-address", &settings.metrics_address).await?;
+        let peers = listen("peer-address", &settings.peer_address).await?;
+        let beats = BeatSocket::bind(&settings.peer_address).await.map_err(|source| {
+            let address = settings.peer_address.clone();
+            GatewayError::Listen { setting: "peer-address", address, source }
+        })?;
+        let state = Arc::new(make_state(settings, store, calls, fleet)?);
+        // The cell is empty until here.
+        let _ = state.beat_socket.set(beats);
+        log::info!(
+            host = state.settings.name.as_str(), address = &*state.me.address,
+            incarnation = state.me.incarnation, zone = &*state.me.zone,
+            callers = &*state.me.caller_address;
+            "started"
+        );
+        tokio::spawn(serve_callers(state.clone(), callers));
+        tokio::spawn(serve_readiness(state.clone(), readiness));
+        tokio::spawn(serve_steering(state.clone(), steering));
+        tokio::spawn(serve_metrics(state.clone(), metrics));
+        tokio::spawn(serve_calls(state.clone(), peers));
+        spawn_loops(&state);
+        Ok(Gateway { state })
+    }
+
+    /// Leaves: out of steering answers at once, callers on open connections are served on, jobs go
+    /// back with what is known of them, and what is in flight ends whole.
+    pub async fn leave(self) {
+        let state = &self.state;
+        let began = Instant::now();
+        let grace = state.settings.grace();
+        log::info!(host = state.settings.name.as_str(), grace_ms = grace.as_millis() as u64; "leaving");
+        state.is_draining.store(true, Ordering::Relaxed);
+        state.drain.cancel();
+        tell_all(state).await;
+        hand_jobs_over(state).await;
+        withdraw_host(state).await;
+        let idle_at = began + grace.mul_f64(LEAVE_SHARE);
+        let last = began + grace.saturating_sub(LEAVE_MARGIN);
+        tokio::time::sleep_until(idle_at).await;
+        state.drain_idle.cancel();
+        state.tasks.close();
+        let whole = tokio::time::timeout_at(last, state.tasks.wait()).await.is_ok();
+        state.has_left.store(true, Ordering::Relaxed);
+        tell_all(state).await;
+        log::info!(
+            host = state.settings.name.as_str(), whole = whole,
+            took_ms = began.elapsed().as_millis() as u64;
+            "left"
+        );
+        state.stop.cancel();
+    }
+
+    /// Stops at once, as a crash does, but in this process.
+    pub fn kill(self) {
+        self.state.stop.cancel();
+    }
+}
+
+/// Runs a loop until the gateway stops.
+fn spawn_loop(state: &Arc<GatewayState>, running: impl Future<Output = ()> + Send + 'static) {
+    let stop = state.stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = running => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
+
+fn spawn_loops(state: &Arc<GatewayState>) {
+    let declarations = DeclarationsFollower { table: state.fleet.declarations_table() };
+    let targets = TargetsFollower { table: state.fleet.targets_table() };
+    spawn_loop(state, follow_table(state.clone(), declarations));
+    spawn_loop(state, follow_table(state.clone(), targets));
+    spawn_loop(state, follow_table(state.clone(), JobsFollower));
+    spawn_loop(state, announce_host(state.clone()));
+    spawn_loop(state, follow_hosts(state.clone()));
+    spawn_loop(state, send_beats(state.clone()));
+    spawn_loop(state, receive_beats(state.clone()));
+    spawn_loop(state, watch_pauses(state.clone()));
+    spawn_loop(state, run_items(state.clone()));
+    spawn_loop(state, take_jobs_over(state.clone()));
+    spawn_loop(state, keep_up(state.clone()));
+}
+
+/// Greets the seeds, then reads all hosts' rows again and again.
+async fn follow_hosts(state: Arc<GatewayState>) {
+    for seed in seed_addresses(&state) {
+        greet_host(&state, &seed).await;
+    }
+    loop {
+        let pause = match learn_hosts(&state).await {
+            Ok(()) => LEARN_EVERY,
+            Err(error) => {
+                state.metrics.count_store_failure("hosts");
+                log::debug!(reason = error.to_string().as_str(); "hosts-not-read");
+                LEARN_PAUSE
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Peer addresses of the seeds: their addresses with this host's peer port.
+fn seed_addresses(state: &GatewayState) -> Vec<Name> {
+    let Ok(own) = state.me.address.parse::<SocketAddr>() else { return vec![] };
+    let seeds = state.settings.seeds.iter().filter_map(|seed| seed.parse::<SocketAddr>().ok());
+    let others = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
+    others.filter(|seed| *seed != own).map(|seed| seed.to_string().into()).collect()
+}
+
+async fn keep_up(state: Arc<GatewayState>) {
+    let mut silent = Vec::new();
+    loop {
+        tokio::time::sleep(UPKEEP_EVERY).await;
+        forget_silent(&state, &mut silent);
+        drop_missing_targets(&state, Instant::now());
+        state.connections.close_old();
+        let (heard, all) = lock(&state.peers).heard_of_all(Instant::now());
+        log::trace!(heard = heard, all = all; "upkeep");
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -0,0 +1,341 @@
+//! Accepts jobs: durably, once, and within what a team may have waiting.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
+use cuminramp_fleet::{ItemSpec, JobSpec, RouteRule};
+use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
+use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
+use cuminramp_wire::encode_row;
+use http::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::directory::unix_ms;
+use super::names::{gate_key, input_object, job_key, jobs_prefix};
+use super::{JobCaller, keeper};
+use crate::entry::{AnswerBody, whole_response};
+use crate::state::{GatewayState, lock};
+
+/// How long a host tries to make a job durable. Callers wait four seconds and then ask another
+/// host; a little less lets the answer arrive.
+const ACCEPT_LIMIT: Duration = Duration::from_millis(3_000);
+/// Pause after a call of the store that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(80);
+/// When a refused job should come back.
+const RETURN_PAUSE: Duration = Duration::from_millis(700);
+/// Most rows of a partition that one scan reads.
+const MOST_ROWS: usize = 5_000;
+
+/// What becomes durable.
+struct JobDraft {
+    row: JobRow,
+    tokens: u64,
+    limit: u64,
+    gate: String,
+    key: String,
+    began: Instant,
+    /// A write of it may still take effect.
+    is_unsettled: bool,
+}
+
+/// How one try went.
+enum DraftStep {
+    /// It is durable, by this write or an earlier one.
+    Accepted(u64),
+    /// Another host accepted it.
+    Repeated,
+    /// Something else changed first.
+    Again,
+    /// It surely had no effect.
+    NotDone(String),
+    /// It may have taken effect.
+    Unsettled(String),
+}
+
+/// Accepts a job handed in on `route`.
+pub(crate) async fn accept_job(
+    state: &Arc<GatewayState>,
+    route: &RouteRule,
+    caller: JobCaller,
+    body: Bytes,
+    version: u64,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let began = Instant::now();
+    let outcome = accept(state, route, &caller, &body, began).await;
+    let job = caller.head.request_id.as_deref().unwrap_or("-");
+    let took_ms = began.elapsed().as_millis() as u64;
+    match &outcome {
+        Ok(kind) => {
+            state.metrics.note_acceptance(began.elapsed());
+            log::info!(
+                job = job, team = &*caller.team, route = &*route.name, declarations = version,
+                outcome = *kind, took_ms = took_ms;
+                "job-accepted"
+            );
+        }
+        Err(refusal) => log::info!(
+            job = job, team = &*caller.team, route = &*route.name, declarations = version,
+            code = refusal.code.number(), name = refusal.code.name(),
+            execution = refusal.execution.as_str(), reason = refusal.message.as_str(),
+            took_ms = took_ms;
+            "job-refused"
+        ),
+    }
+    outcome.map(|_| whole_response(StatusCode::ACCEPTED, Bytes::from_static(b"{}")))
+}
+
+async fn accept(
+    state: &Arc<GatewayState>,
+    route: &RouteRule,
+    caller: &JobCaller,
+    body: &Bytes,
+    began: Instant,
+) -> Result<&'static str, Refusal> {
+    let Some(id) = caller.head.request_id.clone() else {
+        return Err(Refusal::not_run(ResultCode::FieldInvalid, "the job has no identity"));
+    };
+    if is_known(state, &id, &caller.team) {
+        return Ok("known");
+    }
+    if state.is_draining() {
+        let refusal = Refusal::not_run(ResultCode::HostDraining, "the host is leaving");
+        return Err(refusal.with_retry_after(Duration::from_millis(50)));
+    }
+    let items = state
+        .calls
+        .read_job(body)
+        .map_err(|fault| Refusal::not_run(ResultCode::BodyMalformed, fault.to_string()))?;
+    let mut draft = make_draft(state, route, caller, &id, &items, body, began);
+    store_input(state, &draft, &items).await?;
+    make_durable(state, &mut draft).await.map(|outcome| {
+        if outcome == "accepted" {
+            hold(state, &draft, items);
+        }
+        outcome
+    })
+}
+
+fn is_known(state: &GatewayState, id: &str, team: &str) -> bool {
+    state.directory.get(id).is_some_and(|known| known.row.team == team)
+}
+
+fn make_draft(
+    state: &GatewayState,
+    route: &RouteRule,
+    caller: &JobCaller,
+    id: &Name,
+    items: &[ItemSpec],
+    body: &Bytes,
+    began: Instant,
+) -> JobDraft {
+    let tokens = items.iter().map(|item| item.tokens).sum();
+    let now = unix_ms();
+    let row = JobRow {
+        id: id.to_string(),
+        team: caller.team.to_string(),
+        route: route.name.to_string(),
+        host: caller.head.host.to_string(),
+        phase: JobPhase::Open as i32,
+        holder_address: state.me.address.to_string(),
+        holder_incarnation: state.me.incarnation,
+        fence: 1,
+        accepted_ms: now,
+        due_ms: now + route.due.as_millis() as u64,
+        give_up_ms: now + route.keep.as_millis() as u64,
+        max_attempts: route.max_attempts,
+        total: items.len() as u32,
+        listed: 0,
+        waiting_tokens: tokens,
+        commit: 0,
+        digest: hash_parts(&[&String::from_utf8_lossy(body)]),
+    };
+    JobDraft {
+        row,
+        tokens,
+        limit: route.waiting_tokens,
+        gate: gate_key(&caller.team),
+        key: job_key(&caller.team, id),
+        began,
+        is_unsettled: false,
+    }
+}
+
+fn unavailable(reason: impl Into<String>) -> Refusal {
+    Refusal::not_run(ResultCode::StoreUnavailable, reason).with_retry_after(RETURN_PAUSE)
+}
+
+async fn store_input(
+    state: &GatewayState,
+    draft: &JobDraft,
+    items: &[ItemSpec],
+) -> Result<(), Refusal> {
+    let packed = items.iter().map(|item| JobItem {
+        id: item.id.to_string(),
+        path: item.path.to_string(),
+        headers: item
+            .headers
+            .iter()
+            .map(|(name, value)| JobHeader { name: name.to_string(), value: value.to_string() })
+            .collect(),
+        body: item.body.to_vec(),
+        tokens: item.tokens,
+    });
+    let bytes = Bytes::from(encode_row(&JobInput { items: packed.collect() }));
+    let name = input_object(&draft.row.team, &draft.row.id);
+    loop {
+        match state.store.put(&name, bytes.clone()).await {
+            Ok(()) => return Ok(()),
+            Err(error) if draft.began.elapsed() >= ACCEPT_LIMIT => {
+                return Err(unavailable(error.to_string()));
+            }
+            Err(_) => {
+                state.metrics.count_store_failure("put-input");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn make_durable(
+    state: &Arc<GatewayState>,
+    draft: &mut JobDraft,
+) -> Result<&'static str, Refusal> {
+    let mut is_fresh = false;
+    loop {
+        check_room(state, draft, &mut is_fresh).await?;
+        match try_commit(state, draft).await {
+            DraftStep::Accepted(version) => {
+                state.directory.put(draft.row.clone(), version);
+                state.directory.put_gate(&draft.gate, version);
+                return Ok("accepted");
+            }
+            DraftStep::Repeated => return Ok("repeated"),
+            DraftStep::Again => is_fresh = true,
+            DraftStep::NotDone(reason) => give_up_late(draft, &reason)?,
+            DraftStep::Unsettled(reason) => {
+                draft.is_unsettled = true;
+                give_up_late(draft, &reason)?;
+            }
+        }
+        if draft.began.elapsed() >= ACCEPT_LIMIT {
+            give_up_late(draft, "too many changes at once")?;
+        }
+    }
+}
+
+/// Ends the tries when the time is up. Where a write may still take effect, nothing is promised.
+fn give_up_late(draft: &JobDraft, reason: &str) -> Result<(), Refusal> {
+    if draft.began.elapsed() < ACCEPT_LIMIT {
+        return Ok(());
+    }
+    if draft.is_unsettled {
+        let refusal = Refusal::not_run(ResultCode::DeadlineExceeded, reason);
+        return Err(refusal.with_execution(Execution::MayHaveRun));
+    }
+    Err(unavailable(reason))
+}
+
+/// Refuses a job that does not fit beside what the team has waiting. What is known may be a
+/// moment old, so the table is asked before anything is refused.
+async fn check_room(
+    state: &Arc<GatewayState>,
+    draft: &JobDraft,
+    is_fresh: &mut bool,
+) -> Result<(), Refusal> {
+    if draft.limit == 0 {
+        return Ok(());
+    }
+    loop {
+        let waiting = state.directory.waiting_tokens(&draft.row.team, &draft.row.route);
+        if waiting + draft.tokens <= draft.limit {
+            return Ok(());
+        }
+        if !*is_fresh {
+            refresh(state, &draft.row.team).await.map_err(|error| unavailable(error.to_string()))?;
+            *is_fresh = true;
+            continue;
+        }
+        let reason = format!("{waiting} tokens wait, {} are allowed", draft.limit);
+        let refusal = Refusal::not_run(ResultCode::RateExceeded, reason);
+        return Err(refusal.with_retry_after(RETURN_PAUSE));
+    }
+}
+
+/// Reads a team's partition anew.
+async fn refresh(state: &Arc<GatewayState>, team: &str) -> Result<(), StoreError> {
+    let rows = state.store.scan(&jobs_prefix(team), "", MOST_ROWS).await?;
+    for row in rows {
+        super::directory::notice_row(state, &row);
+    }
+    Ok(())
+}
+
+async fn try_commit(state: &Arc<GatewayState>, draft: &JobDraft) -> DraftStep {
+    let gate = GateRow { accepted: draft.row.accepted_ms };
+    let gate_version = state.directory.gate(&draft.row.team);
+    let transaction = Transaction::default()
+        .put_at(draft.gate.clone(), gate_version, encode_row(&gate))
+        .put_at(draft.key.clone(), 0, encode_row(&draft.row));
+    match state.store.commit(transaction).await {
+        Ok(CommitOutcome::Committed(version)) => DraftStep::Accepted(version),
+        Ok(CommitOutcome::Conflict(_)) => settle(state, draft).await,
+        Err(StoreError::Unavailable(reason)) => {
+            state.metrics.count_store_failure("accept");
+            tokio::time::sleep(FAILURE_PAUSE).await;
+            DraftStep::NotDone(reason)
+        }
+        Err(StoreError::Unknown(reason)) => {
+            state.metrics.count_store_failure("accept");
+            match settle(state, draft).await {
+                // Not there yet: the next try goes through the gate, after which this one can't.
+                DraftStep::Again => DraftStep::Unsettled(reason),
+                step => step,
+            }
+        }
+    }
+}
+
+/// Reads the table to learn what became of a write, or who came first.
+async fn settle(state: &Arc<GatewayState>, draft: &JobDraft) -> DraftStep {
+    if let Err(error) = refresh(state, &draft.row.team).await {
+        tokio::time::sleep(FAILURE_PAUSE).await;
+        return DraftStep::Unsettled(error.to_string());
+    }
+    let Some(known) = state.directory.get(&draft.row.id) else {
+        return DraftStep::Again;
+    };
+    let is_mine = known.row.holder_address == draft.row.holder_address
+        && known.row.holder_incarnation == draft.row.holder_incarnation
+        && known.row.accepted_ms == draft.row.accepted_ms;
+    if is_mine { DraftStep::Accepted(known.version) } else { DraftStep::Repeated }
+}
+
+fn hold(state: &Arc<GatewayState>, draft: &JobDraft, items: Vec<ItemSpec>) {
+    let Some(known) = state.directory.get(&draft.row.id) else { return };
+    let spec = job_spec(&known.row, items.into_iter().map(Arc::new).collect());
+    keeper::hold_job(state, known, spec, &[], vec![]);
+}
+
+/// A job as the board holds it.
+pub(super) fn job_spec(row: &JobRow, items: Vec<Arc<ItemSpec>>) -> JobSpec {
+    let now = Instant::now();
+    let unix = unix_ms();
+    let at = |ms: u64| now + Duration::from_millis(ms.saturating_sub(unix));
+    JobSpec {
+        id: row.id.as_str().into(),
+        team: row.team.as_str().into(),
+        route: row.route.as_str().into(),
+        host: row.host.as_str().into(),
+        due: at(row.due_ms),
+        give_up: at(row.give_up_ms),
+        max_attempts: row.max_attempts.max(1),
+        items,
+    }
+}
+
+/// Counts held jobs for the log.
+pub(super) fn held_count(state: &GatewayState) -> usize {
+    lock(&state.jobs).jobs().count()
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -0,0 +1,86 @@
+//! Ends jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_core::{Refusal, ResultCode};
+use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
+use cuminramp_wire::decode_row;
+use cuminramp_wire::encode_row;
+use cuminramp_wire::fleet::{JobPhase, JobRow};
+use http::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::JobCaller;
+use super::directory::{KnownJob, notice_row};
+use super::names::job_key;
+use super::read::find_job;
+use super::run::stop_job;
+use crate::entry::{AnswerBody, whole_response};
+use crate::state::GatewayState;
+
+/// How long a host tries to make the end durable.
+const END_LIMIT: Duration = Duration::from_millis(3_000);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(80);
+
+/// Ends a job: what is listed stays, and nothing more of it runs.
+pub(crate) async fn end_job(
+    state: &Arc<GatewayState>,
+    caller: &JobCaller,
+    job: &str,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let began = Instant::now();
+    let mut known = find_job(state, caller, job).await?;
+    while known.is_open() {
+        match try_end(state, &known).await {
+            Ok(true) => break,
+            Ok(false) => {}
+            Err(error) if began.elapsed() >= END_LIMIT => {
+                let refusal = Refusal::not_run(ResultCode::StoreUnavailable, error.to_string());
+                return Err(refusal.with_retry_after(PAUSE));
+            }
+            Err(_) => {
+                state.metrics.count_store_failure("end");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        match read_row(state, &known).await {
+            Ok(found) => known = found,
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+    log::info!(
+        job = job, team = &*caller.team, took_ms = began.elapsed().as_millis() as u64;
+        "job-ended"
+    );
+    Ok(whole_response(StatusCode::OK, Bytes::from_static(b"{}")))
+}
+
+async fn try_end(state: &Arc<GatewayState>, known: &KnownJob) -> Result<bool, StoreError> {
+    let mut row = known.row.clone();
+    row.phase = JobPhase::Ended as i32;
+    row.waiting_tokens = 0;
+    let key = job_key(&row.team, &row.id);
+    let transaction = Transaction::default().put_at(key, known.version, encode_row(&row));
+    match state.store.commit(transaction).await? {
+        CommitOutcome::Committed(version) => {
+            state.directory.put(row, version);
+            stop_job(state, &known.row.id);
+            Ok(true)
+        }
+        CommitOutcome::Conflict(_) => Ok(false),
+    }
+}
+
+async fn read_row(state: &Arc<GatewayState>, known: &KnownJob) -> Result<KnownJob, StoreError> {
+    let key = job_key(&known.row.team, &known.row.id);
+    let rows = state.store.read(&[key]).await?;
+    let row = rows.into_iter().next().flatten();
+    let row = row.ok_or_else(|| StoreError::Unknown("the job's row is gone".into()))?;
+    let read = decode_row::<JobRow>(&row.value)
+        .map_err(|error| StoreError::Unknown(error.to_string()))?;
+    notice_row(state, &row);
+    Ok(KnownJob { row: read, version: row.version })
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -0,0 +1,302 @@
+//! One task for each held job: lists results, one write after another.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_core::{Name, SortedMap};
+use cuminramp_fleet::{FinishedItem, ItemOutcome, ItemProgress, JobSpec};
+use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
+use cuminramp_wire::fleet::{JobPhase, JobRow, ProgressRow, ResultRow};
+use cuminramp_wire::{decode_row, encode_row};
+use tokio::sync::{mpsc, oneshot};
+
+use super::directory::KnownJob;
+use super::names::{job_key, progress_key, result_key, result_object};
+use super::run::stop_job;
+use crate::state::{GatewayState, lock};
+
+/// Results in one write; the store takes a hundred rows and a megabyte.
+const MOST_RESULTS: usize = 40;
+/// Texts over this length go into an object of their own: rows hold 64 KiB in base64.
+const LONGEST_TEXT: usize = 40 << 10;
+/// Bytes of results in one write.
+const MOST_WRITE_BYTES: usize = 500 << 10;
+/// First and longest pause after a write that failed.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
+
+/// What a keeper is asked to do.
+#[derive(Debug)]
+pub(super) enum KeeperOrder {
+    /// List an item.
+    List(FinishedItem),
+    /// Give the job back, with what is known of its items; answers when that is written.
+    HandOver(oneshot::Sender<()>),
+}
+
+/// The keepers of the jobs that this host holds.
+#[derive(Debug, Default)]
+pub(crate) struct JobKeepers {
+    orders: Mutex<SortedMap<Name, mpsc::UnboundedSender<KeeperOrder>>>,
+}
+
+impl JobKeepers {
+    /// Asks the keeper of a job; a job that is no longer held has none, and then nothing is owed.
+    pub(super) fn ask(&self, job: &str, order: KeeperOrder) {
+        if let Some(orders) = lock(&self.orders).get(job) {
+            let _ = orders.send(order);
+        }
+    }
+
+    /// Ends the keeper of a job.
+    pub(super) fn remove(&self, job: &str) {
+        lock(&self.orders).remove(job);
+    }
+}
+
+/// Takes a job: its items may run from now on.
+pub(super) fn hold_job(
+    state: &Arc<GatewayState>,
+    known: KnownJob,
+    spec: JobSpec,
+    finished: &[Name],
+    progress: Vec<(Name, ItemProgress)>,
+) {
+    let (sender, orders) = mpsc::unbounded_channel();
+    let items = spec.items.iter().map(|item| item.id.clone()).collect();
+    lock(&state.keepers.orders).insert(spec.id.clone(), sender);
+    lock(&state.jobs).hold(spec, finished, progress);
+    let keeper = JobKeeper { state: state.clone(), known, items, orders };
+    tokio::spawn(keeper.run());
+    state.items_wanted.notify_one();
+    state.want_beat();
+}
+
+struct JobKeeper {
+    state: Arc<GatewayState>,
+    known: KnownJob,
+    items: Vec<Name>,
+    orders: mpsc::UnboundedReceiver<KeeperOrder>,
+}
+
+impl JobKeeper {
+    async fn run(mut self) {
+        let mut held_back: Option<KeeperOrder> = None;
+        loop {
+            let order = match held_back.take() {
+                Some(order) => Some(order),
+                None => self.orders.recv().await,
+            };
+            let Some(order) = order else { return };
+            let is_kept = match order {
+                KeeperOrder::List(first) => {
+                    let batch = self.gather(first, &mut held_back);
+                    self.list(batch).await
+                }
+                KeeperOrder::HandOver(done) => {
+                    self.hand_over().await;
+                    let _ = done.send(());
+                    false
+                }
+            };
+            if !is_kept {
+                return;
+            }
+        }
+    }
+
+    /// Items that are finished by now, as many as one write takes.
+    fn gather(
+        &mut self,
+        first: FinishedItem,
+        held_back: &mut Option<KeeperOrder>,
+    ) -> Vec<FinishedItem> {
+        let mut bytes = text_len(&first);
+        let mut batch = vec![first];
+        while batch.len() < MOST_RESULTS && bytes < MOST_WRITE_BYTES {
+            match self.orders.try_recv() {
+                Ok(KeeperOrder::List(next)) => {
+                    bytes += text_len(&next).min(LONGEST_TEXT);
+                    batch.push(next);
+                }
+                Ok(order) => {
+                    *held_back = Some(order);
+                    break;
+                }
+                Err(_) => break,
+            }
+        }
+        batch
+    }
+
+    /// Lists results; `false` where the job is done or no longer this host's.
+    async fn list(&mut self, batch: Vec<FinishedItem>) -> bool {
+        let mut pause = PAUSES.0;
+        loop {
+            let next = self.next_row(batch.len());
+            let transaction = match self.make_write(&next, &batch).await {
+                Ok(transaction) => transaction,
+                Err(error) => {
+                    self.wait_after(&error, &mut pause).await;
+                    continue;
+                }
+            };
+            match self.state.store.commit(transaction).await {
+                Ok(CommitOutcome::Committed(version)) => return self.listed(next, version, &batch),
+                Ok(CommitOutcome::Conflict(_)) => {}
+                Err(error) => self.wait_after(&error, &mut pause).await,
+            }
+            match self.read_back().await {
+                None => {}
+                Some(found) if found.row.commit == next.commit && self.is_mine(&found.row) => {
+                    return self.listed(next, found.version, &batch);
+                }
+                Some(found) if found.is_open() && self.is_mine(&found.row) => self.known = found,
+                Some(found) => {
+                    log::info!(
+                        job = self.known.row.id.as_str(), fence = found.row.fence,
+                        holder = found.row.holder_address.as_str(), row_version = found.version;
+                        "job-lost"
+                    );
+                    self.state.directory.put(found.row, found.version);
+                    stop_job(&self.state, &self.known.row.id);
+                    return false;
+                }
+            }
+        }
+    }
+
+    async fn wait_after(&self, error: &StoreError, pause: &mut Duration) {
+        self.state.metrics.count_store_failure("list");
+        let reason = error.to_string();
+        log::warn!(
+            job = self.known.row.id.as_str(), row_version = self.known.version,
+            reason = reason.as_str();
+            "results-not-listed"
+        );
+        tokio::time::sleep(*pause).await;
+        *pause = (*pause * 2).min(PAUSES.1);
+    }
+
+    fn is_mine(&self, row: &JobRow) -> bool {
+        row.holder_address == self.known.row.holder_address
+            && row.holder_incarnation == self.known.row.holder_incarnation
+            && row.fence == self.known.row.fence
+    }
+
+    fn next_row(&self, count: usize) -> JobRow {
+        let mut next = self.known.row.clone();
+        next.listed += count as u32;
+        next.commit += 1;
+        if next.listed >= next.total {
+            next.phase = JobPhase::Done as i32;
+        }
+        let jobs = lock(&self.state.jobs);
+        next.waiting_tokens = jobs.get(&next.id).map_or(0, |job| job.unfinished_tokens());
+        next
+    }
+
+    async fn make_write(
+        &self,
+        next: &JobRow,
+        batch: &[FinishedItem],
+    ) -> Result<Transaction, StoreError> {
+        let (team, id) = (&self.known.row.team, &self.known.row.id);
+        let mut transaction =
+            Transaction::default().put_at(job_key(team, id), self.known.version, encode_row(next));
+        for (offset, finished) in batch.iter().enumerate() {
+            let position = self.known.row.listed + offset as u32;
+            let mut row = ResultRow {
+                item: self.items[finished.index].to_string(),
+                is_complete: matches!(finished.outcome, ItemOutcome::Complete(_)),
+                ..ResultRow::default()
+            };
+            if let ItemOutcome::Complete(text) = &finished.outcome {
+                if text.len() > LONGEST_TEXT {
+                    row.object = result_object(team, id, position, next.fence);
+                    let bytes = Bytes::copy_from_slice(text.as_bytes());
+                    self.state.store.put(&row.object, bytes).await?;
+                } else {
+                    row.text = text.clone();
+                }
+            }
+            transaction = transaction.put(result_key(team, id, position), encode_row(&row));
+        }
+        Ok(transaction)
+    }
+
+    fn listed(&mut self, row: JobRow, version: u64, batch: &[FinishedItem]) -> bool {
+        for (offset, finished) in batch.iter().enumerate() {
+            let is_complete = matches!(finished.outcome, ItemOutcome::Complete(_));
+            self.state.metrics.count_item(if is_complete { "complete" } else { "given-up" });
+            log::info!(
+                job = row.id.as_str(), item = &*self.items[finished.index],
+                position = self.known.row.listed as u64 + offset as u64,
+                is_complete = is_complete, row_version = version;
+                "item-listed"
+            );
+        }
+        let is_done = row.phase() == JobPhase::Done;
+        self.known = KnownJob { row: row.clone(), version };
+        self.state.directory.put(row, version);
+        if is_done {
+            log::info!(job = self.known.row.id.as_str(), row_version = version; "job-done");
+            stop_job(&self.state, &self.known.row.id);
+        }
+        !is_done
+    }
+
+    async fn read_back(&self) -> Option<KnownJob> {
+        let key = job_key(&self.known.row.team, &self.known.row.id);
+        let rows = self.state.store.read(&[key]).await;
+        let row = rows.ok()?.into_iter().next()??;
+        let job = decode_row::<JobRow>(&row.value).ok()?;
+        Some(KnownJob { row: job, version: row.version })
+    }
+
+    /// Writes that nobody holds the job, with how far its items came. Without it other hosts would
+    /// wait until this one counts as lost, and begin its items anew.
+    async fn hand_over(&mut self) {
+        let id = self.known.row.id.clone();
+        let Some(held) = lock(&self.state.jobs).drop_job(&id) else { return };
+        let team = self.known.row.team.clone();
+        let mut next = self.known.row.clone();
+        next.holder_address = String::new();
+        next.holder_incarnation = 0;
+        next.commit += 1;
+        let mut transaction =
+            Transaction::default().put_at(job_key(&team, &id), self.known.version, encode_row(&next));
+        let mut progressed = 0;
+        let mut bytes = 0;
+        for (index, progress) in held.progress() {
+            bytes += progress.text.len();
+            if progress.text.len() > LONGEST_TEXT || bytes > MOST_WRITE_BYTES {
+                continue;
+            }
+            let item = &self.items[index];
+            let row = ProgressRow {
+                item: item.to_string(),
+                last_event: progress.last_event.unwrap_or(0),
+                text: progress.text.clone(),
+                ran_ms: progress.ran.as_millis() as u64,
+            };
+            transaction = transaction.put(progress_key(&team, &id, item), encode_row(&row));
+            progressed += 1;
+        }
+        let outcome = self.state.store.commit(transaction).await;
+        let outcome = format!("{outcome:?}");
+        log::info!(
+            job = id.as_str(), items_under_way = progressed, row_version = self.known.version,
+            outcome = outcome.as_str();
+            "job-handed-over"
+        );
+        self.state.keepers.remove(&id);
+    }
+}
+
+fn text_len(finished: &FinishedItem) -> usize {
+    match &finished.outcome {
+        ItemOutcome::Complete(text) => text.len(),
+        ItemOutcome::GivenUp => 0,
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -0,0 +1,31 @@
+//! Batch jobs: accepted whole, run in what online work leaves free, listed by position.
+
+mod accept;
+mod directory;
+mod end;
+mod keeper;
+mod leave;
+mod names;
+mod read;
+mod run;
+mod takeover;
+
+use cuminramp_core::Name;
+
+use crate::borders::CallHead;
+
+pub(crate) use accept::accept_job;
+pub(crate) use directory::{JobDirectory, JobsFollower};
+pub(crate) use end::end_job;
+pub(crate) use keeper::JobKeepers;
+pub(crate) use leave::hand_jobs_over;
+pub(crate) use read::{read_item, read_results};
+pub(crate) use run::{RunningItems, enforce_excess, run_items};
+pub(crate) use takeover::take_jobs_over;
+
+/// Who asks about a job.
+#[derive(Clone, Debug)]
+pub(crate) struct JobCaller {
+    pub(crate) team: Name,
+    pub(crate) head: CallHead,
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -0,0 +1,356 @@
+//! Runs items where there is room, and breaks them off where online work comes.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name};
+use cuminramp_fleet::{
+    FinishedItem, FleetTarget, ItemFailure, ItemProgress, ItemStart, JobSpec, WorkKind,
+};
+use http::{Method, StatusCode, Uri};
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::keeper::KeeperOrder;
+use crate::borders::TargetHead;
+use crate::state::{GatewayState, lock};
+use crate::targets::{EventSplitter, SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request};
+
+/// Looks for room at least this often while items wait.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+/// And this often while none do.
+const IDLE_LOOK: Duration = Duration::from_millis(250);
+/// Pause after each look: beats that tell of what was started reach other hosts meanwhile.
+const LOOK_PAUSE: Duration = Duration::from_millis(6);
+/// Time without a byte after which an item goes on elsewhere.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Time that an item's target gets. It bounds work for a host that is gone.
+const ITEM_LIMIT: Duration = Duration::from_secs(15);
+
+#[derive(Debug)]
+struct RunningItem {
+    job: Name,
+    index: usize,
+    target: Name,
+    due: Instant,
+    stop: CancellationToken,
+}
+
+/// Items on targets.
+#[derive(Debug, Default)]
+pub(crate) struct RunningItems {
+    items: Mutex<Vec<RunningItem>>,
+}
+
+impl RunningItems {
+    fn remove(&self, job: &str, index: usize, target: &str) {
+        let mut items = lock(&self.items);
+        let at = items.iter().position(|item| {
+            *item.job == *job && item.index == index && *item.target == *target
+        });
+        if let Some(at) = at {
+            items.swap_remove(at);
+        }
+    }
+
+    /// Stops items of a job.
+    fn stop_job(&self, job: &str) {
+        for item in lock(&self.items).iter().filter(|item| *item.job == *job) {
+            item.stop.cancel();
+        }
+    }
+
+    /// Stops all items.
+    pub(crate) fn stop_all(&self) {
+        for item in lock(&self.items).iter() {
+            item.stop.cancel();
+        }
+    }
+
+    /// Whether none is running.
+    pub(crate) fn is_empty(&self) -> bool {
+        lock(&self.items).is_empty()
+    }
+
+    /// Makes items leave a target until `excess` of them do, those that are due last first.
+    fn make_leave(&self, target: &str, excess: u32) -> u32 {
+        let items = lock(&self.items);
+        let here = || items.iter().filter(|item| *item.target == *target);
+        let leaving = here().filter(|item| item.stop.is_cancelled()).count() as u32;
+        let mut staying: Vec<&RunningItem> =
+            here().filter(|item| !item.stop.is_cancelled()).collect();
+        staying.sort_by_key(|item| std::cmp::Reverse(item.due));
+        let more = excess.saturating_sub(leaving) as usize;
+        for item in staying.iter().take(more) {
+            item.stop.cancel();
+        }
+        more.min(staying.len()) as u32
+    }
+}
+
+/// Breaks off items where more work is than slots. Online work that waited behind them would wait
+/// for seconds; once they are gone it begins with the target's next step.
+pub(crate) fn enforce_excess(state: &GatewayState) {
+    let excess = lock(&state.board).batch_excess();
+    for (target, count) in excess {
+        let stopped = state.running.make_leave(&target, count);
+        if stopped > 0 {
+            log::info!(target_id = &*target, excess = count, stopped = stopped; "items-give-way");
+        }
+    }
+}
+
+/// Stops work on a job that is no longer this host's.
+pub(super) fn stop_job(state: &Arc<GatewayState>, job: &str) {
+    lock(&state.jobs).drop_job(job);
+    state.running.stop_job(job);
+    state.keepers.remove(job);
+    state.want_beat();
+}
+
+/// Starts items until the host leaves.
+pub(crate) async fn run_items(state: Arc<GatewayState>) {
+    loop {
+        let has_waiting = lock(&state.jobs).waiting(Instant::now()) > 0;
+        let wait = if has_waiting { LOOK_EVERY } else { IDLE_LOOK };
+        tokio::select! {
+            () = state.items_wanted.notified() => {}
+            () = tokio::time::sleep(wait) => {}
+            () = state.drain.cancelled() => return,
+        }
+        give_up_old(&state);
+        start_items(&state);
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn give_up_old(state: &Arc<GatewayState>) {
+    let given_up = lock(&state.jobs).give_up_old(Instant::now());
+    for (job, finished) in given_up {
+        log::info!(job = &*job, index = finished.index, reason = "too old"; "item-given-up");
+        state.keepers.ask(&job, KeeperOrder::List(finished));
+    }
+}
+
+/// Hosts with items that wait, and how many.
+fn waiting_hosts(state: &GatewayState, now: Instant) -> Vec<(HostId, u32)> {
+    let mut waiting = vec![(state.id(), lock(&state.jobs).waiting(now))];
+    let peers = lock(&state.peers);
+    for record in peers.iter().filter(|record| peers.is_heard(record, now)) {
+        let items = record.beat.as_ref().map_or(0, |beat| beat.waiting_items);
+        waiting.push((record.id(), items));
+    }
+    waiting
+}
+
+/// The pool that a job's items go to now.
+fn pool_of(state: &GatewayState, spec: &JobSpec) -> Option<Name> {
+    let declared = state.declared()?;
+    let path = &spec.items.first()?.path;
+    let route = declared.find_route(&spec.host, path)?;
+    route.pick_pool(cuminramp_core::hash_parts(&[&spec.id])).cloned()
+}
+
+fn start_items(state: &Arc<GatewayState>) {
+    let now = Instant::now();
+    let waiting = waiting_hosts(state, now);
+    if waiting[0].1 == 0 {
+        return;
+    }
+    let pools: Vec<(Name, Option<Name>)> = {
+        let jobs = lock(&state.jobs);
+        jobs.jobs().map(|job| (job.spec().id.clone(), pool_of(state, job.spec()))).collect()
+    };
+    let mut names: Vec<&Name> = pools.iter().filter_map(|(_, pool)| pool.as_ref()).collect();
+    names.sort();
+    names.dedup();
+    for pool in names {
+        let accepts = |spec: &JobSpec| {
+            pools.iter().any(|(job, of)| *job == spec.id && of.as_ref() == Some(pool))
+        };
+        let mut places = lock(&state.board).batch_places(pool, &waiting, now);
+        // One item to each target in turn, so that no target is filled while others stand empty.
+        while !places.is_empty() {
+            for (target, room) in &mut places {
+                let Some(start) = lock(&state.jobs).next(accepts, now) else { return };
+                start_item(state, start, target.clone());
+                *room -= 1;
+            }
+            places.retain(|(_, room)| *room > 0);
+        }
+    }
+}
+
+fn start_item(state: &Arc<GatewayState>, start: ItemStart, target: FleetTarget) {
+    let stop = CancellationToken::new();
+    let due = lock(&state.jobs).get(&start.job).map_or_else(Instant::now, |job| job.spec().due);
+    lock(&state.running.items).push(RunningItem {
+        job: start.job.clone(),
+        index: start.index,
+        target: target.id.clone(),
+        due,
+        stop: stop.clone(),
+    });
+    let run = TargetRun::begin(state, target, WorkKind::Batch);
+    tokio::spawn(run_item(state.clone(), start, run, stop));
+}
+
+/// How a run ended.
+enum RunEnd {
+    Whole,
+    Failed(ItemFailure, String),
+}
+
+async fn run_item(
+    state: Arc<GatewayState>,
+    start: ItemStart,
+    run: TargetRun,
+    stop: CancellationToken,
+) {
+    let target = run.target.id.clone();
+    let began = Instant::now();
+    let resumed_after = start.progress.last_event;
+    let mut progress = start.progress.clone();
+    let end = tokio::select! {
+        biased;
+        () = stop.cancelled() => RunEnd::Failed(ItemFailure::GaveWay, "gave way".into()),
+        end = drive(&state, &start, run, &mut progress) => end,
+    };
+    progress.ran += began.elapsed();
+    state.running.remove(&start.job, start.index, &target);
+    let events = progress.last_event;
+    let (word, reason) = match &end {
+        RunEnd::Whole => ("whole", String::new()),
+        RunEnd::Failed(failure, reason) => (failure_word(*failure), reason.clone()),
+    };
+    state.metrics.count_item(word);
+    log::info!(
+        job = &*start.job, item = &*start.item.id, target_id = &*target, outcome = word,
+        reason = reason.as_str(), resumed_after = resumed_after.map_or(-1, |id| id as i64),
+        last_event = events.map_or(-1, |id| id as i64),
+        took_ms = began.elapsed().as_millis() as u64;
+        "item-run"
+    );
+    finish_run(&state, &start, end, progress);
+}
+
+fn failure_word(failure: ItemFailure) -> &'static str {
+    match failure {
+        ItemFailure::GaveWay => "gave-way",
+        ItemFailure::Broken => "broken",
+        ItemFailure::Failed => "failed",
+        ItemFailure::Impossible => "impossible",
+    }
+}
+
+fn finish_run(state: &Arc<GatewayState>, start: &ItemStart, end: RunEnd, progress: ItemProgress) {
+    let finished: Option<FinishedItem> = match end {
+        RunEnd::Whole => lock(&state.jobs).complete(&start.job, start.index, progress),
+        RunEnd::Failed(failure, _) => {
+            let now = Instant::now();
+            lock(&state.jobs).fail(&start.job, start.index, failure, progress, now)
+        }
+    };
+    if let Some(finished) = finished {
+        state.keepers.ask(&start.job, KeeperOrder::List(finished));
+    }
+    state.items_wanted.notify_one();
+    state.want_beat();
+}
+
+fn broken(reason: impl Into<String>) -> RunEnd {
+    RunEnd::Failed(ItemFailure::Broken, reason.into())
+}
+
+async fn drive(
+    state: &Arc<GatewayState>,
+    start: &ItemStart,
+    run: TargetRun,
+    progress: &mut ItemProgress,
+) -> RunEnd {
+    let Some(spec) = lock(&state.jobs).get(&start.job).map(|job| job.spec().clone()) else {
+        return RunEnd::Failed(ItemFailure::GaveWay, "the job is gone".into());
+    };
+    let head = TargetHead {
+        deadline: Some(ITEM_LIMIT),
+        team: Some(&spec.team),
+        target: &run.target.id.clone(),
+        last_event: progress.last_event,
+    };
+    let headers = match state.calls.item_headers(&start.item, &spec.host, &head) {
+        Ok(headers) => headers,
+        Err(fault) => return RunEnd::Failed(ItemFailure::Failed, fault.to_string()),
+    };
+    let Ok(path) = start.item.path.parse::<Uri>() else {
+        return RunEnd::Failed(ItemFailure::Failed, "the path can't be used".into());
+    };
+    let request = TargetRequest {
+        method: Method::POST,
+        path,
+        headers,
+        body: start.item.body.clone(),
+        request_id: Some(start.item.id.clone()),
+        is_fresh: false,
+        head_limit: SILENCE_LIMIT,
+    };
+    match send_request(run, request).await {
+        Ok(answer) => read_answer(answer, progress).await,
+        Err(failure @ (SendFailure::NotSent(_) | SendFailure::Refused { .. })) => {
+            RunEnd::Failed(ItemFailure::GaveWay, failure.word().into())
+        }
+        Err(failure) => broken(format!("{failure:?}")),
+    }
+}
+
+async fn read_answer(answer: TargetAnswer, progress: &mut ItemProgress) -> RunEnd {
+    let status = answer.parts.status;
+    if status == StatusCode::UNPROCESSABLE_ENTITY {
+        return RunEnd::Failed(ItemFailure::Impossible, status.to_string());
+    }
+    if status == StatusCode::INTERNAL_SERVER_ERROR {
+        return RunEnd::Failed(ItemFailure::Failed, status.to_string());
+    }
+    if !status.is_success() {
+        return broken(status.to_string());
+    }
+    read_events(answer, progress).await
+}
+
+async fn read_events(mut answer: TargetAnswer, progress: &mut ItemProgress) -> RunEnd {
+    let mut splitter = EventSplitter::default();
+    loop {
+        let frame = match tokio::time::timeout(SILENCE_LIMIT, answer.body.frame()).await {
+            Err(_) => {
+                answer.run.end_failed();
+                return broken("silent");
+            }
+            Ok(Some(Err(error))) => {
+                answer.run.end_failed();
+                return broken(error.to_string());
+            }
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) if splitter.rest().is_empty() && progress.last_event.is_some() => {
+                answer.run.end_whole(answer.head.keep_alive);
+                return RunEnd::Whole;
+            }
+            Ok(None) => {
+                answer.run.end_failed();
+                return broken("ended in the middle of an event");
+            }
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        splitter.push(&bytes);
+        while let Some(event) = splitter.next_event() {
+            let Some(id) = event.id else { continue };
+            match progress.last_event {
+                Some(last) if id <= last => continue,
+                Some(last) if id > last + 1 => return broken(format!("event {id} follows {last}")),
+                Some(_) => progress.text.push('\n'),
+                None => {}
+            }
+            progress.text.push_str(&event.data());
+            progress.last_event = Some(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! Serves callers' streams and whole jobs on equal hosts that share a fleet of targets.
+//!
+//! The decisions stand in `cuminramp-fleet`; this crate feeds them with events and carries their
+//! actions out:
+//!
+//! - `entry` accepts connections, reads heads and bodies, and answers steering and readiness;
+//! - `online` takes a request from admission to the end of its answer;
+//! - `jobs` accepts jobs, runs their items, lists results and takes jobs over;
+//! - `targets` keeps connections to targets;
+//! - `sync` follows declarations, targets and hosts in the store;
+//! - `peers` sends and takes beats, and asks other hosts for what the store does not tell.
+//!
+//! How callers, targets and rows are spelled is the business of [`CallFormat`] and [`FleetFormat`].
+
+mod borders;
+mod entry;
+mod gateway;
+mod jobs;
+mod metrics;
+mod online;
+mod peers;
+mod state;
+mod sync;
+mod targets;
+
+pub use borders::{
+    AnswerHead, CallFormat, CallHead, CallerCall, CallerKey, FleetFormat, FleetStore, FormatFault,
+    ListedResult, ResultPage, SteeringCall, TargetHead,
+};
+pub use gateway::{Gateway, GatewayError};
--- /dev/null
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Metrics, and the text that a scraper reads.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the buckets of times, in seconds; closest around the usual objective of 0.3 s.
+const TIME_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// The instruments of a gateway.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    items: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_event: Histogram<f64>,
+    answer: Histogram<f64>,
+    acceptance: Histogram<f64>,
+    declarations: Gauge<u64>,
+    heard_hosts: Gauge<u64>,
+    held_jobs: Gauge<u64>,
+}
+
+impl GatewayMetrics {
+    /// Instruments with a registry of their own.
+    pub(crate) fn new() -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cuminramp");
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        let gauge = |name: &'static str, about: &'static str| {
+            meter.u64_gauge(name).with_description(about).build()
+        };
+        let times = |name: &'static str, about: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s").with_description(about);
+            histogram.with_boundaries(TIME_BOUNDS.to_vec()).build()
+        };
+        Ok(GatewayMetrics {
+            requests: counter("cuminramp.requests", "Requests by outcome"),
+            refusals: counter("cuminramp.refusals", "Refusals by code"),
+            attempts: counter("cuminramp.attempts", "Sends to targets by outcome"),
+            items: counter("cuminramp.items", "Runs of batch items by outcome"),
+            store_calls: counter("cuminramp.store.failures", "Calls to the store that failed"),
+            first_event: times("cuminramp.first.event", "From a request to its first event"),
+            answer: times("cuminramp.answer", "From a request to the end of its answer"),
+            acceptance: times("cuminramp.acceptance", "From a job to its acceptance"),
+            declarations: gauge("cuminramp.declarations", "Version of the declarations in force"),
+            heard_hosts: gauge("cuminramp.hosts.heard", "Hosts heard lately, this one included"),
+            held_jobs: gauge("cuminramp.jobs.held", "Jobs that this host works on"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    pub(crate) fn count_request(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn count_refusal(&self, code: u16) {
+        self.refusals.add(1, &[KeyValue::new("code", i64::from(code))]);
+    }
+
+    pub(crate) fn count_attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn count_item(&self, outcome: &'static str) {
+        self.items.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn count_store_failure(&self, call: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("call", call)]);
+    }
+
+    pub(crate) fn note_first_event(&self, time: Duration) {
+        self.first_event.record(time.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn note_answer(&self, time: Duration) {
+        self.answer.record(time.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn note_acceptance(&self, time: Duration) {
+        self.acceptance.record(time.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn note_state(&self, declarations: u64, heard_hosts: usize, held_jobs: usize) {
+        self.declarations.record(declarations, &[]);
+        self.heard_hosts.record(heard_hosts as u64, &[]);
+        self.held_jobs.record(held_jobs as u64, &[]);
+    }
+
+    /// The text for a scraper.
+    pub(crate) fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/online/mod.rs
@@ -0,0 +1,9 @@
+//! Requests of callers that wait: from admission to the end of the answer.
+
+mod record;
+mod relay;
+mod serve;
+mod stream;
+
+pub(crate) use record::{RequestOutcome, RequestRecord};
+pub(crate) use serve::{AdmittedRequest, serve_request};
--- /dev/null
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -0,0 +1,263 @@
+//! Sends a request to targets until one answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminramp_core::{Execution, Name, Refusal, ResultCode};
+use cuminramp_fleet::{FleetTarget, OnlineNeed, PlacementDecision, RouteKind, RouteRule, WorkKind};
+use cuminramp_targets::{
+    AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry,
+};
+use http::{Response, request};
+use tokio::time::Instant;
+
+use super::RequestRecord;
+use super::relay::{relay_stream, relay_whole};
+use crate::borders::{CallHead, TargetHead};
+use crate::entry::AnswerBody;
+use crate::jobs::enforce_excess;
+use crate::state::{GatewayState, lock};
+use crate::targets::{SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request};
+
+/// Sends that no target ran, as when it was full or could not be reached, for one attempt of a
+/// caller. Each takes a few milliseconds, and the board avoids what refused.
+const MOST_UNRUN_SENDS: u32 = 5;
+/// Time without a head or event after which a stream that can be resumed goes on elsewhere.
+/// Callers give a stream up after two seconds without an event; this leaves time for the other
+/// target to get it going.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Time that is kept back of a caller's deadline, so that the last answer still arrives.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// A caller that has less of its usual time left has been here before.
+const AGAIN_SHARE: f64 = 0.985;
+
+/// A request that passed admission.
+pub(crate) struct AdmittedRequest {
+    pub(crate) parts: request::Parts,
+    pub(crate) head: CallHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: RouteRule,
+    pub(crate) team: Option<Name>,
+    pub(crate) pool: Name,
+}
+
+/// A request on its way through targets.
+pub(crate) struct RequestPass {
+    pub(crate) state: Arc<GatewayState>,
+    pub(crate) request: AdmittedRequest,
+    pub(crate) record: RequestRecord,
+    /// Sends that a target may have run.
+    pub(crate) runs: u32,
+    unrun: u32,
+    tried: Vec<Name>,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the caller has the head of an answer.
+    pub(crate) is_begun: bool,
+    deadline: Instant,
+}
+
+impl RequestPass {
+    fn new(state: Arc<GatewayState>, request: AdmittedRequest, record: RequestRecord) -> Self {
+        let mut limit = request.route.timeout;
+        if let Some(deadline) = request.head.deadline {
+            limit = limit.min(deadline.saturating_sub(DEADLINE_MARGIN));
+        }
+        let deadline = record.began() + limit;
+        let last_event = request.head.last_event;
+        RequestPass {
+            state,
+            request,
+            record,
+            runs: 0,
+            unrun: 0,
+            tried: Vec::new(),
+            last_event,
+            is_begun: false,
+            deadline,
+        }
+    }
+
+    /// When the caller has its final answer at the latest.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    fn is_again(&self) -> bool {
+        let usual = self.request.route.timeout.as_secs_f64() * AGAIN_SHARE;
+        self.request.head.deadline.is_some_and(|left| left.as_secs_f64() < usual)
+    }
+
+    /// How long the next silence may last: short while the request can go on elsewhere.
+    pub(crate) fn silence_limit(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let has_other = self.runs < self.request.route.max_attempts;
+        if self.request.route.is_repeatable() && has_other { left.min(SILENCE_LIMIT) } else { left }
+    }
+
+    fn place(&self) -> PlacementDecision {
+        let need = OnlineNeed {
+            pool: &self.request.pool,
+            objective: self.request.route.objective,
+            is_again: self.is_again() || self.runs > 0,
+            tried: &self.tried,
+        };
+        let board = lock(&self.state.board);
+        let mut random = lock(&self.state.random);
+        board.place(&need, &mut **random, Instant::now())
+    }
+
+    async fn send(&mut self, target: FleetTarget) -> Result<TargetAnswer, SendFailure> {
+        self.record.note_send(&target.id);
+        let head = TargetHead {
+            deadline: Some(self.deadline.saturating_duration_since(Instant::now())),
+            team: self.request.team.as_deref(),
+            target: &target.id,
+            last_event: self.last_event,
+        };
+        let message = TargetRequest {
+            method: self.request.parts.method.clone(),
+            path: self.request.parts.uri.clone(),
+            headers: self.state.calls.target_headers(&self.request.parts, &head),
+            body: self.request.body.clone(),
+            request_id: self.request.head.request_id.clone(),
+            is_fresh: !self.request.route.is_repeatable(),
+            head_limit: self.silence_limit(),
+        };
+        self.tried.push(target.id.clone());
+        let run = TargetRun::begin(&self.state, target, WorkKind::Online);
+        enforce_excess(&self.state);
+        send_request(run, message).await
+    }
+
+    /// Sends it until a target answers or there is nothing more to try.
+    pub(crate) async fn find_answer(&mut self) -> Result<TargetAnswer, Refusal> {
+        loop {
+            let target = match self.place() {
+                PlacementDecision::Send(target) => target,
+                PlacementDecision::Full(after) => return Err(self.refuse_full(after)),
+                PlacementDecision::Nowhere if !self.tried.is_empty() => {
+                    self.tried.clear();
+                    continue;
+                }
+                PlacementDecision::Nowhere => return Err(self.refuse_nowhere()),
+            };
+            let failure = match self.send(target).await {
+                Ok(answer) => {
+                    self.runs += 1;
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            self.after_failure(&failure)?;
+        }
+    }
+
+    fn refuse_full(&self, after: Duration) -> Refusal {
+        let (taken, all) = lock(&self.state.board).occupancy(&self.request.pool);
+        let reason = format!("all places are taken: {taken} of {all}");
+        Refusal::not_run(ResultCode::TargetsUnavailable, reason).with_retry_after(after)
+    }
+
+    fn refuse_nowhere(&self) -> Refusal {
+        /// Targets register within about a second of their start.
+        const SOON: Duration = Duration::from_millis(700);
+        let reason = format!("pool {} has no target", self.request.pool);
+        let execution = if self.runs > 0 { Execution::MayHaveRun } else { Execution::NotRun };
+        Refusal::not_run(ResultCode::TargetsUnavailable, reason)
+            .with_retry_after(SOON)
+            .with_execution(execution)
+    }
+
+    /// Decides what follows a failed send; `Ok` means to go on.
+    fn after_failure(&mut self, failure: &SendFailure) -> Result<(), Refusal> {
+        let stage = match failure {
+            SendFailure::NotSent(_) => FailureStage::NotSent,
+            SendFailure::Refused { .. } => FailureStage::Refused,
+            _ => FailureStage::Sent,
+        };
+        if failure.is_not_run() {
+            self.unrun += 1;
+        } else {
+            self.runs += 1;
+        }
+        self.decide(stage, failure.word(), &format!("{failure:?}"))
+    }
+
+    /// Asks the one place that decides about retries.
+    pub(crate) fn decide(
+        &mut self,
+        stage: FailureStage,
+        word: &str,
+        detail: &str,
+    ) -> Result<(), Refusal> {
+        let is_repeatable = self.request.route.is_repeatable();
+        let traits = RequestTraits {
+            is_repeatable,
+            is_resumable: self.request.route.is_resumable,
+            deadline: self.deadline,
+            max_attempts: self.request.route.max_attempts,
+            earlier: if self.runs > 0 { Execution::MayHaveRun } else { Execution::NotRun },
+        };
+        let failure = AttemptFailure { stage, is_crash: false };
+        let is_unrun = matches!(stage, FailureStage::NotSent | FailureStage::Refused);
+        // Sends that did not run are bounded by themselves; they use up no attempt.
+        let attempt = if is_unrun { self.runs.min(traits.max_attempts - 1) } else { self.runs };
+        let may_retry = !is_unrun || self.unrun < MOST_UNRUN_SENDS;
+        let decision = decide_retry(&traits, failure, attempt, Instant::now(), || may_retry);
+        match decision {
+            RetryDecision::Resend | RetryDecision::Resume { .. } => {
+                self.record.note_failure(word, detail, "send-again");
+                Ok(())
+            }
+            RetryDecision::GiveUp { code, execution } => {
+                self.record.note_failure(word, detail, "give-up");
+                let refusal = Refusal::not_run(code, word).with_execution(execution);
+                Err(match execution {
+                    Execution::NotRun => refusal.with_retry_after(self.return_after()),
+                    _ => refusal,
+                })
+            }
+        }
+    }
+
+    /// When a refused caller should come back: soon, since another host or target may do at once.
+    fn return_after(&self) -> Duration {
+        /// Long enough for the board of every host to know what failed here.
+        const SHORTLY: Duration = Duration::from_millis(150);
+        SHORTLY
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn serve_request(
+    state: Arc<GatewayState>,
+    request: AdmittedRequest,
+    record: RequestRecord,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let is_stream = request.route.kind == RouteKind::Stream;
+    let mut pass = RequestPass::new(state, request, record);
+    let deadline = pass.deadline();
+    let found = match tokio::time::timeout_at(deadline, pass.find_answer()).await {
+        Ok(found) => found,
+        Err(_) => {
+            let execution =
+                if pass.record.has_sent() { Execution::MayHaveRun } else { Execution::NotRun };
+            let refusal = Refusal::not_run(ResultCode::DeadlineExceeded, "no answer in time");
+            Err(refusal.with_execution(execution))
+        }
+    };
+    let answer = match found {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            pass.record.end_refused(&refusal);
+            return Err(refusal);
+        }
+    };
+    if is_stream && answer.parts.status.is_success() {
+        Ok(relay_stream(pass, answer))
+    } else {
+        relay_whole(pass, answer).await
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -0,0 +1,274 @@
+//! Sends and takes beats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name};
+use cuminramp_fleet::{HostBeat, KnownHost};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::jobs::enforce_excess;
+use crate::state::{GatewayState, lock};
+use crate::sync::ask_for_news;
+
+/// The largest beat that is taken.
+const MOST_BEAT_BYTES: usize = 60 << 10;
+/// A change is told to hosts of the zone after so long, with what else changes meanwhile.
+const NEAR_DELAY: Duration = Duration::from_millis(3);
+/// Time between two beats to hosts of the zone when nothing changes; a host counts as silent after
+/// three and a half.
+const NEAR_INTERVAL: Duration = Duration::from_millis(100);
+/// Beats to hosts of other zones grow with the square of the number of hosts; this factor keeps
+/// them under some 150 a second and host up to 90 hosts, and at 8 ms for 11.
+const FAR_DELAY_MICROS: u64 = 70;
+/// Time between two beats to hosts of other zones when nothing changes, or the delay above if that
+/// is longer.
+const FAR_INTERVAL: Duration = Duration::from_millis(100);
+/// Hosts that a beat names.
+const KNOWN_IN_BEAT: usize = 2;
+/// Hosts that a beat names to one that asks.
+const KNOWN_IN_ANSWER: usize = 40;
+/// Every so many beats tell the counts of all teams.
+const WHOLE_EVERY: u64 = 16;
+
+/// The socket for beats.
+#[derive(Debug)]
+pub(crate) struct BeatSocket {
+    socket: UdpSocket,
+    sequence: AtomicU64,
+}
+
+impl BeatSocket {
+    /// Listens at `address`.
+    pub(crate) async fn bind(address: &str) -> Result<Self, std::io::Error> {
+        Ok(BeatSocket { socket: UdpSocket::bind(address).await?, sequence: AtomicU64::new(1) })
+    }
+
+    async fn send(&self, beat: &HostBeat, to: &[Name]) {
+        let bytes = match postcard::to_allocvec(beat) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let reason = error.to_string();
+                log::error!(reason = reason.as_str(); "beat-unwritable");
+                return;
+            }
+        };
+        for address in to {
+            // A beat that can't be sent is like one that got lost; the next one makes up for it.
+            let _ = self.socket.send_to(&bytes, &**address).await;
+        }
+    }
+}
+
+fn make_beat(state: &GatewayState, socket: &BeatSocket, wants_answer: bool, most: usize) -> HostBeat {
+    let now = Instant::now();
+    let sequence = socket.sequence.fetch_add(1, Ordering::Relaxed);
+    let is_usage_whole = most > KNOWN_IN_BEAT || sequence.is_multiple_of(WHOLE_EVERY);
+    let waiting_items = if state.is_draining() { 0 } else { lock(&state.jobs).waiting(now) };
+    let known = {
+        let peers = lock(&state.peers);
+        let all: Vec<&KnownHost> =
+            peers.iter().filter(|record| !record.has_left).map(|record| &record.host).collect();
+        let skip = if all.is_empty() { 0 } else { sequence as usize % all.len() };
+        all.iter().cycle().skip(skip).take(most.min(all.len())).map(|host| (*host).clone()).collect()
+    };
+    HostBeat {
+        host: state.me.clone(),
+        sequence,
+        is_ready: state.is_ready(),
+        has_left: state.has_left.load(Ordering::Relaxed),
+        wants_answer,
+        declarations: lock(&state.declarations).current().map_or(0, |held| held.version()),
+        targets: lock(&state.news).targets_version(),
+        waiting_items,
+        loads: lock(&state.board).own_loads(),
+        usage: lock(&state.quota).usage(is_usage_whole, now),
+        is_usage_whole,
+        known,
+    }
+}
+
+fn addresses(state: &GatewayState, is_near: bool) -> Vec<Name> {
+    let peers = lock(&state.peers);
+    let chosen = peers
+        .iter()
+        .filter(|record| !record.has_left && (record.host.zone == state.me.zone) == is_near);
+    chosen.map(|record| record.host.address.clone()).collect()
+}
+
+/// Greets a host that may not know this one.
+pub(crate) async fn greet_host(state: &Arc<GatewayState>, address: &Name) {
+    let Some(socket) = state.beat_socket.get() else { return };
+    let beat = make_beat(state, socket, true, KNOWN_IN_ANSWER);
+    socket.send(&beat, std::slice::from_ref(address)).await;
+}
+
+/// When the next beats are due.
+#[derive(Clone, Copy, Debug)]
+struct BeatTimes {
+    near_due: Instant,
+    far_due: Instant,
+    far_last: Instant,
+}
+
+impl BeatTimes {
+    fn new(now: Instant) -> Self {
+        BeatTimes { near_due: now, far_due: now, far_last: now }
+    }
+
+    /// Something changed: brings the next beats forward.
+    fn hasten(&mut self, far_delay: Duration, now: Instant) {
+        let soon = now + NEAR_DELAY;
+        self.near_due = self.near_due.min(soon);
+        self.far_due = self.far_due.min(soon.max(self.far_last + far_delay));
+    }
+}
+
+/// Sends beats until the gateway stops: soon after changes, and at intervals.
+pub(crate) async fn send_beats(state: Arc<GatewayState>) {
+    let Some(socket) = state.beat_socket.get() else { return };
+    let mut times = BeatTimes::new(Instant::now());
+    loop {
+        let hosts = lock(&state.peers).iter().count() as u64 + 1;
+        let far_delay = Duration::from_micros(FAR_DELAY_MICROS * hosts * hosts);
+        let next = times.near_due.min(times.far_due);
+        tokio::select! {
+            () = tokio::time::sleep_until(next) => {}
+            () = state.beat_wanted.notified() => {
+                times.hasten(far_delay, Instant::now());
+                continue;
+            }
+        }
+        let now = Instant::now();
+        let mut receivers = Vec::new();
+        if times.near_due <= now {
+            times.near_due = now + NEAR_INTERVAL;
+            receivers.extend(addresses(&state, true));
+        }
+        if times.far_due <= now {
+            times.far_due = now + FAR_INTERVAL.max(far_delay);
+            times.far_last = now;
+            receivers.extend(addresses(&state, false));
+        }
+        let beat = make_beat(&state, socket, false, KNOWN_IN_BEAT);
+        socket.send(&beat, &receivers).await;
+        renew_share(&state);
+    }
+}
+
+/// Tells everybody, at once and twice, since a datagram may get lost.
+pub(crate) async fn tell_all(state: &Arc<GatewayState>) {
+    let Some(socket) = state.beat_socket.get() else { return };
+    for _ in 0..2 {
+        let beat = make_beat(state, socket, false, KNOWN_IN_BEAT);
+        socket.send(&beat, &addresses(state, true)).await;
+        socket.send(&beat, &addresses(state, false)).await;
+    }
+}
+
+fn renew_share(state: &GatewayState) {
+    let now = Instant::now();
+    let (heard, all) = lock(&state.peers).heard_of_all(now);
+    lock(&state.quota).set_share(heard, all, now);
+}
+
+/// Takes beats until the gateway stops.
+pub(crate) async fn receive_beats(state: Arc<GatewayState>) {
+    let Some(socket) = state.beat_socket.get() else { return };
+    let mut buffer = vec![0; MOST_BEAT_BYTES];
+    loop {
+        let (length, from) = match socket.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A host that is gone makes the kernel report an earlier send as refused.
+                log::debug!(reason = error.to_string().as_str(); "beat-not-received");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<HostBeat>(&buffer[..length]) {
+            Ok(beat) => take_beat(&state, beat, from).await,
+            Err(error) => {
+                let (reason, from) = (error.to_string(), from.to_string());
+                log::warn!(from = from.as_str(), reason = reason.as_str(); "beat-unreadable");
+            }
+        }
+    }
+}
+
+async fn take_beat(state: &Arc<GatewayState>, beat: HostBeat, from: SocketAddr) {
+    let now = Instant::now();
+    let wants_answer = beat.wants_answer;
+    let address = beat.host.address.clone();
+    let known = beat.known.clone();
+    let is_taken = merge_beat(state, beat, now);
+    if is_taken && wants_answer {
+        let Some(socket) = state.beat_socket.get() else { return };
+        let answer = make_beat(state, socket, false, KNOWN_IN_ANSWER);
+        socket.send(&answer, &[from.to_string().into()]).await;
+    }
+    for host in known {
+        let is_new = lock(&state.peers).learn(&host, now);
+        if is_new {
+            log::info!(peer = &*host.address, incarnation = host.incarnation, source = &*address; "host-known");
+            greet_host(state, &host.address).await;
+        }
+    }
+}
+
+/// Lets everything know what a beat says; `false` if it was an old one.
+fn merge_beat(state: &Arc<GatewayState>, beat: HostBeat, now: Instant) -> bool {
+    let id =
+        HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
+    let (loads, usage) = (beat.loads.clone(), beat.usage.clone());
+    let is_usage_whole = beat.is_usage_whole;
+    let (declarations, targets) = (beat.declarations, beat.targets);
+    let mut peers = lock(&state.peers);
+    let before = peers.get(&id.address).map(|record| peers.is_heard(record, now));
+    if !peers.hear(beat, now) {
+        return false;
+    }
+    drop(peers);
+    if before != Some(true) {
+        log::info!(peer = &*id.address, incarnation = id.incarnation; "host-heard");
+        renew_share(state);
+    }
+    lock(&state.quota).hear(&id, &usage, is_usage_whole, now);
+    lock(&state.board).hear(&id, loads);
+    enforce_excess(state);
+    let own_declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
+    let own_targets = lock(&state.news).targets_version();
+    if declarations > own_declarations || targets > own_targets {
+        let is_first = state.asks_for_news.try_acquire();
+        if let Ok(permit) = is_first {
+            permit.forget();
+            let state = state.clone();
+            tokio::spawn(async move {
+                ask_for_news(state.clone(), id.address).await;
+                state.asks_for_news.add_permits(1);
+            });
+        }
+    }
+    true
+}
+
+/// Drops what hosts that fell silent had in flight, and says which did.
+pub(crate) fn forget_silent(state: &GatewayState, silent: &mut Vec<HostId>) {
+    let now = Instant::now();
+    let peers = lock(&state.peers);
+    let unheard: Vec<HostId> = peers
+        .iter()
+        .filter(|record| record.beat.is_some() && !peers.is_heard(record, now))
+        .map(|record| record.id())
+        .collect();
+    drop(peers);
+    for id in &unheard {
+        if !silent.contains(id) {
+            log::warn!(peer = &*id.address, incarnation = id.incarnation; "host-silent");
+            lock(&state.board).forget_host(id);
+        }
+    }
+    *silent = unheard;
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -0,0 +1,95 @@
+//! What the parts of a gateway share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+use cuminramp_core::{HostId, RandomSource};
+use cuminramp_fleet::{
+    DeclarationStore, FleetDeclarations, JobBoard, KnownHost, PeerTable, QuotaBook, TargetBoard,
+};
+use cuminramp_settings::GatewaySettings;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::borders::{CallFormat, FleetFormat, FleetStore};
+use crate::jobs::{JobDirectory, JobKeepers, RunningItems};
+use crate::metrics::GatewayMetrics;
+use crate::peers::BeatSocket;
+use crate::sync::NewsRows;
+use crate::targets::TargetConnections;
+
+/// Takes a lock; a holder that panicked left nothing half done that matters here.
+pub(crate) fn lock<T: ?Sized>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Everything the parts share. Each lock is held only while something is decided, never across a
+/// wait.
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) me: KnownHost,
+    pub(crate) store: Arc<dyn FleetStore>,
+    pub(crate) calls: Arc<dyn CallFormat>,
+    pub(crate) fleet: Arc<dyn FleetFormat>,
+    pub(crate) declarations: Mutex<DeclarationStore>,
+    pub(crate) quota: Mutex<QuotaBook>,
+    pub(crate) board: Mutex<TargetBoard>,
+    pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) jobs: Mutex<JobBoard>,
+    pub(crate) directory: JobDirectory,
+    pub(crate) keepers: JobKeepers,
+    pub(crate) running: RunningItems,
+    pub(crate) connections: TargetConnections,
+    pub(crate) news: Mutex<NewsRows>,
+    pub(crate) random: Mutex<Box<dyn RandomSource>>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) beat_socket: OnceLock<BeatSocket>,
+    /// One question for news at a time.
+    pub(crate) asks_for_news: Semaphore,
+    pub(crate) beat_wanted: Notify,
+    pub(crate) items_wanted: Notify,
+    pub(crate) started: Instant,
+    pub(crate) is_draining: AtomicBool,
+    pub(crate) has_left: AtomicBool,
+    pub(crate) tasks: TaskTracker,
+    /// Cancelled when the host leaves: batch work ends, callers are served on.
+    pub(crate) drain: CancellationToken,
+    /// Cancelled when connections of callers close as soon as they are idle.
+    pub(crate) drain_idle: CancellationToken,
+    /// Cancelled when the process ends.
+    pub(crate) stop: CancellationToken,
+}
+
+impl GatewayState {
+    /// This run.
+    pub(crate) fn id(&self) -> HostId {
+        HostId { address: self.me.address.clone(), incarnation: self.me.incarnation }
+    }
+
+    /// The declarations in force.
+    pub(crate) fn declared(&self) -> Option<Arc<FleetDeclarations>> {
+        lock(&self.declarations).current().cloned()
+    }
+
+    /// Whether the host takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && lock(&self.declarations).current().is_some()
+    }
+
+    /// Whether the host is about to leave.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Tells other hosts soon that something changed.
+    pub(crate) fn want_beat(&self) {
+        self.beat_wanted.notify_one();
+    }
+
+    /// A number to spread work by.
+    pub(crate) fn draw(&self, bound: usize) -> usize {
+        lock(&self.random).below(bound)
+    }
+}
--- /dev/null
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -0,0 +1,11 @@
+//! What the store knows, followed by watches, and by other hosts' news where the store is away.
+
+mod follow;
+mod hosts;
+mod news;
+
+pub(crate) use follow::{TableFollower, follow_table};
+pub(crate) use hosts::{announce_host, learn_hosts, withdraw_host};
+pub(crate) use news::{
+    DeclarationsFollower, NewsRows, TargetsFollower, answer_news, ask_for_news, drop_missing_targets,
+};
--- /dev/null
+++ b/crates/cuminramp-gateway/src/targets/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to targets, and sends over them.
+
+mod connections;
+mod events;
+mod send;
+
+pub(crate) use connections::{TargetConnections, TargetLease};
+pub(crate) use events::EventSplitter;
+pub(crate) use send::{SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request};
--- a/crates/cuminramp-platform/src/lib.rs
+++ b/crates/cuminramp-platform/src/lib.rs
@@ -13,4 +13,7 @@
 pub use hosts::{HostEntry, HostList};
 pub use http_platform::{HttpPlatform, wire_format};
 pub use objects::ObjectStore;
-pub use table::{CommitOutcome, Condition, Row, TableStore, Transaction, Version};
+pub use table::{
+    CommitOutcome, Condition, Row, RowChange, TableSnapshot, TableStore, Transaction, Version,
+    WatchAnswer, WatchedTable,
+};
--- a/crates/cuminramp-platform/src/table.rs
+++ b/crates/cuminramp-platform/src/table.rs
@@ -87,3 +87,50 @@
     /// Carries out a transaction.
     async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, StoreError>;
 }
+
+/// A row that was written or deleted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RowChange {
+    /// The row as it is now; its value is empty where it was deleted.
+    pub row: Row,
+    /// Whether it is gone.
+    pub is_deleted: bool,
+}
+
+/// Rows of one table, and the version up to which they are complete.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TableSnapshot {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Changes up to this version are in them.
+    pub version: Version,
+}
+
+/// What a watch brought.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WatchAnswer {
+    /// Changes in their order, none where the time ran out, and the version to go on from.
+    Changes {
+        /// The changes.
+        changes: Vec<RowChange>,
+        /// The version to go on from.
+        version: Version,
+    },
+    /// The changes since then are no longer kept: the table has to be read anew.
+    HistoryLost,
+}
+
+/// A table whose changes can be waited for. Keys begin with the table's name and a slash.
+#[async_trait]
+pub trait WatchedTable: TableStore {
+    /// Reads a whole table.
+    async fn snapshot(&self, table: &str) -> Result<TableSnapshot, StoreError>;
+
+    /// Waits up to `wait` for changes of a table after version `after`.
+    async fn watch(
+        &self,
+        table: &str,
+        after: Version,
+        wait: std::time::Duration,
+    ) -> Result<WatchAnswer, StoreError>;
+}
--- a/crates/cuminramp-settings/src/check.rs
+++ b/crates/cuminramp-settings/src/check.rs
@@ -9,7 +9,7 @@
 use crate::DaemonSettings;
 
 /// The levels a log can have.
-const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+pub(crate) const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
 /// Under this a host that is merely busy would take itself for paused.
 const LEAST_LIST_LAG_MS: u64 = 2_000;
@@ -24,7 +24,7 @@
 }
 
 impl SettingsFault {
-    fn new(place: impl Into<String>, reason: impl Into<String>) -> Self {
+    pub(crate) fn new(place: impl Into<String>, reason: impl Into<String>) -> Self {
         SettingsFault { place: place.into(), reason: reason.into() }
     }
 }
@@ -59,13 +59,13 @@
     if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
-fn syntax_fault(error: &serde_jsonc::Error) -> Vec<SettingsFault> {
+pub(crate) fn syntax_fault(error: &serde_jsonc::Error) -> Vec<SettingsFault> {
     let place = format!("line {} column {}", error.line(), error.column());
     vec![SettingsFault::new(place, error.to_string())]
 }
 
 /// Compares the shape of what is given with that of the defaults.
-fn check_shape(usual: &Value, given: &Value, place: &str, faults: &mut Vec<SettingsFault>) {
+pub(crate) fn check_shape(usual: &Value, given: &Value, place: &str, faults: &mut Vec<SettingsFault>) {
     let (Value::Object(usual_map), Value::Object(given_map)) = (usual, given) else {
         if !same_type(usual, given) {
             let reason = format!("must be {}, not {}", type_name(usual), type_name(given));
@@ -85,7 +85,9 @@
 fn same_type(usual: &Value, given: &Value) -> bool {
     match (usual, given) {
         (Value::Number(usual), Value::Number(given)) => usual.is_f64() || given.is_u64(),
-        (Value::String(_), Value::String(_)) | (Value::Bool(_), Value::Bool(_)) => true,
+        (Value::String(_), Value::String(_))
+        | (Value::Bool(_), Value::Bool(_))
+        | (Value::Array(_), Value::Array(_)) => true,
         _ => false,
     }
 }
--- /dev/null
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -0,0 +1,122 @@
+//! Settings of a host that serves a shared fleet.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::check::{LOG_LEVELS, SettingsFault, check_shape, syntax_fault};
+
+/// Everything a gateway can be set to.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct GatewaySettings {
+    /// The host's name in logs.
+    pub name: String,
+    /// The availability zone that it stands in.
+    pub availability_zone: String,
+    /// Where callers connect, `ip:port`.
+    pub caller_address: String,
+    /// Where the platform asks whether it takes callers, `ip:port`.
+    pub readiness_address: String,
+    /// Where callers ask which hosts to use, `ip:port`.
+    pub steering_address: String,
+    /// Where other hosts reach it, over UDP for beats and TCP for calls, `ip:port`.
+    pub peer_address: String,
+    /// Where metrics are served, `ip:port`.
+    pub metrics_address: String,
+    /// Hosts that may know others, `ip:port`; only the addresses count, ports are those of
+    /// `peer-address`.
+    pub seeds: Vec<String>,
+    /// The platform's store, `ip:port`.
+    pub store_address: String,
+    /// One of `error`, `warn`, `info`, `debug`, `trace`.
+    pub log_level: String,
+    /// Seconds from SIGTERM until the process has to be gone.
+    pub grace_s: f64,
+    /// Seconds that callers may keep a steering answer.
+    pub steering_keep_s: f64,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        GatewaySettings {
+            name: "host-1".into(),
+            availability_zone: "zone-a".into(),
+            caller_address: "127.0.0.1:8080".into(),
+            readiness_address: "127.0.0.1:8081".into(),
+            steering_address: "127.0.0.1:8082".into(),
+            peer_address: "127.0.0.1:8083".into(),
+            metrics_address: "127.0.0.1:8084".into(),
+            seeds: vec![],
+            store_address: "127.0.0.1:8090".into(),
+            log_level: "info".into(),
+            grace_s: 8.0,
+            steering_keep_s: 2.0,
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// How long it has from SIGTERM until it has to be gone.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
+
+/// Reads JSON with comments; what is not named has its default. Fails with every fault found.
+///
+/// ```
+/// let settings = cuminramp_settings::parse_gateway_settings(r#"{ "grace-s": 5 }"#).unwrap();
+/// assert_eq!(settings.grace().as_secs(), 5);
+/// let faults = cuminramp_settings::parse_gateway_settings(r#"{ "grace": 5 }"#).unwrap_err();
+/// assert_eq!(faults[0].place, "grace");
+/// ```
+pub fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, Vec<SettingsFault>> {
+    let given: Value = serde_jsonc::from_str(text).map_err(|error| syntax_fault(&error))?;
+    let usual = serde_json::to_value(GatewaySettings::default())
+        .map_err(|error| vec![SettingsFault::new("defaults", error.to_string())])?;
+    let mut faults = Vec::new();
+    check_shape(&usual, &given, "", &mut faults);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let settings: GatewaySettings = serde_json::from_value(given)
+        .map_err(|error| vec![SettingsFault::new("settings", error.to_string())])?;
+    check_values(&settings, &mut faults);
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
+}
+
+fn check_values(settings: &GatewaySettings, faults: &mut Vec<SettingsFault>) {
+    let addresses = [
+        ("caller-address", &settings.caller_address),
+        ("readiness-address", &settings.readiness_address),
+        ("steering-address", &settings.steering_address),
+        ("peer-address", &settings.peer_address),
+        ("metrics-address", &settings.metrics_address),
+        ("store-address", &settings.store_address),
+    ];
+    let seeds = settings.seeds.iter().map(|seed| ("seeds", seed));
+    for (place, address) in addresses.into_iter().chain(seeds) {
+        if address.parse::<SocketAddr>().is_err() {
+            faults.push(SettingsFault::new(place, format!("{address:?} is not ip:port")));
+        }
+    }
+    if !LOG_LEVELS.contains(&settings.log_level.as_str()) {
+        let reason = format!("must be one of {}", LOG_LEVELS.join(", "));
+        faults.push(SettingsFault::new("log-level", reason));
+    }
+    if settings.availability_zone.is_empty() {
+        faults.push(SettingsFault::new("availability-zone", "must not be empty"));
+    }
+    if settings.grace_s <= 0.0 {
+        faults.push(SettingsFault::new("grace-s", "must be above 0"));
+    }
+    if settings.steering_keep_s <= 0.0 {
+        faults.push(SettingsFault::new("steering-keep-s", "must be above 0"));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/cuminramp-settings/src/lib.rs
+++ b/crates/cuminramp-settings/src/lib.rs
@@ -4,9 +4,11 @@
 //! shows them all. An unknown key or a wrong type is an error that names its place.
 
 mod check;
+mod gateway;
 mod settings;
 
 pub use check::{SettingsFault, parse_settings};
+pub use gateway::{GatewaySettings, parse_gateway_settings};
 pub use settings::{
     BatchSettings, ConfigurationSettings, DaemonSettings, LimitSettings, MarkSettings,
     PeerSettings, PlatformAccess, QuotaPolicy, QuotaSettings, RetrySettings, SteeringSettings,
--- a/crates/cuminramp-wire/src/lib.rs
+++ b/crates/cuminramp-wire/src/lib.rs
@@ -5,8 +5,15 @@
 //! daemons of two versions talk to each other while hosts are replaced one by one.
 
 mod encoded;
+mod fleet_service;
 mod service;
 
+/// Rows and messages of hosts that share a fleet.
+#[allow(missing_docs)]
+pub mod fleet {
+    include!("generated/cuminramp.fleet.rs");
+}
+
 /// Messages between daemons.
 #[allow(missing_docs)]
 pub mod peer {
@@ -20,4 +27,5 @@
 }
 
 pub use encoded::{Encoded, decode_row, encode_row};
+pub use fleet_service::{FleetService, FleetServiceClient};
 pub use service::{PeerService, PeerServiceClient};
--- a/tools/generate-wire/src/main.rs
+++ b/tools/generate-wire/src/main.rs
@@ -8,7 +8,7 @@
 const OUT_DIR: &str = "crates/cuminramp-wire/src/generated";
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let files = ["peer.proto", "rows.proto"];
+    let files = ["fleet.proto", "peer.proto", "rows.proto"];
     let descriptors = protox::compile(files, [PROTO_DIR])?;
     std::fs::create_dir_all(OUT_DIR)?;
     prost_build::Config::new().out_dir(Path::new(OUT_DIR)).compile_fds(descriptors)?;
