Let silence follow the interval of beats

Cause: in a fleet of 85 hosts beats to other zones come every half second, but a host counted as silent after 350 ms.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod peers;
 mod quota;
+mod rhythm;
 mod targets;
 
 pub use beat::{HostBeat, KnownHost, TargetLoad, TeamUsage, name_hash};
@@ -28,6 +29,7 @@
 };
 pub use peers::{PeerPolicy, PeerRecord, PeerTable};
 pub use quota::{QuotaBook, QuotaDecision};
+pub use rhythm::{BeatRhythm, BeatTimes};
 pub use targets::{
     FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
 };
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -6,14 +6,13 @@
 use tokio::time::Instant;
 
 use crate::beat::{HostBeat, KnownHost};
+use crate::rhythm::BeatRhythm;
 
 /// When a host is no longer believed to be there.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerPolicy {
-    /// Silence after which callers are no longer sent to a host and its share of rates is kept for
-    /// it. A little more than three beats, so that one lost datagram means nothing.
-    pub silence: Duration,
-    /// Silence after which a host's jobs are taken over.
+    /// Silence after which a host's jobs are taken over; at least twice that after which it counts
+    /// as silent.
     pub lost: Duration,
 }
 
@@ -44,13 +43,14 @@
 pub struct PeerTable {
     me: KnownHost,
     policy: PeerPolicy,
+    rhythm: BeatRhythm,
     peers: SortedMap<Name, PeerRecord>,
 }
 
 impl PeerTable {
     /// Knows nobody yet.
     pub fn new(me: KnownHost, policy: PeerPolicy) -> Self {
-        PeerTable { me, policy, peers: SortedMap::new() }
+        PeerTable { me, policy, rhythm: BeatRhythm::new(1, 1), peers: SortedMap::new() }
     }
 
     /// This host.
@@ -75,6 +75,7 @@
             has_left: false,
         };
         self.peers.insert(host.address.clone(), record);
+        self.rhythm = self.count_rhythm();
         true
     }
 
@@ -109,6 +110,7 @@
     /// Takes a host out that the table no longer lists.
     pub fn forget(&mut self, address: &str) {
         self.peers.remove(address);
+        self.rhythm = self.count_rhythm();
     }
 
     /// Every other host.
@@ -121,9 +123,27 @@
         self.peers.get(address)
     }
 
-    /// Whether a host was heard within the policy's silence.
+    /// How often hosts beat now.
+    pub fn rhythm(&self) -> BeatRhythm {
+        self.rhythm
+    }
+
+    fn count_rhythm(&self) -> BeatRhythm {
+        let others = self.peers.values().filter(|record| !record.has_left);
+        let (all, near) = others.fold((1, 1), |(all, near), record| {
+            (all + 1, near + usize::from(record.host.zone == self.me.zone))
+        });
+        BeatRhythm::new(all, near)
+    }
+
+    fn silence(&self, record: &PeerRecord) -> Duration {
+        self.rhythm.silence(record.host.zone == self.me.zone)
+    }
+
+    /// Whether a host was heard lately. Until then callers are sent to it, and its share of rates
+    /// need not be kept for it.
     pub fn is_heard(&self, record: &PeerRecord, now: Instant) -> bool {
-        record.heard_at.is_some_and(|at| now.duration_since(at) < self.policy.silence)
+        record.heard_at.is_some_and(|at| now.duration_since(at) < self.silence(record))
     }
 
     /// Hosts that were heard lately, and all that may be admitting requests, this one included.
@@ -150,7 +170,7 @@
             return record.host.incarnation > id.incarnation || record.has_left;
         }
         let since = record.heard_at.unwrap_or(record.known_at);
-        now.duration_since(since) > self.policy.lost
+        now.duration_since(since) > self.policy.lost.max(self.silence(record) * 2)
     }
 
     /// Whether at least half of the others are heard: a host that hears fewer is itself the one cut
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -33,8 +33,7 @@
 }
 
 fn table() -> PeerTable {
-    let policy =
-        PeerPolicy { silence: Duration::from_millis(350), lost: Duration::from_millis(1_500) };
+    let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
     PeerTable::new(known("a", 1, "z1"), policy)
 }
 
--- /dev/null
+++ b/crates/cuminramp-fleet/src/rhythm/tests.rs
@@ -0,0 +1,58 @@
+use std::time::Duration;
+
+use test_case::test_case;
+use tokio::time::{Instant, advance};
+
+use super::{BeatRhythm, BeatTimes};
+
+/// In a large fleet beats to other zones come seldom. With a fixed limit every host would take the
+/// hosts of other zones for silent between two beats, keep their share of each rate for them, and
+/// refuse callers who are within it.
+#[test_case(11, 4)]
+#[test_case(85, 29)]
+#[test_case(91, 23)]
+#[test_case(360, 16)]
+#[tokio::test(start_paused = true)]
+async fn a_host_that_beats_in_time_is_never_silent(hosts: usize, near: usize) {
+    let rhythm = BeatRhythm::new(hosts, near);
+    let mut times = BeatTimes::new(Instant::now());
+    let mut heard = [Instant::now(); 2];
+
+    for _ in 0..200 {
+        advance(times.next().saturating_duration_since(Instant::now())).await;
+        let due = times.take_due(&rhythm, Instant::now());
+        for (index, is_due) in [due.0, due.1].into_iter().enumerate() {
+            let silence = rhythm.silence(index == 0);
+            assert!(heard[index].elapsed() * 3 < silence, "{:?}", heard[index].elapsed());
+            if is_due {
+                heard[index] = Instant::now();
+            }
+        }
+    }
+}
+
+/// Under full load something changes all the time. Beats for each change would take up the host.
+#[test_case(11, 4, 2_500)]
+#[test_case(85, 29, 1_300)]
+#[test_case(360, 16, 1_300)]
+#[tokio::test(start_paused = true)]
+async fn changes_all_the_time_cost_a_bounded_number_of_beats(
+    hosts: usize,
+    near: usize,
+    most_a_second: usize,
+) {
+    let rhythm = BeatRhythm::new(hosts, near);
+    let mut times = BeatTimes::new(Instant::now());
+    let mut sent = 0;
+
+    for _ in 0..20_000 {
+        advance(Duration::from_micros(100)).await;
+        times.hasten(&rhythm, Instant::now());
+        if times.next() <= Instant::now() {
+            let due = times.take_due(&rhythm, Instant::now());
+            sent += usize::from(due.0) * (near - 1) + usize::from(due.1) * (hosts - near);
+        }
+    }
+
+    assert!(sent / 2 <= most_a_second, "{}", sent / 2);
+}
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -32,10 +32,8 @@
     learn_hosts, withdraw_host,
 };
 
-/// Beliefs about hosts: three and a half beats of 100 ms, and long enough for a process to be
-/// killed and started again.
-const PEERS: PeerPolicy =
-    PeerPolicy { silence: Duration::from_millis(350), lost: Duration::from_millis(1_500) };
+/// Long enough for a process to be killed and started again, and for a host to be frozen shortly.
+const PEERS: PeerPolicy = PeerPolicy { lost: Duration::from_millis(1_500) };
 /// Between two looks at what grows old: silent hosts, missing targets, idle connections.
 const UPKEEP_EVERY: Duration = Duration::from_millis(100);
 /// Between two reads of all hosts' rows. New hosts greet by themselves; this finds what that missed.
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use cuminramp_core::{HostId, Name};
-use cuminramp_fleet::{HostBeat, KnownHost};
+use cuminramp_fleet::{BeatTimes, HostBeat, KnownHost};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -16,22 +15,11 @@
 
 /// The largest beat that is taken.
 const MOST_BEAT_BYTES: usize = 60 << 10;
-/// A change is told to hosts of the zone after so long, with what else changes meanwhile.
-const NEAR_DELAY: Duration = Duration::from_millis(3);
-/// Time between two beats to hosts of the zone when nothing changes; a host counts as silent after
-/// three and a half.
-const NEAR_INTERVAL: Duration = Duration::from_millis(100);
-/// Beats to hosts of other zones grow with the square of the number of hosts; this factor keeps
-/// them under some 150 a second and host up to 90 hosts, and at 8 ms for 11.
-const FAR_DELAY_MICROS: u64 = 70;
-/// Time between two beats to hosts of other zones when nothing changes, or the delay above if that
-/// is longer.
-const FAR_INTERVAL: Duration = Duration::from_millis(100);
-/// Hosts that a beat names.
+/// Hosts that a whole beat names.
 const KNOWN_IN_BEAT: usize = 2;
 /// Hosts that a beat names to one that asks.
 const KNOWN_IN_ANSWER: usize = 40;
-/// Every so many beats tell the counts of all teams.
+/// Every so many beats tell the counts of all teams and name some hosts.
 const WHOLE_EVERY: u64 = 16;
 
 /// The socket for beats.
@@ -63,17 +51,20 @@
     }
 }
 
-fn make_beat(state: &GatewayState, socket: &BeatSocket, wants_answer: bool, most: usize) -> HostBeat {
+fn make_beat(
+    state: &GatewayState,
+    socket: &BeatSocket,
+    wants_answer: bool,
+    is_greeting: bool,
+) -> HostBeat {
     let now = Instant::now();
     let sequence = socket.sequence.fetch_add(1, Ordering::Relaxed);
-    let is_usage_whole = most > KNOWN_IN_BEAT || sequence.is_multiple_of(WHOLE_EVERY);
+    let is_usage_whole = is_greeting || sequence.is_multiple_of(WHOLE_EVERY);
     let waiting_items = if state.is_draining() { 0 } else { lock(&state.jobs).waiting(now) };
-    let known = {
-        let peers = lock(&state.peers);
-        let all: Vec<&KnownHost> =
-            peers.iter().filter(|record| !record.has_left).map(|record| &record.host).collect();
-        let skip = if all.is_empty() { 0 } else { sequence as usize % all.len() };
-        all.iter().cycle().skip(skip).take(most.min(all.len())).map(|host| (*host).clone()).collect()
+    let known = match (is_greeting, is_usage_whole) {
+        (true, _) => some_known(state, sequence, KNOWN_IN_ANSWER),
+        (false, true) => some_known(state, sequence, KNOWN_IN_BEAT),
+        (false, false) => vec![],
     };
     HostBeat {
         host: state.me.clone(),
@@ -91,6 +82,15 @@
     }
 }
 
+/// Some of the hosts that are known, others each time.
+fn some_known(state: &GatewayState, sequence: u64, most: usize) -> Vec<KnownHost> {
+    let peers = lock(&state.peers);
+    let all: Vec<&KnownHost> =
+        peers.iter().filter(|record| !record.has_left).map(|record| &record.host).collect();
+    let skip = if all.is_empty() { 0 } else { sequence as usize % all.len() };
+    all.iter().cycle().skip(skip).take(most.min(all.len())).map(|host| (*host).clone()).collect()
+}
+
 fn addresses(state: &GatewayState, is_near: bool) -> Vec<Name> {
     let peers = lock(&state.peers);
     let chosen = peers
@@ -102,58 +102,32 @@
 /// Greets a host that may not know this one.
 pub(crate) async fn greet_host(state: &Arc<GatewayState>, address: &Name) {
     let Some(socket) = state.beat_socket.get() else { return };
-    let beat = make_beat(state, socket, true, KNOWN_IN_ANSWER);
+    let beat = make_beat(state, socket, true, true);
     socket.send(&beat, std::slice::from_ref(address)).await;
 }
 
-/// When the next beats are due.
-#[derive(Clone, Copy, Debug)]
-struct BeatTimes {
-    near_due: Instant,
-    far_due: Instant,
-    far_last: Instant,
-}
-
-impl BeatTimes {
-    fn new(now: Instant) -> Self {
-        BeatTimes { near_due: now, far_due: now, far_last: now }
-    }
-
-    /// Something changed: brings the next beats forward.
-    fn hasten(&mut self, far_delay: Duration, now: Instant) {
-        let soon = now + NEAR_DELAY;
-        self.near_due = self.near_due.min(soon);
-        self.far_due = self.far_due.min(soon.max(self.far_last + far_delay));
-    }
-}
-
 /// Sends beats until the gateway stops: soon after changes, and at intervals.
 pub(crate) async fn send_beats(state: Arc<GatewayState>) {
     let Some(socket) = state.beat_socket.get() else { return };
     let mut times = BeatTimes::new(Instant::now());
     loop {
-        let hosts = lock(&state.peers).iter().count() as u64 + 1;
-        let far_delay = Duration::from_micros(FAR_DELAY_MICROS * hosts * hosts);
-        let next = times.near_due.min(times.far_due);
+        let rhythm = lock(&state.peers).rhythm();
         tokio::select! {
-            () = tokio::time::sleep_until(next) => {}
+            () = tokio::time::sleep_until(times.next()) => {}
             () = state.beat_wanted.notified() => {
-                times.hasten(far_delay, Instant::now());
+                times.hasten(&rhythm, Instant::now());
                 continue;
             }
         }
-        let now = Instant::now();
+        let (is_near_due, is_far_due) = times.take_due(&rhythm, Instant::now());
         let mut receivers = Vec::new();
-        if times.near_due <= now {
-            times.near_due = now + NEAR_INTERVAL;
+        if is_near_due {
             receivers.extend(addresses(&state, true));
         }
-        if times.far_due <= now {
-            times.far_due = now + FAR_INTERVAL.max(far_delay);
-            times.far_last = now;
+        if is_far_due {
             receivers.extend(addresses(&state, false));
         }
-        let beat = make_beat(&state, socket, false, KNOWN_IN_BEAT);
+        let beat = make_beat(&state, socket, false, false);
         socket.send(&beat, &receivers).await;
         renew_share(&state);
     }
@@ -163,7 +137,7 @@
 pub(crate) async fn tell_all(state: &Arc<GatewayState>) {
     let Some(socket) = state.beat_socket.get() else { return };
     for _ in 0..2 {
-        let beat = make_beat(state, socket, false, KNOWN_IN_BEAT);
+        let beat = make_beat(state, socket, false, false);
         socket.send(&beat, &addresses(state, true)).await;
         socket.send(&beat, &addresses(state, false)).await;
     }
@@ -206,7 +180,7 @@
     let is_taken = merge_beat(state, beat, now);
     if is_taken && wants_answer {
         let Some(socket) = state.beat_socket.get() else { return };
-        let answer = make_beat(state, socket, false, KNOWN_IN_ANSWER);
+        let answer = make_beat(state, socket, false, true);
         socket.send(&answer, &[from.to_string().into()]).await;
     }
     for host in known {
