--- a/crates/cuminramp-daemon/src/cmd/gateway.rs
+++ b/crates/cuminramp-daemon/src/cmd/gateway.rs
@@ -6,9 +6,7 @@
 
 use cuminramp_daemon::start_logging;
 use cuminramp_gateway::Gateway;
-use cuminramp_platform_adapter::{
-    PlatformCalls, PlatformFleet, PlatformStore, SETTINGS_VARIABLE,
-};
+use cuminramp_platform_adapter::{PlatformCalls, PlatformFleet, PlatformStore, SETTINGS_VARIABLE};
 use cuminramp_settings::{GatewaySettings, parse_gateway_settings};
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/cuminramp-daemon/src/logging.rs
+++ b/crates/cuminramp-daemon/src/logging.rs
@@ -86,8 +86,8 @@
         return;
     };
     let output = BoundedOutput::new(std::io::stdout());
-    let starter =
-        logforth::starter_log::builder().dispatch(|dispatch| dispatch.filter(filter).append(output));
+    let starter = logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(output));
     let _ = starter.try_apply();
 }
 
--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -170,9 +170,9 @@
         for (_, rules) in by_host.iter_mut() {
             rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
         }
-        let owners = teams.iter().flat_map(|team| {
-            team.keys.iter().map(|key| (key.clone(), team.name.clone()))
-        });
+        let owners = teams
+            .iter()
+            .flat_map(|team| team.keys.iter().map(|key| (key.clone(), team.name.clone())));
         FleetDeclarations {
             version,
             limits,
--- a/crates/cuminramp-fleet/src/declarations/tests.rs
+++ b/crates/cuminramp-fleet/src/declarations/tests.rs
@@ -25,8 +25,7 @@
 }
 
 fn declared(version: u64) -> FleetDeclarations {
-    let team =
-        TeamRule { name: "parish".into(), keys: vec!["k1".into()], rate: 1.0, burst: 1.0 };
+    let team = TeamRule { name: "parish".into(), keys: vec!["k1".into()], rate: 1.0, burst: 1.0 };
     let routes = vec![route("/a/"), route("/a/b/")];
     FleetDeclarations::new(version, CallerLimits::default(), routes, vec![], vec![team])
 }
@@ -66,10 +65,8 @@
 #[test]
 fn pools_get_requests_by_their_weights() {
     let mut rule = route("/a/");
-    rule.pools = vec![
-        PoolShare { pool: "p".into(), weight: 9 },
-        PoolShare { pool: "q".into(), weight: 1 },
-    ];
+    rule.pools =
+        vec![PoolShare { pool: "p".into(), weight: 9 }, PoolShare { pool: "q".into(), weight: 1 }];
 
     let to_q = (0..100).filter(|spread| rule.pick_pool(*spread).map(|pool| &**pool) == Some("q"));
 
--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -193,12 +193,7 @@
     }
 
     /// Takes a job over, with the items that are finished already and what is known of others.
-    pub fn hold(
-        &mut self,
-        spec: JobSpec,
-        finished: &[Name],
-        mut known: Vec<(Name, ItemProgress)>,
-    ) {
+    pub fn hold(&mut self, spec: JobSpec, finished: &[Name], mut known: Vec<(Name, ItemProgress)>) {
         let entry = |item: &Arc<ItemSpec>| {
             let at = known.iter().position(|(id, _)| *id == item.id);
             let progress = at.map(|at| known.swap_remove(at).1).unwrap_or_default();
@@ -275,8 +270,8 @@
         index: usize,
         progress: ItemProgress,
     ) -> Option<FinishedItem> {
-        let run = self.run.as_secs_f64() * (1.0 - RUN_WEIGHT)
-            + progress.ran.as_secs_f64() * RUN_WEIGHT;
+        let run =
+            self.run.as_secs_f64() * (1.0 - RUN_WEIGHT) + progress.ran.as_secs_f64() * RUN_WEIGHT;
         self.run = Duration::from_secs_f64(run);
         self.finish(job, index, ItemOutcome::Complete(progress.text))
     }
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -52,7 +52,8 @@
 /// can would be late as well, and every caller would be disappointed.
 #[tokio::test(start_paused = true)]
 async fn items_that_cannot_be_in_time_wait_behind_those_that_can() {
-    let mut board = board(vec![job("late", 3, &["l"]), job("soon", 10, &["s"]), job("far", 20, &["f"])]);
+    let mut board =
+        board(vec![job("late", 3, &["l"]), job("soon", 10, &["s"]), job("far", 20, &["f"])]);
 
     let order: Vec<String> = std::iter::from_fn(|| take(&mut board)).map(|taken| taken.0).collect();
 
@@ -78,7 +79,8 @@
     let mut board = board(vec![job("j", 10, &["a", "b"])]);
     take(&mut board);
 
-    let given_up = board.fail("j", 0, ItemFailure::Impossible, ItemProgress::default(), Instant::now());
+    let given_up =
+        board.fail("j", 0, ItemFailure::Impossible, ItemProgress::default(), Instant::now());
 
     assert_eq!(given_up, Some(FinishedItem { index: 0, outcome: ItemOutcome::GivenUp }));
     assert_eq!(take(&mut board).map(|taken| taken.1), Some(1));
@@ -91,8 +93,7 @@
     let mut outcomes = Vec::new();
     for _ in 0..3 {
         take(&mut board);
-        let end =
-            board.fail("j", 0, ItemFailure::Failed, ItemProgress::default(), Instant::now());
+        let end = board.fail("j", 0, ItemFailure::Failed, ItemProgress::default(), Instant::now());
         outcomes.push(end.is_some());
         advance(Duration::from_secs(1)).await;
     }
@@ -128,7 +129,10 @@
     let given_up = board.give_up_old(Instant::now());
 
     assert_eq!(given_up.len(), 2);
-    assert_eq!(board.get("j").map(|job| (job.unfinished_tokens(), job.is_finished())), Some((0, true)));
+    assert_eq!(
+        board.get("j").map(|job| (job.unfinished_tokens(), job.is_finished())),
+        Some((0, true))
+    );
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -197,8 +197,11 @@
             let unheard = self.peers.values().filter(|record| !record.has_left);
             live.extend(unheard.filter(|record| !self.is_heard(record, now)).map(|r| &r.host));
         }
-        let near: Vec<Name> =
-            live.iter().filter(|host| &*host.zone == zone).map(|h| h.caller_address.clone()).collect();
+        let near: Vec<Name> = live
+            .iter()
+            .filter(|host| &*host.zone == zone)
+            .map(|h| h.caller_address.clone())
+            .collect();
         if near.len() >= fewest {
             return near;
         }
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -168,8 +168,7 @@
     /// What this host tells others: counts that changed lately, or all of them.
     pub fn usage(&self, is_whole: bool, now: Instant) -> Vec<TeamUsage> {
         let told = self.teams.iter().filter(|(_, account)| {
-            account.admitted > 0
-                && (is_whole || now.duration_since(account.changed_at) < TELL_FOR)
+            account.admitted > 0 && (is_whole || now.duration_since(account.changed_at) < TELL_FOR)
         });
         told.map(|(team, account)| TeamUsage { team: *team, admitted: account.admitted }).collect()
     }
--- a/crates/cuminramp-fleet/src/rhythm.rs
+++ b/crates/cuminramp-fleet/src/rhythm.rs
@@ -51,7 +51,11 @@
 
     /// Silence after which a host of this zone, or of another, counts as silent.
     pub fn silence(&self, is_near: bool) -> Duration {
-        if is_near { INTERVAL.mul_f64(MISSED_BEATS) } else { self.far_interval().mul_f64(MISSED_BEATS) }
+        if is_near {
+            INTERVAL.mul_f64(MISSED_BEATS)
+        } else {
+            self.far_interval().mul_f64(MISSED_BEATS)
+        }
     }
 
     fn far_interval(&self) -> Duration {
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -221,7 +221,9 @@
 
     fn told_of(&self, hash: u32) -> (u32, u32) {
         let all = self.peer_loads.values().flatten().filter(|load| load.target == hash);
-        all.fold((0, 0), |sum, load| (sum.0 + u32::from(load.online), sum.1 + u32::from(load.batch)))
+        all.fold((0, 0), |sum, load| {
+            (sum.0 + u32::from(load.online), sum.1 + u32::from(load.batch))
+        })
     }
 
     fn shift(&mut self, loads: &[TargetLoad], is_added: bool) {
@@ -290,7 +292,8 @@
 
     /// A request held its slot for so long.
     pub fn saw_hold(&mut self, held: Duration) {
-        let average = self.hold.as_secs_f64() * (1.0 - HOLD_WEIGHT) + held.as_secs_f64() * HOLD_WEIGHT;
+        let average =
+            self.hold.as_secs_f64() * (1.0 - HOLD_WEIGHT) + held.as_secs_f64() * HOLD_WEIGHT;
         self.hold = Duration::from_secs_f64(average);
     }
 
@@ -406,7 +409,8 @@
             self.hold.as_secs_f64() * f64::from(over) / f64::from(entry.target.slots.max(1))
         };
         let rated = open.iter().map(|entry| (waiting(entry), random.below(1 << 16), *entry));
-        let best = rated.min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
+        let best =
+            rated.min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
         let Some((wait, _, entry)) = best else {
             return PlacementDecision::Nowhere;
         };
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -118,7 +118,9 @@
     let again = place(&board, &need(true, &[]));
 
     assert_eq!(in_time.as_deref(), Some("e1"));
-    assert!(matches!(refused, PlacementDecision::Full(after) if after >= Duration::from_millis(250)));
+    assert!(
+        matches!(refused, PlacementDecision::Full(after) if after >= Duration::from_millis(250))
+    );
     assert_eq!(again.as_deref(), Some("e1"));
 }
 
--- a/crates/cuminramp-gateway/src/entry/answers/tests.rs
+++ b/crates/cuminramp-gateway/src/entry/answers/tests.rs
@@ -9,8 +9,7 @@
 #[test_case(Execution::MayHaveRun, 502)]
 #[test_case(Execution::Ran, 502)]
 fn a_request_that_may_have_run_gets_no_promise(execution: Execution, status: u16) {
-    let refusal =
-        Refusal::not_run(ResultCode::TargetsUnavailable, "").with_execution(execution);
+    let refusal = Refusal::not_run(ResultCode::TargetsUnavailable, "").with_execution(execution);
 
     assert_eq!(refusal_status(&refusal).as_u16(), status);
 }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -105,7 +105,8 @@
         zone: settings.availability_zone.as_str().into(),
     };
     let id = HostId { address: me.address.clone(), incarnation: me.incarnation };
-    let metrics = GatewayMetrics::new().map_err(|error| GatewayError::Metrics(error.to_string()))?;
+    let metrics =
+        GatewayMetrics::new().map_err(|error| GatewayError::Metrics(error.to_string()))?;
     Ok(GatewayState {
         declarations: Default::default(),
         quota: Default::default(),
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -7,8 +7,8 @@
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{ItemSpec, JobSpec, RouteRule};
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
-use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
 use cuminramp_wire::encode_row;
+use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
@@ -253,7 +253,9 @@
             return Ok(());
         }
         if !*is_fresh {
-            refresh(state, &draft.row.team).await.map_err(|error| unavailable(error.to_string()))?;
+            refresh(state, &draft.row.team)
+                .await
+                .map_err(|error| unavailable(error.to_string()))?;
             *is_fresh = true;
             continue;
         }
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -91,9 +91,10 @@
     /// Tokens of a team's unfinished items on a route.
     pub(crate) fn waiting_tokens(&self, team: &str, route: &str) -> u64 {
         let rows = lock(&self.rows);
-        let open = rows.jobs.values().filter(|job| {
-            job.is_open() && job.row.team == team && job.row.route == route
-        });
+        let open = rows
+            .jobs
+            .values()
+            .filter(|job| job.is_open() && job.row.team == team && job.row.route == route);
         open.map(|job| job.row.waiting_tokens).sum()
     }
 
@@ -156,8 +157,8 @@
 /// Takes a row, and lets a job go that ended or that another host holds.
 pub(super) fn notice_row(state: &Arc<GatewayState>, row: &Row) {
     let Some(job) = state.directory.take_row(row) else { return };
-    let is_mine = *job.holder_address == *state.me.address
-        && job.holder_incarnation == state.me.incarnation;
+    let is_mine =
+        *job.holder_address == *state.me.address && job.holder_incarnation == state.me.incarnation;
     if is_mine && job.phase() == JobPhase::Open {
         return;
     }
--- a/crates/cuminramp-gateway/src/jobs/end.rs
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -79,8 +79,8 @@
     let rows = state.store.read(&[key]).await?;
     let row = rows.into_iter().next().flatten();
     let row = row.ok_or_else(|| StoreError::Unknown("the job's row is gone".into()))?;
-    let read = decode_row::<JobRow>(&row.value)
-        .map_err(|error| StoreError::Unknown(error.to_string()))?;
+    let read =
+        decode_row::<JobRow>(&row.value).map_err(|error| StoreError::Unknown(error.to_string()))?;
     notice_row(state, &row);
     Ok(KnownJob { row: read, version: row.version })
 }
--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -264,8 +264,11 @@
         next.holder_address = String::new();
         next.holder_incarnation = 0;
         next.commit += 1;
-        let mut transaction =
-            Transaction::default().put_at(job_key(&team, &id), self.known.version, encode_row(&next));
+        let mut transaction = Transaction::default().put_at(
+            job_key(&team, &id),
+            self.known.version,
+            encode_row(&next),
+        );
         let mut progressed = 0;
         let mut bytes = 0;
         for (index, progress) in held.progress() {
--- a/crates/cuminramp-gateway/src/jobs/read.rs
+++ b/crates/cuminramp-gateway/src/jobs/read.rs
@@ -113,11 +113,7 @@
         if bytes > MOST_BYTES && !results.is_empty() {
             break;
         }
-        results.push(ListedResult {
-            item: read.item.into(),
-            is_complete: read.is_complete,
-            text,
-        });
+        results.push(ListedResult { item: read.item.into(), is_complete: read.is_complete, text });
     }
     Ok(results)
 }
@@ -148,9 +144,8 @@
 async fn stored_body(state: &GatewayState, job: &JobRow, item: &str) -> Result<Bytes, Refusal> {
     let input = read_input(state, job).await.map_err(|error| unsure(&error))?;
     let found = input.items.into_iter().find(|held| held.id == item);
-    let found = found.ok_or_else(|| {
-        Refusal::not_run(ResultCode::ResourceUnknown, "the job has no such item")
-    })?;
+    let found = found
+        .ok_or_else(|| Refusal::not_run(ResultCode::ResourceUnknown, "the job has no such item"))?;
     Ok(Bytes::from(found.body))
 }
 
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -15,7 +15,9 @@
 use super::keeper::KeeperOrder;
 use crate::borders::TargetHead;
 use crate::state::{GatewayState, lock};
-use crate::targets::{EventSplitter, SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request};
+use crate::targets::{
+    EventSplitter, SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request,
+};
 
 /// Looks for room at least this often while items wait.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
@@ -46,9 +48,9 @@
 impl RunningItems {
     fn remove(&self, job: &str, index: usize, target: &str) {
         let mut items = lock(&self.items);
-        let at = items.iter().position(|item| {
-            *item.job == *job && item.index == index && *item.target == *target
-        });
+        let at = items
+            .iter()
+            .position(|item| *item.job == *job && item.index == index && *item.target == *target);
         if let Some(at) = at {
             items.swap_remove(at);
         }
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -8,8 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Bounds of the buckets of times, in seconds; closest around the usual objective of 0.3 s.
-const TIME_BOUNDS: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+const TIME_BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
 /// The instruments of a gateway.
 pub(crate) struct GatewayMetrics {
--- a/crates/cuminramp-gateway/src/online/relay.rs
+++ b/crates/cuminramp-gateway/src/online/relay.rs
@@ -5,9 +5,9 @@
 use http::Response;
 use http_body_util::{BodyExt, Full, Limited};
 
+use super::RequestOutcome;
 use super::serve::RequestPass;
 use super::stream::stream_body;
-use super::RequestOutcome;
 use crate::entry::AnswerBody;
 use crate::targets::TargetAnswer;
 
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -6,9 +6,7 @@
 use bytes::Bytes;
 use cuminramp_core::{Execution, Name, Refusal, ResultCode};
 use cuminramp_fleet::{FleetTarget, OnlineNeed, PlacementDecision, RouteKind, RouteRule, WorkKind};
-use cuminramp_targets::{
-    AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry,
-};
+use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
 use tokio::time::Instant;
 
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -82,7 +82,9 @@
                 return StreamStep::Broken("no answer".into());
             };
             match tokio::time::timeout(limit, answer.body.frame()).await {
-                Err(_) => return StreamStep::Broken(format!("silent for {} ms", limit.as_millis())),
+                Err(_) => {
+                    return StreamStep::Broken(format!("silent for {} ms", limit.as_millis()));
+                }
                 Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -130,7 +132,8 @@
         }
         self.splitter = EventSplitter::default();
         let broken = |reason: &str| io::Error::other(reason.to_owned());
-        if self.pass.request.route.kind != RouteKind::Stream || Instant::now() >= self.pass.deadline()
+        if self.pass.request.route.kind != RouteKind::Stream
+            || Instant::now() >= self.pass.deadline()
         {
             self.pass.record.end(RequestOutcome::BrokenOff);
             return Err(broken(reason));
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -194,8 +194,7 @@
 
 /// Lets everything know what a beat says; `false` if it was an old one.
 fn merge_beat(state: &Arc<GatewayState>, beat: HostBeat, now: Instant) -> bool {
-    let id =
-        HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
+    let id = HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
     let (loads, usage) = (beat.loads.clone(), beat.usage.clone());
     let is_usage_whole = beat.is_usage_whole;
     let (declarations, targets) = (beat.declarations, beat.targets);
--- a/crates/cuminramp-gateway/src/peers/calls.rs
+++ b/crates/cuminramp-gateway/src/peers/calls.rs
@@ -55,7 +55,8 @@
 
 /// Asks a host for what this one lacks; over a connection of its own, since it is asked rarely.
 pub(crate) async fn ask_news(address: &Name, request: NewsRequest) -> Option<NewsReply> {
-    let mut connecting = tarpc::serde_transport::tcp::connect(address.to_string(), Bincode::default);
+    let mut connecting =
+        tarpc::serde_transport::tcp::connect(address.to_string(), Bincode::default);
     connecting.config_mut().max_frame_length(MOST_FRAME_BYTES);
     let transport = tokio::time::timeout(CALL_LIMIT, connecting).await.ok()?.ok()?;
     let client = FleetServiceClient::new(Config::default(), transport).spawn();
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) use follow::{TableFollower, follow_table};
 pub(crate) use hosts::{announce_host, learn_hosts, withdraw_host};
 pub(crate) use news::{
-    DeclarationsFollower, NewsRows, TargetsFollower, answer_news, ask_for_news, drop_missing_targets,
+    DeclarationsFollower, NewsRows, TargetsFollower, answer_news, ask_for_news,
+    drop_missing_targets,
 };
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -231,9 +231,10 @@
     tokio::time::sleep(STORE_FIRST).await;
     let declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
     let targets = lock(&state.news).targets_version;
-    let is_behind = lock(&state.peers).get(&address).and_then(|peer| peer.beat.as_ref()).is_some_and(
-        |beat| beat.declarations > declarations || beat.targets > targets,
-    );
+    let is_behind = lock(&state.peers)
+        .get(&address)
+        .and_then(|peer| peer.beat.as_ref())
+        .is_some_and(|beat| beat.declarations > declarations || beat.targets > targets);
     if !is_behind {
         return;
     }
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -104,7 +104,6 @@
         lock(&self.state.board).saw_failure(&self.target.id, Instant::now());
         self.state.connections.close_idle(&self.target.address);
     }
-
 }
 
 impl Drop for TargetRun {
--- a/crates/cuminramp-settings/src/check.rs
+++ b/crates/cuminramp-settings/src/check.rs
@@ -65,7 +65,12 @@
 }
 
 /// Compares the shape of what is given with that of the defaults.
-pub(crate) fn check_shape(usual: &Value, given: &Value, place: &str, faults: &mut Vec<SettingsFault>) {
+pub(crate) fn check_shape(
+    usual: &Value,
+    given: &Value,
+    place: &str,
+    faults: &mut Vec<SettingsFault>,
+) {
     let (Value::Object(usual_map), Value::Object(given_map)) = (usual, given) else {
         if !same_type(usual, given) {
             let reason = format!("must be {}, not {}", type_name(usual), type_name(given));
