Keep rows from coming back, and find a silent store within three seconds

Watches wait 2.5 s now, 0.2 s while the store is lost. Rows keep the version of their end, and news no newer than what is known by then are dropped. Besides: entries that run out while the store is away get 2.2 s to come back. Tests of the registry fail without each.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod peers;
 mod quota;
+mod registry;
 mod rhythm;
 mod targets;
 
@@ -29,6 +30,7 @@
 };
 pub use peers::{PeerPolicy, PeerRecord, PeerTable};
 pub use quota::{QuotaBook, QuotaDecision};
+pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
 pub use rhythm::{BeatRhythm, BeatTimes};
 pub use targets::{
     FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
--- /dev/null
+++ b/crates/cuminramp-fleet/src/registry/tests.rs
@@ -0,0 +1,95 @@
+use std::time::Duration;
+
+use tokio::time::{Instant, advance};
+
+use super::{ChangedRow, KnownRow, RowAction, RowRegistry};
+
+fn row(key: &str, version: u64) -> KnownRow {
+    KnownRow { key: key.into(), value: "x".into(), version }
+}
+
+fn changed(key: &str, version: u64, is_deleted: bool) -> ChangedRow {
+    ChangedRow { row: row(key, version), is_deleted }
+}
+
+fn registry(keys: &[&str]) -> RowRegistry {
+    let mut registry = RowRegistry::default();
+    let rows = keys.iter().enumerate().map(|(index, key)| row(key, index as u64 + 1)).collect();
+    registry.take_whole(rows, 10, Instant::now());
+    registry
+}
+
+fn keys(registry: &RowRegistry) -> Vec<&str> {
+    registry.rows().map(|row| row.key.as_str()).collect()
+}
+
+/// A host asks another for news just before it hears from the store that a target leaves, and the
+/// other had not heard of it yet. Were the row taken back, requests would go to a target that
+/// leaves, for as long as nobody says so again.
+#[tokio::test(start_paused = true)]
+async fn a_row_that_ended_does_not_come_back_by_late_news() {
+    let mut registry = registry(&["a", "b"]);
+    registry.take_changes(vec![changed("a", 12, true)], 12, false, Instant::now());
+
+    let late = registry.take_news(vec![row("a", 1), row("b", 2)], 11);
+    let whole = registry.take_whole(vec![row("a", 1), row("b", 2)], 11, Instant::now());
+    let newer = registry.take_news(vec![row("a", 1), row("b", 2)], 13);
+
+    assert_eq!((late, whole, newer), (vec![], vec![], vec![]));
+    assert_eq!(keys(&registry), ["b"]);
+}
+
+/// The store was away, and the entries of all targets ran out meanwhile. Were they taken for gone
+/// at once, every caller would be refused for two seconds although all targets live.
+#[tokio::test(start_paused = true)]
+async fn entries_that_ran_out_while_the_store_was_away_get_time_to_come_back() {
+    let mut registry = registry(&["a", "b", "c", "d"]);
+    let gone = ["a", "b", "c", "d"].map(|key| changed(key, 12, true)).to_vec();
+
+    let at_once = registry.take_changes(gone, 12, false, Instant::now());
+    advance(Duration::from_millis(1_000)).await;
+    registry.take_changes(vec![changed("a", 13, false)], 13, false, Instant::now());
+    let early = registry.take_due(Instant::now());
+    advance(Duration::from_millis(1_500)).await;
+    let due = registry.take_due(Instant::now());
+
+    assert_eq!((at_once, early), (vec![], vec![]));
+    assert_eq!(due.len(), 3);
+    assert_eq!(keys(&registry), ["a"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_single_target_that_leaves_is_gone_at_once() {
+    let mut registry = registry(&["a", "b"]);
+
+    let actions = registry.take_changes(vec![changed("a", 12, true)], 12, false, Instant::now());
+
+    assert_eq!(actions, [RowAction::Remove { key: "a".into(), version: 12 }]);
+}
+
+/// A whole read is answered late, from before a target came. Its silence about the target means
+/// nothing.
+#[tokio::test(start_paused = true)]
+async fn an_old_whole_read_makes_nobody_doubt_a_new_row() {
+    let mut registry = registry(&["a"]);
+    registry.take_changes(vec![changed("b", 12, false)], 12, false, Instant::now());
+
+    registry.take_whole(vec![row("a", 1)], 11, Instant::now());
+    advance(Duration::from_secs(5)).await;
+
+    assert_eq!(registry.take_due(Instant::now()), []);
+    assert_eq!(keys(&registry), ["a", "b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_newer_whole_read_lacks_is_gone_after_a_while() {
+    let mut registry = registry(&["a", "b"]);
+
+    registry.take_whole(vec![row("a", 1)], 12, Instant::now());
+    let early = registry.take_due(Instant::now());
+    advance(Duration::from_millis(2_300)).await;
+    let due = registry.take_due(Instant::now());
+
+    assert_eq!(early, []);
+    assert_eq!(due, [RowAction::Remove { key: "b".into(), version: 12 }]);
+}
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -109,12 +109,11 @@
         .map_err(|fault| Refusal::not_run(ResultCode::BodyMalformed, fault.to_string()))?;
     let mut draft = make_draft(state, route, caller, &id, &items, body, began);
     store_input(state, &draft, &items).await?;
-    make_durable(state, &mut draft).await.map(|outcome| {
-        if outcome == "accepted" {
-            hold(state, &draft, items);
-        }
-        outcome
-    })
+    let outcome = make_durable(state, &mut draft).await?;
+    if outcome == "accepted" {
+        hold(state, &draft, items);
+    }
+    Ok(outcome)
 }
 
 fn is_known(state: &GatewayState, id: &str, team: &str) -> bool {
--- a/crates/cuminramp-gateway/src/sync/follow.rs
+++ b/crates/cuminramp-gateway/src/sync/follow.rs
@@ -7,11 +7,13 @@
 use cuminramp_platform::{RowChange, StoreError, TableSnapshot, WatchAnswer};
 use tokio::time::Instant;
 
-use crate::state::GatewayState;
+use crate::state::{GatewayState, lock};
 
-/// How long one watch waits; shorter than the time after which idle connections are lost track of
-/// unseen, so that a lost watch is found out.
-const WATCH_WAIT: Duration = Duration::from_millis(8_000);
+/// How long one watch waits. A watch whose connection fell silent is found out only when this is
+/// over, and changes have to be in force within two seconds or a few more after an outage.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// How long it waits while the store is lost: as long as it stays away, each try hangs.
+const LOST_WAIT: Duration = Duration::from_millis(200);
 /// First and longest pause after a call that failed.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -39,7 +41,10 @@
     loop {
         let outcome = match version {
             None => read_whole(&state, &follower).await.map(Some),
-            Some(after) => watch_once(&state, &follower, after).await,
+            Some(after) => {
+                let wait = if is_lost { LOST_WAIT } else { WATCH_WAIT };
+                watch_once(&state, &follower, after, wait).await
+            }
         };
         match outcome {
             Ok(next) => {
@@ -53,6 +58,7 @@
             }
             Err(error) => {
                 state.metrics.count_store_failure("watch");
+                lock(&state.news).note_store_failure(Instant::now());
                 if !is_lost {
                     let reason = error.to_string();
                     log::warn!(
@@ -90,8 +96,9 @@
     state: &Arc<GatewayState>,
     follower: &impl TableFollower,
     after: u64,
+    wait: Duration,
 ) -> Result<Option<u64>, StoreError> {
-    match state.store.watch(follower.table(), after, WATCH_WAIT).await? {
+    match state.store.watch(follower.table(), after, wait).await? {
         WatchAnswer::HistoryLost => {
             log::warn!(table = follower.table(), version = after; "history-lost");
             Ok(None)
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use cuminramp_core::{Name, SortedMap};
+use cuminramp_fleet::{ChangedRow, KnownRow, RowAction, RowRegistry};
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::fleet::{NewsReply, NewsRequest, NewsRow};
 use tokio::time::Instant;
@@ -14,27 +15,33 @@
 use crate::peers::ask_news;
 use crate::state::{GatewayState, lock};
 
-/// A target whose entry is missing right after an outage of the store is kept for so long: its
-/// entry is back within two seconds if it lives.
-const MISSING_TARGET_LIMIT: Duration = Duration::from_millis(2_200);
 /// How long the store has the first word before other hosts are asked for what it should have said.
 const STORE_FIRST: Duration = Duration::from_millis(150);
 
+/// The store counts as shaky for so long after a call failed.
+const SHAKY_FOR: Duration = Duration::from_millis(3_000);
+
 /// Rows of declarations and targets as this host knows them, to apply and to pass on.
 #[derive(Debug, Default)]
 pub(crate) struct NewsRows {
     declarations: SortedMap<String, Row>,
-    targets: SortedMap<String, Row>,
-    /// Version up to which the targets are complete.
-    targets_version: u64,
-    /// Targets that a snapshot lacked, with the moment from which they count as gone.
-    missing: SortedMap<String, Instant>,
+    targets: RowRegistry,
+    store_failed_at: Option<Instant>,
 }
 
 impl NewsRows {
     /// Version up to which targets are known.
     pub(crate) fn targets_version(&self) -> u64 {
-        self.targets_version
+        self.targets.version()
+    }
+
+    /// A call of the store failed.
+    pub(crate) fn note_store_failure(&mut self, now: Instant) {
+        self.store_failed_at = Some(now);
+    }
+
+    fn is_store_shaky(&self, now: Instant) -> bool {
+        self.store_failed_at.is_some_and(|at| now.duration_since(at) < SHAKY_FOR)
     }
 }
 
@@ -110,44 +117,44 @@
     }
 
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot) {
-        let now = Instant::now();
-        let mut present: Vec<String> = Vec::with_capacity(snapshot.rows.len());
-        for row in snapshot.rows {
-            present.push(row.key.clone());
-            apply_target(state, row, "store");
-        }
+        let rows = snapshot.rows.into_iter().map(into_known).collect();
         let mut news = lock(&state.news);
-        news.targets_version = news.targets_version.max(snapshot.version);
-        let lacking: Vec<String> =
-            news.targets.keys().filter(|key| !present.contains(key)).cloned().collect();
-        for key in lacking {
-            news.missing.get_or_insert_with(key, || now + MISSING_TARGET_LIMIT);
-        }
+        let actions = news.targets.take_whole(rows, snapshot.version, Instant::now());
+        drop(news);
+        apply_actions(state, actions, "store");
     }
 
     async fn change(&self, state: &Arc<GatewayState>, changes: Vec<RowChange>, version: u64) {
-        for change in changes {
-            if change.is_deleted {
-                remove_target(state, &change.row.key, change.row.version, "store");
-            } else {
-                apply_target(state, change.row, "store");
-            }
-        }
+        let now = Instant::now();
+        let changes = changes.into_iter().map(|change| ChangedRow {
+            row: into_known(change.row),
+            is_deleted: change.is_deleted,
+        });
+        let changes = changes.collect();
         let mut news = lock(&state.news);
-        news.targets_version = news.targets_version.max(version);
+        let is_shaky = news.is_store_shaky(now);
+        let actions = news.targets.take_changes(changes, version, is_shaky, now);
         drop(news);
+        apply_actions(state, actions, "store");
         state.items_wanted.notify_one();
     }
 }
 
-fn apply_target(state: &Arc<GatewayState>, row: Row, source: &str) {
-    let mut news = lock(&state.news);
-    news.missing.remove(&row.key);
-    if news.targets.get(&row.key).is_some_and(|held| held.version >= row.version) {
-        return;
+fn into_known(row: Row) -> KnownRow {
+    KnownRow { key: row.key, value: row.value, version: row.version }
+}
+
+fn apply_actions(state: &Arc<GatewayState>, actions: Vec<RowAction>, source: &str) {
+    for action in actions {
+        match action {
+            RowAction::Put(row) => put_target(state, row, source),
+            RowAction::Remove { key, version } => remove_target(state, &key, version, source),
+        }
     }
-    news.targets.insert(row.key.clone(), row.clone());
-    drop(news);
+}
+
+fn put_target(state: &Arc<GatewayState>, row: KnownRow, source: &str) {
+    let row = Row { key: row.key, value: row.value, version: row.version };
     match state.fleet.read_target(&row) {
         Ok(target) => {
             let phase = format!("{:?}", target.phase);
@@ -172,57 +179,39 @@
 }
 
 fn remove_target(state: &Arc<GatewayState>, key: &str, version: u64, source: &str) {
-    let mut news = lock(&state.news);
-    if news.targets.get(key).is_some_and(|held| held.version > version) {
-        return;
-    }
-    news.targets.remove(key);
-    news.missing.remove(key);
-    drop(news);
-    if let Some(id) = state.fleet.target_id(key) {
-        log::info!(target_id = &*id, row_version = version, source = source; "target-gone");
-        lock(&state.board).remove(&id);
-    }
+    let Some(id) = state.fleet.target_id(key) else { return };
+    log::info!(target_id = &*id, row_version = version, source = source; "target-gone");
+    lock(&state.board).remove(&id);
 }
 
-/// Takes targets out that a snapshot lacked and that did not come back in time.
+/// Takes targets out that seemed gone and did not come back in time.
 pub(crate) fn drop_missing_targets(state: &Arc<GatewayState>, now: Instant) {
-    let news = lock(&state.news);
-    let due = news.missing.iter().filter(|(_, until)| **until <= now);
-    let gone: Vec<String> = due.map(|(key, _)| key.clone()).collect();
-    drop(news);
-    for key in gone {
-        remove_target(state, &key, u64::MAX, "missing-from-store");
-    }
+    let actions = lock(&state.news).targets.take_due(now);
+    apply_actions(state, actions, "missing-from-store");
 }
 
 /// What another host lacks.
 pub(crate) fn answer_news(state: &GatewayState, request: &NewsRequest) -> NewsReply {
     let declared = lock(&state.declarations).current().map_or(0, |held| held.version());
     let news = lock(&state.news);
-    let rows = |rows: &SortedMap<String, Row>| {
-        let packed = rows.values().map(|row| NewsRow {
-            key: row.key.clone(),
-            value: row.value.to_vec(),
-            version: row.version,
-        });
-        packed.collect::<Vec<_>>()
+    let version = news.targets_version();
+    let pack = |key: &str, value: &Bytes, version| NewsRow {
+        key: key.to_owned(),
+        value: value.to_vec(),
+        version,
     };
-    let has_declarations = declared > request.declarations;
-    let has_targets = news.targets_version > request.targets;
+    let declarations =
+        news.declarations.values().map(|row| pack(&row.key, &row.value, row.version));
+    let targets = news.targets.rows().map(|row| pack(&row.key, &row.value, row.version));
     NewsReply {
         declarations: declared,
-        declaration_rows: if has_declarations { rows(&news.declarations) } else { vec![] },
-        targets: news.targets_version,
-        target_rows: if has_targets { rows(&news.targets) } else { vec![] },
+        declaration_rows: declarations.filter(|_| declared > request.declarations).collect(),
+        targets: version,
+        target_rows: targets.filter(|_| version > request.targets).collect(),
         age_ms: 0,
     }
 }
 
-fn into_row(row: NewsRow) -> Row {
-    Row { key: row.key, value: Bytes::from(row.value), version: row.version }
-}
-
 /// Asks another host whose beats show a later version, when the store did not bring it first.
 ///
 /// A host that can't reach the store would go on with keys that were taken away and send work to
@@ -230,7 +219,7 @@
 pub(crate) async fn ask_for_news(state: Arc<GatewayState>, address: Name) {
     tokio::time::sleep(STORE_FIRST).await;
     let declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
-    let targets = lock(&state.news).targets_version;
+    let targets = lock(&state.news).targets_version();
     let is_behind = lock(&state.peers)
         .get(&address)
         .and_then(|peer| peer.beat.as_ref())
@@ -244,28 +233,16 @@
         return;
     };
     for row in reply.declaration_rows {
-        apply_declarations(&state, into_row(row), &address);
+        let row = Row { key: row.key, value: Bytes::from(row.value), version: row.version };
+        apply_declarations(&state, row, &address);
     }
     if reply.targets > targets {
-        apply_target_news(&state, reply.target_rows, reply.targets, &address);
-    }
-}
-
-fn apply_target_news(state: &Arc<GatewayState>, rows: Vec<NewsRow>, version: u64, source: &str) {
-    let present: Vec<String> = rows.iter().map(|row| row.key.clone()).collect();
-    for row in rows {
-        apply_target(state, into_row(row), source);
-    }
-    let mut news = lock(&state.news);
-    let gone: Vec<String> = news
-        .targets
-        .iter()
-        .filter(|(key, row)| row.version <= version && !present.contains(key))
-        .map(|(key, _)| key.clone())
-        .collect();
-    news.targets_version = news.targets_version.max(version);
-    drop(news);
-    for key in gone {
-        remove_target(state, &key, version, source);
+        let rows = reply.target_rows.into_iter().map(|row| KnownRow {
+            key: row.key,
+            value: Bytes::from(row.value),
+            version: row.version,
+        });
+        let actions = lock(&state.news).targets.take_news(rows.collect(), reply.targets);
+        apply_actions(&state, actions, &address);
     }
 }
