--- a/crates/cuminramp-gateway/src/entry/connections.rs
+++ b/crates/cuminramp-gateway/src/entry/connections.rs
@@ -52,6 +52,7 @@
                 }
                 return;
             }
+            () = state.stop.cancelled() => return,
             () = &mut drained, if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
--- a/crates/cuminramp-gateway/src/entry/service_points.rs
+++ b/crates/cuminramp-gateway/src/entry/service_points.rs
@@ -35,6 +35,7 @@
 ) {
     while let Some(stream) = accept_next(&listener, &state.stop).await {
         let state = state.clone();
+        let stop = state.stop.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let response = answer(&state, &request);
@@ -44,8 +45,11 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_LIMIT)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
-                log::debug!(reason = error.to_string().as_str(); "connection-ended");
+            tokio::select! {
+                outcome = serving => if let Err(error) = outcome {
+                    log::debug!(reason = error.to_string().as_str(); "connection-ended");
+                },
+                () = stop.cancelled() => {}
             }
         });
     }
--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -67,7 +67,13 @@
     lock(&state.keepers.orders).insert(spec.id.clone(), sender);
     lock(&state.jobs).hold(spec, finished, progress);
     let keeper = JobKeeper { state: state.clone(), known, items, orders };
-    tokio::spawn(keeper.run());
+    let stop = state.stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = keeper.run() => {}
+            () = stop.cancelled() => {}
+        }
+    });
     state.items_wanted.notify_one();
     state.want_beat();
 }
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -217,6 +217,7 @@
     let end = tokio::select! {
         biased;
         () = stop.cancelled() => RunEnd::Failed(ItemFailure::GaveWay, "gave way".into()),
+        () = state.stop.cancelled() => return,
         end = drive(&state, &start, run, &mut progress) => end,
     };
     progress.ran += began.elapsed();
--- a/crates/cuminramp-gateway/src/peers/calls.rs
+++ b/crates/cuminramp-gateway/src/peers/calls.rs
@@ -43,10 +43,16 @@
             LengthDelimitedCodec::builder().max_frame_length(MOST_FRAME_BYTES).new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let answers = FleetAnswers { state: state.clone() };
+        let stop = state.stop.clone();
         tokio::spawn(async move {
             let calls = BaseChannel::with_defaults(transport).execute(answers.serve());
             tokio::pin!(calls);
-            while let Ok(Some(call)) = tokio::time::timeout(IDLE_LIMIT, calls.next()).await {
+            loop {
+                let next = tokio::select! {
+                    next = tokio::time::timeout(IDLE_LIMIT, calls.next()) => next,
+                    () = stop.cancelled() => return,
+                };
+                let Ok(Some(call)) = next else { return };
                 tokio::spawn(call);
             }
         });
--- a/crates/cuminramp-standin/src/memory_platform.rs
+++ b/crates/cuminramp-standin/src/memory_platform.rs
@@ -7,10 +7,11 @@
 use bytes::Bytes;
 use cuminramp_core::{Name, RandomSource, SeededRandom, SortedMap};
 use cuminramp_platform::{
-    CommitOutcome, HostEntry, HostList, ObjectStore, Row, StoreError, TableStore, Transaction,
-    Version,
+    CommitOutcome, HostEntry, HostList, ObjectStore, Row, RowChange, StoreError, TableSnapshot,
+    TableStore, Transaction, Version, WatchAnswer, WatchedTable,
 };
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Settings of the platform stand-in.
@@ -84,6 +85,7 @@
 pub struct MemoryPlatform {
     settings: PlatformSettings,
     state: Mutex<PlatformState>,
+    committed: watch::Sender<Version>,
 }
 
 struct StoredRow {
@@ -102,6 +104,10 @@
     objects: SortedMap<String, Bytes>,
     hosts: SortedMap<Name, ListedHost>,
     version: Version,
+    /// Changes in their order, for watches.
+    history: Vec<RowChange>,
+    /// Changes up to this version are no longer kept.
+    forgotten: Version,
     faults: PlatformFaults,
     stats: PlatformStats,
     random: SeededRandom,
@@ -148,13 +154,15 @@
             objects: SortedMap::new(),
             hosts: SortedMap::new(),
             version: 0,
+            history: Vec::new(),
+            forgotten: 0,
             faults: settings.faults.clone(),
             stats: PlatformStats::default(),
             random: SeededRandom::new(settings.seed),
             writes: CallMeter::new(settings.writes_per_second, now),
             reads: CallMeter::new(settings.reads_per_second, now),
         };
-        MemoryPlatform { settings, state: Mutex::new(state) }
+        MemoryPlatform { settings, state: Mutex::new(state), committed: watch::Sender::new(0) }
     }
 
     /// Replaces the faults.
@@ -162,6 +170,15 @@
         self.lock().faults = faults;
     }
 
+    /// Drops the changes that watches go on from.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.version;
+        drop(state);
+        self.committed.send_modify(|_| {});
+    }
+
     /// The faults in force.
     pub fn faults(&self) -> PlatformFaults {
         self.lock().faults.clone()
@@ -206,6 +223,18 @@
         Some(Row { key: key.into(), value: stored.value.clone(), version: stored.version })
     }
 
+    fn changes_after(&self, prefix: &str, after: Version) -> Result<WatchAnswer, StoreError> {
+        if self.faults.down || self.faults.table_down {
+            return Err(refused());
+        }
+        if after < self.forgotten {
+            return Ok(WatchAnswer::HistoryLost);
+        }
+        let newer = self.history.iter().filter(|change| change.row.version > after);
+        let of_table = newer.filter(|change| change.row.key.starts_with(prefix));
+        Ok(WatchAnswer::Changes { changes: of_table.cloned().collect(), version: self.version })
+    }
+
     fn conflicts(&self, transaction: &Transaction) -> Vec<String> {
         let conditions = transaction.conditions.iter();
         conditions
@@ -222,10 +251,14 @@
         self.stats.table_commits += 1;
         self.stats.table_rows += (transaction.puts.len() + transaction.deletes.len()) as u64;
         for (key, value) in transaction.puts {
+            let row = Row { key: key.clone(), value: value.clone(), version };
+            self.history.push(RowChange { row, is_deleted: false });
             self.rows.insert(key, StoredRow { value, version });
         }
         for key in transaction.deletes {
             self.rows.remove(key.as_str());
+            let row = Row { key, value: Bytes::new(), version };
+            self.history.push(RowChange { row, is_deleted: true });
         }
         version
     }
@@ -265,6 +298,7 @@
             return Ok(CommitOutcome::Conflict(conflicts));
         }
         let version = state.apply(transaction);
+        self.committed.send_replace(version);
         let lost = state.faults.lost_answers_permille as usize;
         if state.random.below(1000) < lost {
             return Err(StoreError::Unknown("the answer was lost".into()));
@@ -273,6 +307,33 @@
     }
 }
 
+#[async_trait]
+impl WatchedTable for MemoryPlatform {
+    async fn snapshot(&self, table: &str) -> Result<TableSnapshot, StoreError> {
+        let rows = self.scan(&format!("{table}/"), "", usize::MAX).await?;
+        Ok(TableSnapshot { rows, version: self.lock().version })
+    }
+
+    async fn watch(
+        &self,
+        table: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        let prefix = format!("{table}/");
+        let until = Instant::now() + wait;
+        let mut committed = self.committed.subscribe();
+        loop {
+            let answer = self.lock().changes_after(&prefix, after)?;
+            let is_empty =
+                matches!(&answer, WatchAnswer::Changes { changes, .. } if changes.is_empty());
+            if !is_empty || tokio::time::timeout_at(until, committed.changed()).await.is_err() {
+                return Ok(answer);
+            }
+        }
+    }
+}
+
 #[async_trait]
 impl ObjectStore for MemoryPlatform {
     async fn put(&self, name: &str, body: Bytes) -> Result<(), StoreError> {
