Refuse two keys on one request, outlive SIGHUP, and write the last log lines

Cause: the daemon took the first of two Authorization headers, SIGHUP ended it (exit 129), and lines written just before the end were lost with the writer. A load line every two seconds says what a host believes.

--- a/crates/cuminramp-daemon/src/cmd/gateway.rs
+++ b/crates/cuminramp-daemon/src/cmd/gateway.rs
@@ -8,9 +8,8 @@
 use cuminramp_gateway::Gateway;
 use cuminramp_platform_adapter::{PlatformCalls, PlatformFleet, PlatformStore, SETTINGS_VARIABLE};
 use cuminramp_settings::{GatewaySettings, parse_gateway_settings};
-use tokio::signal::unix::{SignalKind, signal};
 
-use crate::cmd::{EXIT_SETTINGS, wait_for_signal};
+use crate::cmd::{EXIT_SETTINGS, reload_on_signal, wait_for_signal};
 use crate::flags;
 
 /// Runs until a signal, then leaves.
@@ -38,9 +37,10 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    tokio::spawn(reload_on_signal(path));
+    tokio::spawn(reload_on_signal(move || load(&path).map(drop)));
     wait_for_signal().await;
     gateway.leave().await;
+    log::logger().flush();
     ExitCode::SUCCESS
 }
 
@@ -53,15 +53,3 @@
         lines.join("\n")
     })
 }
-
-/// Reads the settings again at each SIGHUP. Without a handler the signal would end the process and
-/// cut off every caller.
-async fn reload_on_signal(path: PathBuf) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
-    while hangups.recv().await.is_some() {
-        match load(&path) {
-            Ok(_) => log::info!(outcome = "read"; "reload"),
-            Err(reason) => log::warn!(outcome = "kept", reason = reason.as_str(); "reload"),
-        }
-    }
-}
--- a/crates/cuminramp-daemon/src/cmd/mod.rs
+++ b/crates/cuminramp-daemon/src/cmd/mod.rs
@@ -66,3 +66,15 @@
         _ => std::future::pending().await,
     }
 }
+
+/// Checks the settings again at each SIGHUP. Without a handler the signal would end the process and
+/// cut off every caller. Addresses and limits hold until the next start, so what is in force stays.
+async fn reload_on_signal(check: impl Fn() -> Result<(), String>) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
+    while hangups.recv().await.is_some() {
+        match check() {
+            Ok(()) => log::info!(outcome = "read, in force from the next start"; "reload"),
+            Err(reason) => log::warn!(outcome = "refused", reason = reason.as_str(); "reload"),
+        }
+    }
+}
--- a/crates/cuminramp-daemon/src/cmd/run.rs
+++ b/crates/cuminramp-daemon/src/cmd/run.rs
@@ -4,7 +4,7 @@
 
 use cuminramp_daemon::{Daemon, start_logging};
 
-use crate::cmd::{EXIT_SETTINGS, load_settings, wait_for_signal};
+use crate::cmd::{EXIT_SETTINGS, load_settings, reload_on_signal, wait_for_signal};
 use crate::flags;
 
 /// Runs until a signal, then leaves.
@@ -21,7 +21,12 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    let path = flags.settings;
+    tokio::spawn(reload_on_signal(move || {
+        load_settings(&path).map(drop).map_err(|_| format!("{} can't be used", path.display()))
+    }));
     wait_for_signal().await;
     daemon.leave().await;
+    log::logger().flush();
     ExitCode::SUCCESS
 }
--- a/crates/cuminramp-daemon/src/entry/auth.rs
+++ b/crates/cuminramp-daemon/src/entry/auth.rs
@@ -42,6 +42,11 @@
     state: &DaemonState,
     headers: &HeaderMap,
 ) -> Result<KnownCaller, Refusal> {
+    // With two keys nobody can tell whose request it is; the first might be another's.
+    if headers.get_all(AUTHORIZATION).iter().count() > 1 {
+        let message = "more than one key came";
+        return Err(Refusal::not_run(ResultCode::FieldInvalid, message));
+    }
     let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let Some(key) = value.and_then(|value| value.strip_prefix(BEARER)) else {
         let message = "send the key as Authorization: Bearer";
--- a/crates/cuminramp-daemon/src/logging.rs
+++ b/crates/cuminramp-daemon/src/logging.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
 
 use logforth::append::Append;
 use logforth::filter::rustlog::RustLogFilter;
@@ -15,17 +16,29 @@
 /// writes some hundred lines a second under full load.
 const WAITING_LINES: usize = 2_000;
 
+/// Bytes of one write.
+const MOST_WRITE_BYTES: usize = 32 << 10;
+/// How long the end of a process waits for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Hands lines to a thread that writes them.
 ///
 /// Whoever reads standard output may stop reading. A process that waited for it would stand still in
 /// the middle of its callers' streams; here lines are dropped and counted instead, and the next line
 /// that gets through says how many.
 pub struct BoundedOutput {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<OutputOrder>,
     dropped: AtomicU64,
     layout: LogfmtLayout,
 }
 
+/// What the writer is asked to do.
+enum OutputOrder {
+    Write(Vec<u8>),
+    /// Say when everything before is written.
+    Flush(SyncSender<()>),
+}
+
 impl fmt::Debug for BoundedOutput {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("BoundedOutput").finish_non_exhaustive()
@@ -39,17 +52,21 @@
     /// let output = cuminramp_daemon::BoundedOutput::new(std::io::sink());
     /// ```
     pub fn new(mut output: impl Write + Send + 'static) -> Self {
-        let (lines, waiting) = sync_channel::<Vec<u8>>(WAITING_LINES);
+        let (lines, waiting) = sync_channel::<OutputOrder>(WAITING_LINES);
         std::thread::spawn(move || {
-            while let Ok(mut line) = waiting.recv() {
-                // What else waits goes out in the same write.
-                while line.len() < (32 << 10) {
-                    let Ok(more) = waiting.try_recv() else { break };
-                    line.extend_from_slice(&more);
+            let mut held_back = None;
+            while let Some(order) = held_back.take().or_else(|| waiting.recv().ok()) {
+                match order {
+                    OutputOrder::Write(mut line) => {
+                        held_back = gather(&mut line, &waiting);
+                        // Nobody can be told that standard output is gone.
+                        let _ = output.write_all(&line);
+                        let _ = output.flush();
+                    }
+                    OutputOrder::Flush(done) => {
+                        let _ = done.send(());
+                    }
                 }
-                // Nobody can be told that standard output is gone.
-                let _ = output.write_all(&line);
-                let _ = output.flush();
             }
         });
         BoundedOutput { lines, dropped: AtomicU64::new(0), layout: LogfmtLayout::default() }
@@ -62,7 +79,7 @@
             line.extend_from_slice(format!(" lines_dropped={dropped}").as_bytes());
         }
         line.push(b'\n');
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(OutputOrder::Write(line)) {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
@@ -74,11 +91,29 @@
         Ok(())
     }
 
+    /// Waits a moment until everything is written, as at the end of a process.
     fn flush(&self) -> Result<(), Error> {
+        let (done, wait) = sync_channel(1);
+        if self.lines.try_send(OutputOrder::Flush(done)).is_ok() {
+            // Lines that nobody reads in that time are lost with the process.
+            let _ = wait.recv_timeout(FLUSH_LIMIT);
+        }
         Ok(())
     }
 }
 
+/// Adds what else waits to a line, so that it goes out in the same write; returns an order that is
+/// no line.
+fn gather(line: &mut Vec<u8>, waiting: &Receiver<OutputOrder>) -> Option<OutputOrder> {
+    while line.len() < MOST_WRITE_BYTES {
+        match waiting.try_recv().ok()? {
+            OutputOrder::Write(more) => line.extend_from_slice(&more),
+            order => return Some(order),
+        }
+    }
+    None
+}
+
 /// Sends log lines of `level` and above to standard output. A second call changes nothing.
 pub fn start_logging(level: &str) {
     let directives = format!("warn,cuminramp={level}");
--- a/crates/cuminramp-daemon/src/logging/tests.rs
+++ b/crates/cuminramp-daemon/src/logging/tests.rs
@@ -2,7 +2,9 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use super::{BoundedOutput, WAITING_LINES};
+use logforth::append::Append;
+
+use super::{BoundedOutput, OutputOrder, WAITING_LINES};
 
 /// An output whose reader takes bytes only when the test says so.
 struct SlowReader {
@@ -36,7 +38,7 @@
     }
     let took = began.elapsed();
     drop(open);
-    while output.lines.try_send(b"y=1\n".to_vec()).is_err() {
+    while output.lines.try_send(OutputOrder::Write(b"y=1\n".to_vec())).is_err() {
         std::thread::yield_now();
     }
     output.push(b"z=1".to_vec());
@@ -51,3 +53,18 @@
     let kept = text.lines().filter(|line| line.starts_with("x=1")).count();
     assert_eq!(kept + dropped, WAITING_LINES * 3);
 }
+
+/// A host leaves, and its last lines say how it went. Lost with the process, they would be missed
+/// by whoever asks why a request was cut off.
+#[test]
+fn the_last_lines_are_written_before_the_end() {
+    let (open, gate) = channel();
+    let (written, lines) = channel();
+    let output = BoundedOutput::new(SlowReader { gate, written });
+    drop(open);
+
+    output.push(b"message=left".to_vec());
+    output.flush().unwrap();
+
+    assert_eq!(lines.try_recv().unwrap(), b"message=left\n");
+}
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -477,6 +477,19 @@
         excess
     }
 
+    /// Online requests and batch items at all targets, those of this host, and all slots.
+    pub fn load(&self) -> (u32, u32, u32, u32, u32) {
+        self.entries.values().fold((0, 0, 0, 0, 0), |sum, entry| {
+            (
+                sum.0 + entry.online(),
+                sum.1 + entry.batch(),
+                sum.2 + entry.own_online,
+                sum.3 + entry.own_batch,
+                sum.4 + entry.target.slots,
+            )
+        })
+    }
+
     /// Slots of a pool that are taken, and all, of targets that take work.
     pub fn occupancy(&self, pool: &str) -> (u32, u32) {
         let of_pool = self.entries.values().filter(|entry| {
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -37,6 +37,8 @@
 const PEERS: PeerPolicy = PeerPolicy { lost: Duration::from_millis(1_500) };
 /// Between two looks at what grows old: silent hosts, missing targets, idle connections.
 const UPKEEP_EVERY: Duration = Duration::from_millis(100);
+/// Every so many looks the load is logged: once in two seconds.
+const LOAD_LINE_EVERY: u32 = 20;
 /// Between two reads of all hosts' rows. New hosts greet by themselves; this finds what that missed.
 const LEARN_EVERY: Duration = Duration::from_secs(5);
 /// Pause after such a read failed.
@@ -269,12 +271,31 @@
 
 async fn keep_up(state: Arc<GatewayState>) {
     let mut silent = Vec::new();
+    let mut turn = 0u32;
     loop {
         tokio::time::sleep(UPKEEP_EVERY).await;
         forget_silent(&state, &mut silent);
         drop_missing_targets(&state, Instant::now());
         state.connections.close_old();
-        let (heard, all) = lock(&state.peers).heard_of_all(Instant::now());
-        log::trace!(heard = heard, all = all; "upkeep");
+        turn = turn.wrapping_add(1);
+        if turn.is_multiple_of(LOAD_LINE_EVERY) {
+            log_load(&state);
+        }
     }
 }
+
+/// One line with what this host believes of the load, for whoever asks later why it decided so.
+fn log_load(state: &GatewayState) {
+    let now = Instant::now();
+    let (heard, all) = lock(&state.peers).heard_of_all(now);
+    let (online, batch, own_online, own_batch, slots) = lock(&state.board).load();
+    let jobs = lock(&state.jobs);
+    let (held, waiting) = (jobs.jobs().count(), jobs.waiting(now));
+    drop(jobs);
+    log::info!(
+        online = online, batch = batch, own_online = own_online, own_batch = own_batch,
+        slots = slots, held_jobs = held, waiting_items = waiting, heard_hosts = heard,
+        known_hosts = all;
+        "load"
+    );
+}
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -64,6 +64,8 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let began = Instant::now();
     let outcome = accept(state, route, &caller, &body, began).await;
+    let items = caller.head.request_id.as_deref().and_then(|id| state.directory.get(id));
+    let items = items.map_or(0, |known| known.row.total);
     let job = caller.head.request_id.as_deref().unwrap_or("-");
     let took_ms = began.elapsed().as_millis() as u64;
     match &outcome {
@@ -71,7 +73,7 @@
             state.metrics.note_acceptance(began.elapsed());
             log::info!(
                 job = job, team = &*caller.team, route = &*route.name, declarations = version,
-                outcome = *kind, took_ms = took_ms;
+                items = items, outcome = *kind, took_ms = took_ms;
                 "job-accepted"
             );
         }
--- a/tests/testsuite/tests/testsuite/refusals.rs
+++ b/tests/testsuite/tests/testsuite/refusals.rs
@@ -56,6 +56,20 @@
     assert_eq!(answer.code(), code);
 }
 
+// Two keys come with one request, one of them from a proxy that adds its own. Taken by the first, the
+// request would run for a team that did not send it.
+#[test]
+fn a_request_with_two_keys_is_refused_as_ambiguous() {
+    let fleet = Fleet::start(1);
+    let second = [("authorization", "Bearer sk-other")];
+    let body = chat_body("x", 1, false);
+
+    let answer = fleet.call_as(0, &fleet.key, Method::POST, "/v1/chat/completions", &body, &second);
+
+    assert_eq!(answer.code(), 1007);
+    assert_eq!(answer.execution(), "not run");
+}
+
 /// Sends raw bytes and reads until the daemon closes the connection.
 fn send_raw(fleet: &Fleet, bytes: &str) -> String {
     let mut stream = TcpStream::connect(fleet.hosts[0].addresses.caller).unwrap();
