Leave no slot free of batch

Ruled out: hosts without items that held slots back (waiting items stood at hosts that drew targets).

--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -74,7 +74,7 @@
 impl Default for PlacementPolicy {
     fn default() -> Self {
         PlacementPolicy {
-            batch_reserve: 1,
+            batch_reserve: 0,
             full_pause: Duration::from_millis(60),
             failure_pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
