Reach the store by way of other hosts, and trust no host that doubts as well

A row is known to live by a newer write only, and the store is shaky only after an outage of 1.5 s, when entries can run out. Test failed before. Cause 2: a host that the store turns away could not list what its jobs had done for as long as that lasted. Other hosts make its calls now; the test with a silent link to the store failed before. Not measured yet.

--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -62,6 +62,8 @@
     pub has_left: bool,
     /// Whether the receiver should answer with a beat of its own at once, as a new host asks.
     pub wants_answer: bool,
+    /// Whether the store answers it.
+    pub reaches_store: bool,
     /// Version of the declarations that it has in force.
     pub declarations: u64,
     /// Version up to which it knows the targets.
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -180,6 +180,25 @@
         heard * 2 >= all
     }
 
+    /// A host that the store answers, for one that it does not: of this zone if there is one, by a
+    /// number that spreads the work.
+    pub fn store_relay(&self, spread: usize, now: Instant) -> Option<Name> {
+        let able: Vec<&PeerRecord> = self
+            .peers
+            .values()
+            .filter(|record| !record.has_left && self.is_heard(record, now))
+            .filter(|record| record.beat.as_ref().is_some_and(|beat| beat.reaches_store))
+            .collect();
+        let is_near = |record: &&&PeerRecord| record.host.zone == self.me.zone;
+        let near: Vec<&&PeerRecord> = able.iter().filter(is_near).collect();
+        let chosen = match near.is_empty() {
+            true if able.is_empty() => return None,
+            true => able[spread % able.len()],
+            false => near[spread % near.len()],
+        };
+        Some(chosen.host.address.clone())
+    }
+
     /// Hosts for callers in `zone`: live ones of the zone, all live ones where it has fewer than
     /// `fewest`, and those that are only known by name where none is heard.
     pub fn steer(&self, zone: &str, is_me_ready: bool, fewest: usize, now: Instant) -> Vec<Name> {
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -22,6 +22,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        reaches_store: true,
         declarations: 1,
         targets: 1,
         waiting_items: 0,
@@ -92,3 +93,18 @@
     assert_eq!(table.steer("z2", true, 2, Instant::now()).len(), 2);
     assert_eq!(table.steer("z2", true, 1, Instant::now()).len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_host_cut_off_from_the_store_asks_one_that_is_not() {
+    let mut table = table();
+    let cut_off = HostBeat { reaches_store: false, ..beat(known("b", 1, "z1"), 1) };
+    table.hear(cut_off, Instant::now());
+    let none = table.store_relay(0, Instant::now());
+
+    table.hear(beat(known("c", 1, "z2"), 1), Instant::now());
+    let far = table.store_relay(0, Instant::now());
+    table.hear(beat(known("d", 1, "z1"), 1), Instant::now());
+    let near = table.store_relay(0, Instant::now());
+
+    assert_eq!((none, far.as_deref(), near.as_deref()), (None, Some("c"), Some("d")));
+}
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -48,6 +48,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        reaches_store: true,
         declarations: 1,
         targets: 1,
         waiting_items: 0,
--- a/crates/cuminramp-fleet/src/registry.rs
+++ b/crates/cuminramp-fleet/src/registry.rs
@@ -93,12 +93,7 @@
 
     fn put(&mut self, row: KnownRow) -> Option<RowAction> {
         let is_ended = self.ends.get(&row.key).is_some_and(|end| *end >= row.version);
-        let held = self.rows.get(&row.key);
-        if is_ended || held.is_some_and(|held| held.version >= row.version) {
-            let is_present = held.is_some_and(|held| held.version == row.version);
-            if is_present && !is_ended {
-                self.doubted.remove(&row.key);
-            }
+        if is_ended || self.rows.get(&row.key).is_some_and(|held| held.version >= row.version) {
             return None;
         }
         self.doubted.remove(&row.key);
--- a/crates/cuminramp-fleet/src/registry/tests.rs
+++ b/crates/cuminramp-fleet/src/registry/tests.rs
@@ -71,6 +71,21 @@
     assert_eq!(keys(&registry), ["b"]);
 }
 
+/// Two hosts hear in the same moment that a target is gone, both doubt it, and one asks the other
+/// for news. That the other still keeps the row says nothing; were it taken for a sign of life,
+/// both would send requests to a target that has left.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_doubts_as_well_is_no_witness() {
+    let mut registry = registry(&["a", "b"]);
+    registry.take_changes(vec![changed("a", 12, true)], 12, true, Instant::now());
+
+    registry.take_news(vec![row("a", 1), row("b", 2)], 13);
+    advance(Duration::from_millis(1_800)).await;
+    let due = registry.take_due(Instant::now());
+
+    assert_eq!(due, [RowAction::Remove { key: "a".into(), version: 12 }]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_single_target_that_leaves_is_gone_at_once() {
     let mut registry = registry(&["a", "b"]);
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -4,7 +4,8 @@
 //! batch work is not there when it comes. Each host knows what all hosts have in flight, from beats
 //! that are a few milliseconds old. It places a request where most slots are free; where none is, on
 //! a target with batch items, and the host that has them breaks one off as soon as it hears of it.
-//! Batch items enter through one host for each target at a time, and leave a slot free.
+//! Batch items enter through one host for each target at a time, into every slot that is free: an
+//! item gives way within milliseconds, and slots kept free for callers stood empty for seconds.
 
 use std::time::Duration;
 
@@ -53,9 +54,6 @@
 /// Limits and weights of placement.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementPolicy {
-    /// Slots of a target that batch work leaves free, so that a request finds a place at once
-    /// while the host that holds a batch item there still learns of it.
-    pub batch_reserve: u32,
     /// How long a target that refused for want of room gets no new work.
     pub full_pause: Duration,
     /// How long a target gets no new work after a failure; doubled with each further one.
@@ -74,7 +72,6 @@
 impl Default for PlacementPolicy {
     fn default() -> Self {
         PlacementPolicy {
-            batch_reserve: 0,
             full_pause: Duration::from_millis(60),
             failure_pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
@@ -436,7 +433,7 @@
     ) -> Vec<(FleetTarget, u32)> {
         let mut places = Vec::new();
         for entry in self.entries.values() {
-            let taken = entry.total() + self.policy.batch_reserve;
+            let taken = entry.total();
             if &*entry.target.pool != pool || !entry.is_open(now) || taken >= entry.target.slots {
                 continue;
             }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -24,13 +24,13 @@
 use crate::jobs::{JobsFollower, hand_jobs_over, run_items, take_jobs_over};
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
-    BeatSocket, forget_silent, greet_host, receive_beats, send_beats, serve_calls, tell_all,
-    watch_pauses,
+    BeatSocket, PeerClients, forget_silent, greet_host, receive_beats, send_beats, serve_calls,
+    tell_all, watch_pauses,
 };
 use crate::state::{GatewayState, lock};
 use crate::sync::{
-    DeclarationsFollower, TargetsFollower, announce_host, drop_missing_targets, follow_table,
-    learn_hosts, withdraw_host,
+    DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, drop_missing_targets,
+    follow_table, learn_hosts, withdraw_host,
 };
 
 /// Long enough for a process to be killed and started again, and for a host to be frozen shortly.
@@ -108,6 +108,7 @@
         zone: settings.availability_zone.as_str().into(),
     };
     let id = HostId { address: me.address.clone(), incarnation: me.incarnation };
+    let relay = Arc::new(RelayedStore::new(store.clone()));
     let tolerance = QuotaTolerance {
         share: settings.rate_tolerance_share,
         requests: settings.rate_tolerance_requests,
@@ -141,7 +142,10 @@
         stop: CancellationToken::new(),
         settings,
         me,
-        store,
+        store: relay.clone(),
+        relay,
+        direct_store: store,
+        clients: PeerClients::default(),
         calls,
         fleet,
     })
@@ -165,6 +169,7 @@
             GatewayError::Listen { setting: "peer-address", address, source }
         })?;
         let state = Arc::new(make_state(settings, store, calls, fleet)?);
+        state.relay.attach(&state);
         // The cell is empty until here.
         let _ = state.beat_socket.set(beats);
         log::info!(
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -80,6 +80,7 @@
         is_ready: state.is_ready(),
         has_left: state.has_left.load(Ordering::Relaxed),
         wants_answer,
+        reaches_store: state.relay.is_reached(),
         declarations,
         targets,
         waiting_items,
--- a/crates/cuminramp-gateway/src/peers/mod.rs
+++ b/crates/cuminramp-gateway/src/peers/mod.rs
@@ -7,5 +7,5 @@
 pub(crate) use beats::{
     BeatSocket, forget_silent, greet_host, receive_beats, send_beats, tell_all,
 };
-pub(crate) use calls::{ask_news, serve_calls};
+pub(crate) use calls::{PeerClients, serve_calls};
 pub(crate) use clock::watch_pauses;
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -16,8 +16,8 @@
 use crate::borders::{CallFormat, FleetFormat, FleetStore};
 use crate::jobs::{JobDirectory, JobKeepers, RunningItems};
 use crate::metrics::GatewayMetrics;
-use crate::peers::BeatSocket;
-use crate::sync::NewsRows;
+use crate::peers::{BeatSocket, PeerClients};
+use crate::sync::{NewsRows, RelayedStore};
 use crate::targets::TargetConnections;
 
 /// Takes a lock; a holder that panicked left nothing half done that matters here.
@@ -30,7 +30,13 @@
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
     pub(crate) me: KnownHost,
+    /// The store, by way of other hosts where it does not answer this one.
     pub(crate) store: Arc<dyn FleetStore>,
+    /// The same, to ask whether the store answers this host.
+    pub(crate) relay: Arc<RelayedStore>,
+    /// The store itself.
+    pub(crate) direct_store: Arc<dyn FleetStore>,
+    pub(crate) clients: PeerClients,
     pub(crate) calls: Arc<dyn CallFormat>,
     pub(crate) fleet: Arc<dyn FleetFormat>,
     pub(crate) declarations: Mutex<DeclarationStore>,
--- a/crates/cuminramp-gateway/src/sync/follow.rs
+++ b/crates/cuminramp-gateway/src/sync/follow.rs
@@ -39,6 +39,7 @@
     let mut is_lost = false;
     let mut version = None;
     loop {
+        let asked = Instant::now();
         let outcome = match version {
             None => read_whole(&state, &follower).await.map(Some),
             Some(after) => {
@@ -48,6 +49,7 @@
         };
         match outcome {
             Ok(next) => {
+                lock(&state.news).note_store_success(Instant::now());
                 if is_lost {
                     log::info!(table = follower.table(), version = next.unwrap_or(0); "store-regained");
                 }
@@ -58,7 +60,7 @@
             }
             Err(error) => {
                 state.metrics.count_store_failure("watch");
-                lock(&state.news).note_store_failure(Instant::now());
+                lock(&state.news).note_store_failure(asked);
                 if !is_lost {
                     let reason = error.to_string();
                     log::warn!(
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -3,6 +3,7 @@
 mod follow;
 mod hosts;
 mod news;
+mod relay;
 
 pub(crate) use follow::{TableFollower, follow_table};
 pub(crate) use hosts::{announce_host, learn_hosts, withdraw_host};
@@ -10,3 +11,4 @@
     DeclarationsFollower, NewsRows, TargetsFollower, answer_news, ask_for_news,
     drop_missing_targets,
 };
+pub(crate) use relay::{RelayedStore, answer_store_call};
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -12,21 +12,26 @@
 use tokio::time::Instant;
 
 use super::follow::TableFollower;
-use crate::peers::ask_news;
 use crate::state::{GatewayState, lock};
 
 /// How long the store has the first word before other hosts are asked for what it should have said.
 const STORE_FIRST: Duration = Duration::from_millis(150);
 
-/// The store counts as shaky for so long after a call failed.
-const SHAKY_FOR: Duration = Duration::from_millis(3_000);
+/// An outage of this length may make entries run out: targets renew theirs about every 1.2 s and
+/// lose them after three missed renewals.
+const LONG_OUTAGE: Duration = Duration::from_millis(1_500);
+/// Entries that ran out are back so long after the outage.
+const RETURN_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// Rows of declarations and targets as this host knows them, to apply and to pass on.
 #[derive(Debug, Default)]
 pub(crate) struct NewsRows {
     declarations: SortedMap<String, Row>,
     targets: RowRegistry,
-    store_failed_at: Option<Instant>,
+    /// Since when calls of the store have failed.
+    lost_since: Option<Instant>,
+    /// When the last long outage ended.
+    outage_ended: Option<Instant>,
 }
 
 impl NewsRows {
@@ -35,13 +40,25 @@
         self.targets.version()
     }
 
-    /// A call of the store failed.
-    pub(crate) fn note_store_failure(&mut self, now: Instant) {
-        self.store_failed_at = Some(now);
+    /// A call that was begun at `asked` failed.
+    pub(crate) fn note_store_failure(&mut self, asked: Instant) {
+        self.lost_since.get_or_insert(asked);
     }
 
+    /// A call succeeded.
+    pub(crate) fn note_store_success(&mut self, now: Instant) {
+        let Some(since) = self.lost_since.take() else { return };
+        if now.duration_since(since) >= LONG_OUTAGE {
+            self.outage_ended = Some(now);
+        }
+    }
+
+    /// Whether entries may have run out although their targets live.
     fn is_store_shaky(&self, now: Instant) -> bool {
-        self.store_failed_at.is_some_and(|at| now.duration_since(at) < SHAKY_FOR)
+        let ended_lately =
+            self.outage_ended.is_some_and(|at| now.duration_since(at) < RETURN_LIMIT);
+        ended_lately
+            || self.lost_since.is_some_and(|since| now.duration_since(since) >= LONG_OUTAGE)
     }
 }
 
@@ -228,7 +245,7 @@
         return;
     }
     let request = NewsRequest { declarations, targets };
-    let Some(reply) = ask_news(&address, request).await else {
+    let Some(reply) = state.clients.ask_news(&address, request).await else {
         log::warn!(peer = &*address; "news-unanswered");
         return;
     };
--- /dev/null
+++ b/crates/cuminramp-gateway/src/sync/relay.rs
@@ -0,0 +1,335 @@
+//! The store, directly or by another host.
+//!
+//! The store may turn a single host away, or be out of its reach, while it serves the others. The
+//! jobs that the host holds could then not be listed, ended or read for as long as that lasts; one
+//! would see results that come late although every item was done. Other hosts are in reach, and one
+//! of them makes the call.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminramp_platform::{
+    CommitOutcome, Condition, ObjectStore, Row, RowChange, StoreError, TableSnapshot, TableStore,
+    Transaction, Version, WatchAnswer, WatchedTable,
+};
+use cuminramp_wire::fleet::store_call::Call;
+use cuminramp_wire::fleet::{
+    CommitCall, GetCall, NewsRow, PutCall, ReadCall, RowCondition, ScanCall, SnapshotCall,
+    StoreCall, StoreReply, StoreRow, WatchCall,
+};
+use tokio::time::Instant;
+
+use crate::borders::FleetStore;
+use crate::state::{GatewayState, lock};
+
+/// What a call by another host may take: its own limit for a call of objects, and the way.
+const CALL_LIMIT: Duration = Duration::from_millis(3_000);
+/// What a watch may take beyond the time that it waits.
+const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
+/// Between two tries to reach the store again.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+
+/// Calls the store, and asks other hosts to call it while it does not answer this one.
+pub(crate) struct RelayedStore {
+    direct: Arc<dyn FleetStore>,
+    state: OnceLock<Weak<GatewayState>>,
+    is_lost: AtomicBool,
+}
+
+impl RelayedStore {
+    /// Calls `direct` first.
+    pub(crate) fn new(direct: Arc<dyn FleetStore>) -> Self {
+        RelayedStore { direct, state: OnceLock::new(), is_lost: AtomicBool::new(false) }
+    }
+
+    /// Tells it who the other hosts are.
+    pub(crate) fn attach(&self, state: &Arc<GatewayState>) {
+        // Set once, right after the state was made.
+        let _ = self.state.set(Arc::downgrade(state));
+    }
+
+    /// Whether the store answers this host.
+    pub(crate) fn is_reached(&self) -> bool {
+        !self.is_lost.load(Ordering::Relaxed)
+    }
+
+    fn state(&self) -> Option<Arc<GatewayState>> {
+        self.state.get()?.upgrade()
+    }
+
+    /// Takes note of a failed call and begins to try again.
+    fn note_failure(&self, error: &StoreError) {
+        if self.is_lost.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let Some(state) = self.state() else { return };
+        log::warn!(reason = error.to_string().as_str(); "store-out-of-reach");
+        state.want_beat();
+        tokio::spawn(probe(state));
+    }
+
+    /// Has another host make a call; `None` where none can.
+    async fn relay(&self, call: Call, limit: Duration) -> Option<Result<StoreReply, StoreError>> {
+        let state = self.state()?;
+        let spread = state.draw(usize::MAX >> 1);
+        let peer = lock(&state.peers).store_relay(spread, Instant::now())?;
+        let call = StoreCall { call: Some(call) };
+        let reply = match state.clients.call_store(&peer, call, limit).await {
+            Some(reply) => reply,
+            None => return Some(Err(StoreError::Unknown(format!("{peer} gave no answer")))),
+        };
+        Some(match (reply.is_failed, reply.is_not_done) {
+            (false, _) => Ok(reply),
+            (true, true) => Err(StoreError::Unavailable(reply.reason)),
+            (true, false) => Err(StoreError::Unknown(reply.reason)),
+        })
+    }
+
+    /// Makes a call that may be repeated: directly, and by another host if that fails.
+    async fn call<T>(
+        &self,
+        direct: impl Future<Output = Result<T, StoreError>>,
+        call: Call,
+        limit: Duration,
+        read: impl FnOnce(StoreReply) -> T,
+    ) -> Result<T, StoreError> {
+        if self.is_reached() {
+            match direct.await {
+                Ok(value) => return Ok(value),
+                Err(error) => {
+                    self.note_failure(&error);
+                    return match self.relay(call, limit).await {
+                        Some(outcome) => outcome.map(read),
+                        None => Err(error),
+                    };
+                }
+            }
+        }
+        match self.relay(call, limit).await {
+            Some(outcome) => outcome.map(read),
+            None => direct.await,
+        }
+    }
+}
+
+/// Tries to reach the store until it answers.
+async fn probe(state: Arc<GatewayState>) {
+    let key = format!("hosts//{}", state.me.address);
+    let began = Instant::now();
+    while state.direct_store.read(std::slice::from_ref(&key)).await.is_err() {
+        tokio::select! {
+            () = tokio::time::sleep(PROBE_EVERY) => {}
+            () = state.stop.cancelled() => return,
+        }
+    }
+    state.relay.is_lost.store(false, Ordering::Relaxed);
+    log::info!(after_ms = began.elapsed().as_millis() as u64; "store-in-reach");
+    state.want_beat();
+}
+
+fn pack(row: &Row) -> StoreRow {
+    let row = NewsRow { key: row.key.clone(), value: row.value.to_vec(), version: row.version };
+    StoreRow { row: Some(row), is_absent: false }
+}
+
+fn unpack(row: NewsRow) -> Row {
+    Row { key: row.key, value: Bytes::from(row.value), version: row.version }
+}
+
+fn present_rows(reply: StoreReply) -> Vec<Row> {
+    reply.rows.into_iter().filter_map(|row| row.row).map(unpack).collect()
+}
+
+#[async_trait]
+impl TableStore for RelayedStore {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
+        let call = Call::Read(ReadCall { keys: keys.to_vec() });
+        let count = keys.len();
+        let rows = self.call(self.direct.read(keys), call, CALL_LIMIT, |reply| {
+            let rows = reply.rows.into_iter();
+            rows.map(|row| row.row.filter(|_| !row.is_absent).map(unpack)).collect::<Vec<_>>()
+        });
+        let rows = rows.await?;
+        match rows.len() == count {
+            true => Ok(rows),
+            false => Err(StoreError::Unknown("the answer has another number of rows".into())),
+        }
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
+        let call = Call::Scan(ScanCall {
+            prefix: prefix.into(),
+            after: after.into(),
+            limit: limit as u64,
+        });
+        self.call(self.direct.scan(prefix, after, limit), call, CALL_LIMIT, present_rows).await
+    }
+
+    /// A commit is made by another host only where it surely had no effect directly: otherwise the
+    /// caller reads back first what became of it.
+    async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, StoreError> {
+        if self.is_reached() {
+            match self.direct.commit(transaction.clone()).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(error @ StoreError::Unknown(_)) => {
+                    self.note_failure(&error);
+                    return Err(error);
+                }
+                Err(error) => self.note_failure(&error),
+            }
+        }
+        let conditions = transaction.conditions.iter();
+        let call = Call::Commit(CommitCall {
+            conditions: conditions
+                .map(|held| RowCondition { key: held.key.clone(), version: held.version })
+                .collect(),
+            puts: transaction
+                .puts
+                .iter()
+                .map(|(key, value)| NewsRow { key: key.clone(), value: value.to_vec(), version: 0 })
+                .collect(),
+            deletes: transaction.deletes.clone(),
+        });
+        match self.relay(call, CALL_LIMIT).await {
+            Some(outcome) => outcome.map(|reply| match reply.conflicts.is_empty() {
+                true => CommitOutcome::Committed(reply.version),
+                false => CommitOutcome::Conflict(reply.conflicts),
+            }),
+            None => self.direct.commit(transaction).await,
+        }
+    }
+}
+
+#[async_trait]
+impl WatchedTable for RelayedStore {
+    async fn snapshot(&self, table: &str) -> Result<TableSnapshot, StoreError> {
+        let call = Call::Snapshot(SnapshotCall { table: table.into() });
+        let read = |reply: StoreReply| {
+            let version = reply.version;
+            TableSnapshot { rows: present_rows(reply), version }
+        };
+        self.call(self.direct.snapshot(table), call, CALL_LIMIT, read).await
+    }
+
+    async fn watch(
+        &self,
+        table: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        let call =
+            Call::Watch(WatchCall { table: table.into(), after, wait_ms: wait.as_millis() as u64 });
+        let read = |reply: StoreReply| {
+            if reply.is_history_lost {
+                return WatchAnswer::HistoryLost;
+            }
+            let version = reply.version;
+            let changes = reply.rows.into_iter().filter_map(|row| {
+                Some(RowChange { row: unpack(row.row?), is_deleted: row.is_absent })
+            });
+            WatchAnswer::Changes { changes: changes.collect(), version }
+        };
+        let limit = wait + WATCH_MARGIN;
+        self.call(self.direct.watch(table, after, wait), call, limit, read).await
+    }
+}
+
+#[async_trait]
+impl ObjectStore for RelayedStore {
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), StoreError> {
+        let call = Call::Put(PutCall { name: name.into(), body: body.to_vec() });
+        self.call(self.direct.put(name, body), call, CALL_LIMIT, |_| ()).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, StoreError> {
+        let call = Call::Get(GetCall { name: name.into() });
+        let read = |reply: StoreReply| reply.has_object.then(|| Bytes::from(reply.object));
+        self.call(self.direct.get(name), call, CALL_LIMIT, read).await
+    }
+
+    async fn get_range(
+        &self,
+        name: &str,
+        start: u64,
+        end: u64,
+    ) -> Result<Option<Bytes>, StoreError> {
+        self.direct.get_range(name, start, end).await
+    }
+
+    async fn delete(&self, name: &str) -> Result<(), StoreError> {
+        self.direct.delete(name).await
+    }
+}
+
+/// Makes a call of the store for another host.
+pub(crate) async fn answer_store_call(state: &GatewayState, call: StoreCall) -> StoreReply {
+    let outcome = match call.call {
+        Some(call) => make_call(&*state.direct_store, call).await,
+        None => Err(StoreError::Unavailable("an unknown call".into())),
+    };
+    outcome.unwrap_or_else(|error| StoreReply {
+        is_failed: true,
+        is_not_done: matches!(error, StoreError::Unavailable(_)),
+        reason: error.to_string(),
+        ..StoreReply::default()
+    })
+}
+
+async fn make_call(store: &dyn FleetStore, call: Call) -> Result<StoreReply, StoreError> {
+    let mut reply = StoreReply::default();
+    match call {
+        Call::Read(call) => {
+            let rows = store.read(&call.keys).await?;
+            let absent = || StoreRow { row: None, is_absent: true };
+            reply.rows = rows.iter().map(|row| row.as_ref().map_or_else(absent, pack)).collect();
+        }
+        Call::Scan(call) => {
+            let rows = store.scan(&call.prefix, &call.after, call.limit as usize).await?;
+            reply.rows = rows.iter().map(pack).collect();
+        }
+        Call::Commit(call) => match store.commit(into_transaction(call)).await? {
+            CommitOutcome::Committed(version) => reply.version = version,
+            CommitOutcome::Conflict(keys) => reply.conflicts = keys,
+        },
+        Call::Watch(call) => {
+            let wait = Duration::from_millis(call.wait_ms);
+            match store.watch(&call.table, call.after, wait).await? {
+                WatchAnswer::HistoryLost => reply.is_history_lost = true,
+                WatchAnswer::Changes { changes, version } => {
+                    reply.version = version;
+                    let rows = changes.iter().map(|change| StoreRow {
+                        is_absent: change.is_deleted,
+                        ..pack(&change.row)
+                    });
+                    reply.rows = rows.collect();
+                }
+            }
+        }
+        Call::Snapshot(call) => {
+            let snapshot = store.snapshot(&call.table).await?;
+            reply.version = snapshot.version;
+            reply.rows = snapshot.rows.iter().map(pack).collect();
+        }
+        Call::Put(call) => store.put(&call.name, Bytes::from(call.body)).await?,
+        Call::Get(call) => {
+            let object = ObjectStore::get(store, &call.name).await?;
+            reply.has_object = object.is_some();
+            reply.object = object.unwrap_or_default().to_vec();
+        }
+    }
+    Ok(reply)
+}
+
+fn into_transaction(call: CommitCall) -> Transaction {
+    let conditions = call.conditions.into_iter();
+    Transaction {
+        conditions: conditions
+            .map(|held| Condition { key: held.key, version: held.version })
+            .collect(),
+        puts: call.puts.into_iter().map(|row| (row.key, Bytes::from(row.value))).collect(),
+        deletes: call.deletes,
+    }
+}
