Try a request that a target failed at another target

Cause: an answer of 500 to a stream that may be resumed went to the caller, who came back late or not at all; targets that fail a part of their requests while they call themselves healthy did so for each. The test got 500 and gets the whole stream now. The target counts as failed and is avoided for a while.

--- a/crates/cuminramp-gateway/src/online/relay.rs
+++ b/crates/cuminramp-gateway/src/online/relay.rs
@@ -22,8 +22,7 @@
 }
 
 /// Passes a stream on as its events come.
-pub(crate) fn relay_stream(mut pass: RequestPass, answer: TargetAnswer) -> Response<AnswerBody> {
-    pass.is_begun = true;
+pub(crate) fn relay_stream(pass: RequestPass, answer: TargetAnswer) -> Response<AnswerBody> {
     let head = response_head(&pass, &answer);
     head.map(|()| AnswerBody::Stream(stream_body(pass, answer)))
 }
@@ -39,6 +38,9 @@
         let head = response_head(&pass, &answer);
         let body = Limited::new(answer.body, MOST_ANSWER_BYTES).collect();
         let failure = match tokio::time::timeout_at(deadline, body).await {
+            Ok(Ok(_)) if answer.parts.status.is_server_error() && pass.may_run_again() => {
+                format!("the target answered {}", answer.parts.status)
+            }
             Ok(Ok(body)) => {
                 let is_failed = answer.parts.status.is_server_error();
                 answer.run.end_whole(answer.head.keep_alive);
@@ -56,6 +58,9 @@
             Err(refusal) => Err(refusal),
         };
         answer = match next {
+            Ok(answer) if pass.is_stream() && answer.parts.status.is_success() => {
+                return Ok(relay_stream(pass, answer));
+            }
             Ok(answer) => answer,
             Err(refusal) => {
                 pass.record.end_refused(&refusal);
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -49,8 +49,6 @@
     tried: Vec<Name>,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
-    /// Whether the caller has the head of an answer.
-    pub(crate) is_begun: bool,
     deadline: Instant,
 }
 
@@ -70,7 +68,6 @@
             unrun: 0,
             tried: Vec::new(),
             last_event,
-            is_begun: false,
             deadline,
         }
     }
@@ -83,8 +80,17 @@
     /// How long the next silence may last: short while the request can go on elsewhere.
     pub(crate) fn silence_limit(&self) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let has_other = self.runs < self.request.route.max_attempts;
-        if self.request.route.is_repeatable() && has_other { left.min(SILENCE_LIMIT) } else { left }
+        if self.may_run_again() { left.min(SILENCE_LIMIT) } else { left }
+    }
+
+    /// Whether another target may run it after one that did.
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.request.route.is_repeatable() && self.runs < self.request.route.max_attempts
+    }
+
+    /// Whether the answer is a stream of events.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.request.route.kind == RouteKind::Stream
     }
 
     fn place(&self) -> PlacementDecision {
@@ -227,7 +233,6 @@
     request: AdmittedRequest,
     record: RequestRecord,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let is_stream = request.route.kind == RouteKind::Stream;
     let mut pass = RequestPass::new(state, request, record);
     let deadline = pass.deadline();
     let found = match tokio::time::timeout_at(deadline, pass.find_answer()).await {
@@ -246,7 +251,7 @@
             return Err(refusal);
         }
     };
-    if is_stream && answer.parts.status.is_success() {
+    if pass.is_stream() && answer.parts.status.is_success() {
         Ok(relay_stream(pass, answer))
     } else {
         relay_whole(pass, answer).await
