Hold a job once, however late its acceptance is answered

The commit that accepted the job took effect and its answer was lost in a silent connection; after 1.2 s the host learned of it by reading back, but by then it had heard of the job from the table, done and listed all of it, and began it again from the start. Ruled out: two hosts with one fence (all lines are of one host). A job that is open with nothing listed is begun by its acceptance, one that is held stays as it is, and a keeper that meets another commit of its own run lets go. The test with late answers of the store listed 13 of 12 items before.

--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -315,8 +315,14 @@
     if is_mine { DraftStep::Accepted(known.version) } else { DraftStep::Repeated }
 }
 
+/// Begins work on an accepted job. Where the acceptance was answered late, this host may have heard
+/// of the job from the table and have done some of it; that work goes on, or the look for orphaned
+/// jobs takes it up with what is listed.
 fn hold(state: &Arc<GatewayState>, draft: &JobDraft, items: Vec<ItemSpec>) {
     let Some(known) = state.directory.get(&draft.row.id) else { return };
+    if !known.is_open() || known.row.listed > 0 {
+        return;
+    }
     let spec = job_spec(&known.row, items.into_iter().map(Arc::new).collect());
     keeper::hold_job(state, known, spec, &[], vec![]);
 }
--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -54,7 +54,8 @@
     }
 }
 
-/// Takes a job: its items may run from now on.
+/// Takes a job: its items may run from now on. A job that is held stays as it is: a second keeper
+/// would not know what the first has listed, and items would stand at two positions.
 pub(super) fn hold_job(
     state: &Arc<GatewayState>,
     known: KnownJob,
@@ -64,8 +65,13 @@
 ) {
     let (sender, orders) = mpsc::unbounded_channel();
     let items = spec.items.iter().map(|item| item.id.clone()).collect();
+    let mut jobs = lock(&state.jobs);
+    if jobs.get(&spec.id).is_some() {
+        return;
+    }
     lock(&state.keepers.orders).insert(spec.id.clone(), sender);
-    lock(&state.jobs).hold(spec, finished, progress);
+    jobs.hold(spec, finished, progress);
+    drop(jobs);
     let keeper = JobKeeper { state: state.clone(), known, items, orders };
     let stop = state.stop.clone();
     tokio::spawn(async move {
@@ -157,7 +163,7 @@
                 Some(found) if found.row.commit == next.commit && self.is_mine(&found.row) => {
                     return self.listed(next, found.version, &batch);
                 }
-                Some(found) if found.is_open() && self.is_mine(&found.row) => self.known = found,
+                Some(found) if self.is_unchanged(&found) => self.known = found,
                 Some(found) => {
                     log::info!(
                         job = self.known.row.id.as_str(), fence = found.row.fence,
@@ -184,6 +190,13 @@
         *pause = (*pause * 2).min(PAUSES.1);
     }
 
+    /// Whether a row is as this keeper left it, so that its next write still fits. Another commit of
+    /// the same run means that somebody else listed items of it; the job is then loaded anew.
+    fn is_unchanged(&self, found: &KnownJob) -> bool {
+        let is_same_commit = found.row.commit == self.known.row.commit;
+        found.is_open() && is_same_commit && self.is_mine(&found.row)
+    }
+
     fn is_mine(&self, row: &JobRow) -> bool {
         row.holder_address == self.known.row.holder_address
             && row.holder_incarnation == self.known.row.holder_incarnation
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -131,6 +131,12 @@
         under_way = progress.len(), fence = row.fence, held = held_count(state);
         "job-loaded"
     );
+    // While this was read, an acceptance that was answered late may have begun the job and listed
+    // items that are not among those read.
+    let is_current = state.directory.get(&row.id).is_some_and(|now| now.version == known.version);
+    if !is_current {
+        return Ok(());
+    }
     let spec = job_spec(row, into_items(input));
     hold_job(state, known, spec, &finished, progress);
     Ok(())
--- a/crates/cuminramp-standin/src/memory_platform.rs
+++ b/crates/cuminramp-standin/src/memory_platform.rs
@@ -59,6 +59,8 @@
     pub slow_ms: u64,
     /// Of a thousand commits, so many take effect and lose their answer.
     pub lost_answers_permille: u32,
+    /// Commits take effect at once, and their answers come so much later, in milliseconds.
+    pub late_answers_ms: u64,
 }
 
 /// What was asked of the platform since it started.
@@ -284,6 +286,17 @@
 
     async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, StoreError> {
         self.be_slow().await;
+        let late = Duration::from_millis(self.lock().faults.late_answers_ms);
+        let outcome = self.commit_now(transaction);
+        if !late.is_zero() {
+            tokio::time::sleep(late).await;
+        }
+        outcome
+    }
+}
+
+impl MemoryPlatform {
+    fn commit_now(&self, transaction: Transaction) -> Result<CommitOutcome, StoreError> {
         let mut state = self.lock();
         if state.faults.down || state.faults.table_down {
             return Err(refused());
