Take up no job that ended meanwhile

The host took up a job of its own whose acceptance was answered late, and read its input and results for seconds while the store was slow; the end came meanwhile, and the work began after it.

--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -35,10 +35,13 @@
         if state.started.elapsed() < SETTLE {
             continue;
         }
-        for known in state.directory.open_jobs() {
+        for listed in state.directory.open_jobs() {
             if state.drain.is_cancelled() {
                 return;
             }
+            // Those before it may have taken seconds to read, in which it may have ended.
+            let known = state.directory.get(&listed.row.id).filter(KnownJob::is_open);
+            let Some(known) = known else { continue };
             if let Err(error) = consider(&state, known.clone()).await {
                 state.metrics.count_store_failure("take-over");
                 let reason = error.to_string();
