--- a/crates/cuminramp-daemon/src/logging.rs
+++ b/crates/cuminramp-daemon/src/logging.rs
@@ -19,7 +19,7 @@
 /// Bytes of one write.
 const MOST_WRITE_BYTES: usize = 32 << 10;
 /// How long the end of a process waits for its last lines.
-const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
 /// Hands lines to a thread that writes them.
 ///
