Say on a refused upload that its connection ends

The daemon refuses such a body without reading it and closes the connection; the caller's next request went out on it. The refusal says so now (Connection: close).

--- a/crates/cuminramp-daemon/src/entry/answers.rs
+++ b/crates/cuminramp-daemon/src/entry/answers.rs
@@ -6,7 +6,7 @@
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use cuminramp_core::{Refusal, ResultCode};
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use serde_json::{Value, json};
 
 use crate::state::DaemonState;
@@ -35,6 +35,11 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert("cuminramp-code", refusal.code.number().into());
     headers.insert("cuminramp-execution", HeaderValue::from_static(refusal.execution.as_str()));
+    // The rest of such a body is never read, so the connection ends. A caller who does not know would
+    // send its next request on it and get no answer.
+    if matches!(refusal.code, ResultCode::BodyTooLarge | ResultCode::BodyTimeout) {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(wait) = refusal.retry_after {
         // The header counts whole seconds; a caller who can do better reads the milliseconds.
         let millis = wait.as_millis() as u64;
