Charge what others of a divided fleet admit as much as one's own admissions

Cause: while hosts are unheard, each admission costs as many tokens as there are hosts for each one heard, so that the parts of a divided fleet stay within a team's rate together. Only a host's own admissions were charged so; those that other hosts of its part told were charged one token. A part of k of n hosts then spent k / (n/k + k - 1) of the rate: 7 and 4 of 11 together 1.6 times the rate for as long as the cut lasted.

Traced by counting request-ended lines of the team by host while `load` lines say heard_hosts=7 and 4: 153 in 4.4 s.

Ruled out: late notice of silent hosts.

--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -10,7 +10,9 @@
 //!
 //! A host that is not heard may be dead, or cut off and serving, and then it spends from the same
 //! bucket. So each admission costs as many tokens as there are hosts for each one heard: the parts
-//! of a divided fleet stay within the rate together, however long the division lasts.
+//! of a divided fleet stay within the rate together, however long the division lasts. What another
+//! host of the part admitted costs the same here, or a part of several hosts spends more than its
+//! share: four and seven of eleven hosts together spent 1.6 times the rate.
 //!
 //! A process that starts, or was away, does not know what was spent. It begins with a small part of
 //! what the operators tolerate above the rate, and takes over the level of a host that knows better.
@@ -144,6 +146,11 @@
         self.share = heard as f64 / all.max(1) as f64;
     }
 
+    /// Tokens that an admission costs while some hosts are not heard.
+    fn cost(&self) -> f64 {
+        1.0 / self.share.max(f64::EPSILON)
+    }
+
     /// Begins anew, as after a pause in which others spent unseen.
     pub fn begin_anew(&mut self, now: Instant) {
         self.learns_until = now + LEARN_FOR;
@@ -157,7 +164,7 @@
     /// Asks for one request of `team`. `is_again` says that it was refused before and told when to
     /// come back.
     pub fn admit(&mut self, team: &Name, is_again: bool, now: Instant) -> QuotaDecision {
-        let cost = 1.0 / self.share.max(f64::EPSILON);
+        let cost = self.cost();
         let Some(account) = self.teams.get_mut(&name_hash(team)) else {
             return QuotaDecision::Admitted;
         };
@@ -208,6 +215,7 @@
             self.heard.retain(|held, _| held.address != host.address);
         }
         let takes_levels = beat.is_settled && !self.is_settled(now);
+        let cost = self.cost();
         let counts = self.heard.get_or_insert_with(host, HeardCounts::default);
         counts.has_start &= !was_silent;
         for told in &beat.usage {
@@ -218,7 +226,7 @@
             account.advance(now);
             if spent > 0 {
                 let floor = -account.rate * MOST_DEBT_SECONDS;
-                account.level = (account.level - f64::from(spent)).max(floor);
+                account.level = (account.level - f64::from(spent) * cost).max(floor);
             }
             if takes_levels {
                 account.level = account.level.min(f64::from(told.level));
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -1,3 +1,7 @@
+//! Books alone; `division` has whole fleets.
+
+mod division;
+
 use std::time::Duration;
 
 use cuminramp_core::Name;
