Let the levels of a healed fleet move towards each other by each host's part

Cause: while a fleet is divided, each part leaves the other its share of a team's bucket. After the cut a part whose callers had asked for nothing still had the whole bucket and spent it, though the other had spent its share: the burst counted 1 + k/n times. Small for teams that pay for a steady stream, more than is tolerated for those that come rarely and with much.

Now a host's first whole beat after a silence moves the level by 1/n towards the level that it tells, for each host that comes back; the sum over hosts stays as it was but for rounding.

--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -102,6 +102,7 @@
     teams: SortedMap<u32, TeamAccount>,
     heard: SortedMap<HostId, HeardCounts>,
     share: f64,
+    hosts: usize,
     learns_until: Instant,
 }
 
@@ -113,6 +114,7 @@
             teams: SortedMap::new(),
             heard: SortedMap::new(),
             share: 1.0,
+            hosts: 1,
             learns_until: now + LEARN_FOR,
         }
     }
@@ -143,7 +145,8 @@
 
     /// Says which part of all hosts is heard, this one included.
     pub fn set_share(&mut self, heard: usize, all: usize) {
-        self.share = heard as f64 / all.max(1) as f64;
+        self.hosts = all.max(1);
+        self.share = heard as f64 / self.hosts as f64;
     }
 
     /// Tokens that an admission costs while some hosts are not heard.
@@ -208,6 +211,10 @@
     /// level that this host began with or took over. So is its first whole beat after a silence: it
     /// spent its part, which each admission here left to it. From then on a team that was not named
     /// had a count of 0. A host that has just begun takes over lower levels of settled ones.
+    ///
+    /// After a silence each host stands for its part of the bucket, at the level that it tells. Each
+    /// level moves by the other's part towards the other's level. Without that the fuller part would
+    /// spend the whole bucket of which the other has just spent its share.
     pub fn hear(&mut self, beat: &HostBeat, was_silent: bool, now: Instant) {
         let host =
             HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
@@ -216,8 +223,12 @@
         }
         let takes_levels = beat.is_settled && !self.is_settled(now);
         let cost = self.cost();
+        let is_known = self.heard.contains_key(&host);
+        let both_settled = beat.is_settled && self.is_settled(now);
+        let part = 1.0 / self.hosts as f64;
         let counts = self.heard.get_or_insert_with(host, HeardCounts::default);
         counts.has_start &= !was_silent;
+        let is_back = is_known && both_settled && beat.is_usage_whole && !counts.has_start;
         for told in &beat.usage {
             let before = counts.teams.insert(told.team, told.admitted);
             let before = if counts.has_start { before.unwrap_or(0) } else { told.admitted };
@@ -228,6 +239,9 @@
                 let floor = -account.rate * MOST_DEBT_SECONDS;
                 account.level = (account.level - f64::from(spent) * cost).max(floor);
             }
+            if is_back {
+                account.level += (f64::from(told.level) - account.level) * part;
+            }
             if takes_levels {
                 account.level = account.level.min(f64::from(told.level));
             }
