Look for the job's own row before it is refused, and decide acceptance apart from I/O

Cause: a host whose write of a job lost its answer went on trying, and counted the team's waiting tokens anew. When the write had taken effect late and the table's watch had brought the row, the job was counted beside itself, found no room, and was answered 429 "not run" while it ran. Reads that failed at that point said 503 in the same way.

The steps are now one decision in cuminramp-fleet (`AcceptanceView::next_step`): the own row first; nothing is promised while a write may take effect. Failed writes leave a line (`job-not-written`), which they did not.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -8,8 +8,10 @@
 //!   believes of the others by it;
 //! - [`QuotaBook`] holds teams to their rate and burst over all hosts;
 //! - [`TargetBoard`] places requests and batch items on targets, and says which items give way;
+//! - [`AcceptanceView`] says what follows each try to make a job durable;
 //! - [`JobBoard`] orders the items of the jobs that this host holds.
 
+mod acceptance;
 mod beat;
 mod declarations;
 mod jobs;
@@ -19,6 +21,7 @@
 mod rhythm;
 mod targets;
 
+pub use acceptance::{AcceptanceStep, AcceptanceView, FoundJob};
 pub use beat::{HostBeat, KnownHost, TargetLoad, TeamUsage, name_hash};
 pub use declarations::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
-use cuminramp_fleet::{ItemSpec, JobSpec, RouteRule};
+use cuminramp_fleet::{AcceptanceStep, AcceptanceView, FoundJob, ItemSpec, JobSpec, RouteRule};
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
 use cuminramp_wire::encode_row;
 use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
-use super::directory::unix_ms;
+use super::directory::{KnownJob, unix_ms};
 use super::names::{gate_key, input_object, job_key, jobs_prefix};
 use super::{JobCaller, keeper};
 use crate::entry::{AnswerBody, whole_response};
@@ -40,17 +40,13 @@
     is_unsettled: bool,
 }
 
-/// How one try went.
-enum DraftStep {
-    /// It is durable, by this write or an earlier one.
-    Accepted(u64),
-    /// Another host accepted it.
-    Repeated,
-    /// Something else changed first.
-    Again,
+/// How a write of the job's row went.
+enum WriteOutcome {
+    /// The table was read or written after it: what is known tells whether it took effect.
+    Settled,
     /// It surely had no effect.
     NotDone(String),
-    /// It may have taken effect.
+    /// It may have taken effect, or may yet.
     Unsettled(String),
 }
 
@@ -191,8 +187,8 @@
             Err(error) if draft.began.elapsed() >= ACCEPT_LIMIT => {
                 return Err(unavailable(error.to_string()));
             }
-            Err(_) => {
-                state.metrics.count_store_failure("put-input");
+            Err(error) => {
+                note_failure(state, draft, &error.to_string());
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
@@ -204,65 +200,67 @@
     draft: &mut JobDraft,
 ) -> Result<&'static str, Refusal> {
     let mut is_fresh = false;
+    let mut reason = String::from("too many changes at once");
     loop {
-        check_room(state, draft, &mut is_fresh).await?;
-        match try_commit(state, draft).await {
-            DraftStep::Accepted(version) => {
-                state.directory.put(draft.row.clone(), version);
-                state.directory.put_gate(&draft.gate, version);
-                return Ok("accepted");
-            }
-            DraftStep::Repeated => return Ok("repeated"),
-            DraftStep::Again => is_fresh = true,
-            DraftStep::NotDone(reason) => give_up_late(draft, &reason)?,
-            DraftStep::Unsettled(reason) => {
-                draft.is_unsettled = true;
-                give_up_late(draft, &reason)?;
-            }
-        }
-        if draft.began.elapsed() >= ACCEPT_LIMIT {
-            give_up_late(draft, "too many changes at once")?;
+        let view = view_of(state, draft, is_fresh);
+        match view.next_step() {
+            AcceptanceStep::Accepted => return Ok("accepted"),
+            AcceptanceStep::Repeated => return Ok("repeated"),
+            AcceptanceStep::Refresh => match refresh(state, &draft.row.team).await {
+                Ok(()) => is_fresh = true,
+                Err(error) => {
+                    return Err(refuse(view.after_failed_read(), &view, &error.to_string()));
+                }
+            },
+            AcceptanceStep::Write => match write_row(state, draft).await {
+                WriteOutcome::Settled => is_fresh = true,
+                WriteOutcome::NotDone(why) => {
+                    reason = why;
+                    is_fresh = false;
+                }
+                WriteOutcome::Unsettled(why) => {
+                    draft.is_unsettled = true;
+                    reason = why;
+                    is_fresh = false;
+                }
+            },
+            step => return Err(refuse(step, &view, &reason)),
         }
     }
 }
 
-/// Ends the tries when the time is up. Where a write may still take effect, nothing is promised.
-fn give_up_late(draft: &JobDraft, reason: &str) -> Result<(), Refusal> {
-    if draft.began.elapsed() < ACCEPT_LIMIT {
-        return Ok(());
-    }
-    if draft.is_unsettled {
-        let refusal = Refusal::not_run(ResultCode::DeadlineExceeded, reason);
-        return Err(refusal.with_execution(Execution::MayHaveRun));
+fn view_of(state: &GatewayState, draft: &JobDraft, is_fresh: bool) -> AcceptanceView {
+    let found = match state.directory.get(&draft.row.id) {
+        None => FoundJob::Missing,
+        Some(known) if is_written_by(&known, draft) => FoundJob::Own,
+        Some(_) => FoundJob::Others,
+    };
+    AcceptanceView {
+        found,
+        waiting: state.directory.waiting_tokens(&draft.row.team, &draft.row.route),
+        tokens: draft.tokens,
+        limit: draft.limit,
+        is_fresh,
+        is_unsettled: draft.is_unsettled,
+        is_time_up: draft.began.elapsed() >= ACCEPT_LIMIT,
     }
-    Err(unavailable(reason))
 }
 
-/// Refuses a job that does not fit beside what the team has waiting. What is known may be a
-/// moment old, so the table is asked before anything is refused.
-async fn check_room(
-    state: &Arc<GatewayState>,
-    draft: &JobDraft,
-    is_fresh: &mut bool,
-) -> Result<(), Refusal> {
-    if draft.limit == 0 {
-        return Ok(());
-    }
-    loop {
-        let waiting = state.directory.waiting_tokens(&draft.row.team, &draft.row.route);
-        if waiting + draft.tokens <= draft.limit {
-            return Ok(());
-        }
-        if !*is_fresh {
-            refresh(state, &draft.row.team)
-                .await
-                .map_err(|error| unavailable(error.to_string()))?;
-            *is_fresh = true;
-            continue;
+fn is_written_by(known: &KnownJob, draft: &JobDraft) -> bool {
+    known.row.holder_address == draft.row.holder_address
+        && known.row.holder_incarnation == draft.row.holder_incarnation
+        && known.row.accepted_ms == draft.row.accepted_ms
+}
+
+fn refuse(step: AcceptanceStep, view: &AcceptanceView, reason: &str) -> Refusal {
+    match step {
+        AcceptanceStep::RefuseFull => {
+            let reason = format!("{} tokens wait, {} are allowed", view.waiting, view.limit);
+            Refusal::not_run(ResultCode::RateExceeded, reason).with_retry_after(RETURN_PAUSE)
         }
-        let reason = format!("{waiting} tokens wait, {} are allowed", draft.limit);
-        let refusal = Refusal::not_run(ResultCode::RateExceeded, reason);
-        return Err(refusal.with_retry_after(RETURN_PAUSE));
+        AcceptanceStep::LeaveOpen => Refusal::not_run(ResultCode::DeadlineExceeded, reason)
+            .with_execution(Execution::MayHaveRun),
+        _ => unavailable(reason),
     }
 }
 
@@ -275,44 +273,53 @@
     Ok(())
 }
 
-async fn try_commit(state: &Arc<GatewayState>, draft: &JobDraft) -> DraftStep {
+/// Writes the job's row through the team's gate. Each further write goes through the gate as well,
+/// so that of several at most one takes effect.
+async fn write_row(state: &Arc<GatewayState>, draft: &JobDraft) -> WriteOutcome {
     let gate = GateRow { accepted: draft.row.accepted_ms };
     let gate_version = state.directory.gate(&draft.row.team);
     let transaction = Transaction::default()
         .put_at(draft.gate.clone(), gate_version, encode_row(&gate))
         .put_at(draft.key.clone(), 0, encode_row(&draft.row));
-    match state.store.commit(transaction).await {
-        Ok(CommitOutcome::Committed(version)) => DraftStep::Accepted(version),
-        Ok(CommitOutcome::Conflict(_)) => settle(state, draft).await,
+    let reason = match state.store.commit(transaction).await {
+        Ok(CommitOutcome::Committed(version)) => {
+            state.directory.put(draft.row.clone(), version);
+            state.directory.put_gate(&draft.gate, version);
+            return WriteOutcome::Settled;
+        }
+        Ok(CommitOutcome::Conflict(_)) => None,
         Err(StoreError::Unavailable(reason)) => {
-            state.metrics.count_store_failure("accept");
+            note_failure(state, draft, &reason);
             tokio::time::sleep(FAILURE_PAUSE).await;
-            DraftStep::NotDone(reason)
+            return WriteOutcome::NotDone(reason);
         }
         Err(StoreError::Unknown(reason)) => {
-            state.metrics.count_store_failure("accept");
-            match settle(state, draft).await {
-                // Not there yet: the next try goes through the gate, after which this one can't.
-                DraftStep::Again => DraftStep::Unsettled(reason),
-                step => step,
+            note_failure(state, draft, &reason);
+            Some(reason)
+        }
+    };
+    match (refresh(state, &draft.row.team).await, reason) {
+        (Ok(()), None) => WriteOutcome::Settled,
+        (Ok(()), Some(reason)) => WriteOutcome::Unsettled(reason),
+        (Err(error), unknown) => {
+            let reason = error.to_string();
+            note_failure(state, draft, &reason);
+            tokio::time::sleep(FAILURE_PAUSE).await;
+            match unknown {
+                None => WriteOutcome::NotDone(reason),
+                Some(_) => WriteOutcome::Unsettled(reason),
             }
         }
     }
 }
 
-/// Reads the table to learn what became of a write, or who came first.
-async fn settle(state: &Arc<GatewayState>, draft: &JobDraft) -> DraftStep {
-    if let Err(error) = refresh(state, &draft.row.team).await {
-        tokio::time::sleep(FAILURE_PAUSE).await;
-        return DraftStep::Unsettled(error.to_string());
-    }
-    let Some(known) = state.directory.get(&draft.row.id) else {
-        return DraftStep::Again;
-    };
-    let is_mine = known.row.holder_address == draft.row.holder_address
-        && known.row.holder_incarnation == draft.row.holder_incarnation
-        && known.row.accepted_ms == draft.row.accepted_ms;
-    if is_mine { DraftStep::Accepted(known.version) } else { DraftStep::Repeated }
+fn note_failure(state: &GatewayState, draft: &JobDraft, reason: &str) {
+    state.metrics.count_store_failure("accept");
+    log::warn!(
+        job = draft.row.id.as_str(), team = draft.row.team.as_str(), reason = reason,
+        since_ms = draft.began.elapsed().as_millis() as u64;
+        "job-not-written"
+    );
 }
 
 /// Begins work on an accepted job. Where the acceptance was answered late, this host may have heard
