Let an item at which targets broke wait 2.5 s first, and three times as long each time

Cause: after three breaks in a row without an event an item waited 20 s before each further run.

Runs after the third break now come 2.5, 10, 32.5 and 92.5 s later, at most 60 s apart: an item that does break what it runs on still gets two targets in the half minute after the first three, as before.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -105,8 +105,14 @@
     pub first_run: Duration,
     /// Pause before a failed item is tried again.
     pub failure_pause: Duration,
-    /// Pause before an item is tried again at which several targets broke: it may have broken them.
+    /// First pause before an item is tried again at which several targets broke: it may have broken
+    /// them. Targets that break for reasons of their own are mostly back by then.
     pub crash_pause: Duration,
+    /// How many times longer each further such pause is. An item that breaks what it runs on gets
+    /// two targets in the half minute after the first three.
+    pub crash_growth: u32,
+    /// The longest such pause.
+    pub longest_crash_pause: Duration,
     /// Breaks before the first event after which an item is paused so.
     pub crash_limit: u32,
 }
@@ -116,12 +122,27 @@
         JobPolicy {
             first_run: Duration::from_secs(5),
             failure_pause: Duration::from_millis(150),
-            crash_pause: Duration::from_secs(20),
+            crash_pause: Duration::from_millis(2_500),
+            crash_growth: 3,
+            longest_crash_pause: Duration::from_secs(60),
             crash_limit: 3,
         }
     }
 }
 
+impl JobPolicy {
+    /// Pause after so many breaks in a row without an event.
+    fn pause_after_breaks(&self, breaks: u32) -> Duration {
+        match breaks.checked_sub(self.crash_limit) {
+            None => self.failure_pause,
+            Some(further) => {
+                let factor = self.crash_growth.saturating_pow(further);
+                self.crash_pause.saturating_mul(factor).min(self.longest_crash_pause)
+            }
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ItemPhase {
     Waiting,
@@ -320,9 +341,7 @@
             }
             ItemFailure::Broken => {
                 entry.breaks = if has_moved { 0 } else { entry.breaks + 1 };
-                let is_suspect = entry.breaks >= policy.crash_limit;
-                let pause = if is_suspect { policy.crash_pause } else { policy.failure_pause };
-                entry.not_before = Some(now + pause);
+                entry.not_before = Some(now + policy.pause_after_breaks(entry.breaks));
             }
         }
         None
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -120,6 +120,26 @@
     assert!(later.is_some());
 }
 
+/// Three targets break under an item for reasons of their own, and the fourth and fifth do as well.
+/// With the same long pause each time the job's last item comes after its caller stopped reading;
+/// without any, an item that does crash targets takes down one after another.
+#[tokio::test(start_paused = true)]
+async fn pauses_of_an_item_at_which_targets_break_begin_short_and_grow() {
+    let mut board = board(vec![job("j", 10, &["a"])]);
+    let began = Instant::now();
+    let mut starts = Vec::new();
+
+    while starts.len() < 7 {
+        if take(&mut board).is_some() {
+            starts.push(began.elapsed().as_millis() / 100);
+            board.fail("j", 0, ItemFailure::Broken, ItemProgress::default(), Instant::now());
+        }
+        advance(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(starts, [0, 1, 3, 28, 103, 328, 928]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn old_items_are_given_up_and_their_tokens_no_longer_wait() {
     let mut board = board(vec![job("j", 10, &["a", "b"])]);
