Pass on events before a gap, bound an unfinished event, and fuzz what reads foreign bytes

Causes, found by reading the readers of foreign bytes for property tests: - a read that brought events 5, 6 and 8 broke the stream off for the gap and dropped 5 and 6, while the count of what the caller has went on to 6: the resumed stream began at 7. Now what precedes a gap is passed on (`EventSplitter::take_following`); - an event without end was kept whole in memory, however long; over 1 MiB the run now counts as broken; - times in settings that no duration can hold (1e300) stopped the daemon at its start with a panic that named no setting; they are now faults with their place.

No finding beside those above.

--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -16,7 +16,7 @@
 use crate::borders::TargetHead;
 use crate::state::{GatewayState, lock};
 use crate::targets::{
-    EventSplitter, SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request,
+    EventOrder, EventSplitter, SendFailure, TargetAnswer, TargetRequest, TargetRun, send_request,
 };
 
 /// Looks for room at least this often while items wait.
@@ -346,11 +346,13 @@
         splitter.push(&bytes);
         while let Some(event) = splitter.next_event() {
             let Some(id) = event.id else { continue };
-            match progress.last_event {
-                Some(last) if id <= last => continue,
-                Some(last) if id > last + 1 => return broken(format!("event {id} follows {last}")),
-                Some(_) => progress.text.push('\n'),
-                None => {}
+            match EventOrder::of(Some(id), progress.last_event) {
+                EventOrder::Repeated => continue,
+                EventOrder::Gap(reason) => return broken(reason),
+                EventOrder::Next => {}
+            }
+            if progress.last_event.is_some() {
+                progress.text.push('\n');
             }
             progress.text.push_str(&event.data());
             progress.last_event = Some(id);
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cuminramp_fleet::RouteKind;
 use cuminramp_targets::FailureStage;
 use futures_util::StreamExt;
@@ -22,6 +22,8 @@
     pass: RequestPass,
     answer: Option<TargetAnswer>,
     splitter: EventSplitter,
+    /// Why nothing more can be taken from the present answer, once its events are passed on.
+    gap: Option<String>,
 }
 
 /// What the next read brought.
@@ -36,7 +38,8 @@
 
 /// The body of an answer: dropped with the caller's connection, and the target's with it.
 pub(crate) fn stream_body(pass: RequestPass, answer: TargetAnswer) -> EventFrames {
-    let relay = StreamRelay { pass, answer: Some(answer), splitter: EventSplitter::default() };
+    let relay =
+        StreamRelay { pass, answer: Some(answer), splitter: EventSplitter::default(), gap: None };
     unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_frame().await {
@@ -71,11 +74,13 @@
 
     async fn read_step(&mut self) -> StreamStep {
         loop {
-            if let Some(bytes) = self.take_events() {
-                return match bytes {
-                    Ok(bytes) => StreamStep::Events(bytes),
-                    Err(reason) => StreamStep::Broken(reason),
-                };
+            let taken = self.splitter.take_following(&mut self.pass.last_event);
+            self.gap = self.gap.take().or(taken.gap);
+            if !taken.bytes.is_empty() {
+                return StreamStep::Events(taken.bytes.freeze());
+            }
+            if let Some(reason) = self.gap.take() {
+                return StreamStep::Broken(reason);
             }
             let limit = self.pass.silence_limit();
             let Some(answer) = &mut self.answer else {
@@ -99,24 +104,6 @@
         }
     }
 
-    /// Whole events that follow what the caller has.
-    fn take_events(&mut self) -> Option<Result<Bytes, String>> {
-        let mut bytes = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let (Some(id), Some(last)) = (event.id, self.pass.last_event) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return Some(Err(format!("event {id} follows {last}")));
-                }
-            }
-            self.pass.last_event = event.id.or(self.pass.last_event);
-            bytes.extend_from_slice(&event.raw);
-        }
-        (!bytes.is_empty()).then(|| Ok(bytes.freeze()))
-    }
-
     fn end_whole(&mut self) {
         if let Some(answer) = self.answer.take() {
             answer.run.end_whole(answer.head.keep_alive);
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -260,3 +260,6 @@
     }
     *silent = unheard;
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -31,6 +31,43 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// How an event stands to the last one that was taken.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum EventOrder {
+    /// It is the next, or has no number.
+    Next,
+    /// It was taken before.
+    Repeated,
+    /// Events between them are missing.
+    Gap(String),
+}
+
+impl EventOrder {
+    /// Compares an event's number with the last one's.
+    pub(crate) fn of(id: Option<u64>, last: Option<u64>) -> Self {
+        match (id, last) {
+            (Some(id), Some(last)) if id <= last => EventOrder::Repeated,
+            (Some(id), Some(last)) if id > last + 1 => {
+                EventOrder::Gap(format!("event {id} follows {last}"))
+            }
+            _ => EventOrder::Next,
+        }
+    }
+}
+
+/// Events that follow what a caller has.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct TakenEvents {
+    /// Their bytes.
+    pub(crate) bytes: BytesMut,
+    /// Why no more can be taken from this stream.
+    pub(crate) gap: Option<String>,
+}
+
+/// The longest event that is waited for. Targets send a few hundred bytes; one that never ends its
+/// event would fill the host's memory, of which the smallest hosts have 160 MB for everything.
+const MOST_EVENT_BYTES: usize = 1 << 20;
+
 /// Cuts a stream into whole events. Half an event at the end of a broken stream stays behind: a
 /// caller who had got it would get its other half from another run.
 #[derive(Debug, Default)]
@@ -73,6 +110,28 @@
         None
     }
 
+    /// All whole events that follow event `last`, which is moved along. Those before a gap are taken
+    /// all the same: `last` counts them, so a caller who did not get them would never do.
+    pub(crate) fn take_following(&mut self, last: &mut Option<u64>) -> TakenEvents {
+        let mut taken = TakenEvents::default();
+        while let Some(event) = self.next_event() {
+            match EventOrder::of(event.id, *last) {
+                EventOrder::Repeated => continue,
+                EventOrder::Gap(reason) => {
+                    taken.gap = Some(reason);
+                    return taken;
+                }
+                EventOrder::Next => {}
+            }
+            *last = event.id.or(*last);
+            taken.bytes.extend_from_slice(&event.raw);
+        }
+        if self.buffer.len() > MOST_EVENT_BYTES {
+            taken.gap = Some(format!("an event of over {MOST_EVENT_BYTES} bytes"));
+        }
+        taken
+    }
+
     /// Bytes that are no whole event yet.
     pub(crate) fn rest(&self) -> &[u8] {
         &self.buffer
--- a/crates/cuminramp-gateway/src/targets/events/tests.rs
+++ b/crates/cuminramp-gateway/src/targets/events/tests.rs
@@ -1,6 +1,7 @@
+use proptest::prelude::*;
 use test_case::test_case;
 
-use super::EventSplitter;
+use super::{EventSplitter, MOST_EVENT_BYTES};
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata:b\r\ndata: c\r\n\r\nid: 3\ndata: half";
 
@@ -28,3 +29,79 @@
     assert_eq!(events, [(Some(1), "a".into()), (Some(2), "b\nc".into())]);
     assert_eq!(rest, b"id: 3\ndata: half");
 }
+
+/// One read brings events 5, 6 and 8. The stream is broken off for the gap and goes on elsewhere
+/// after event 6; a caller who had not got 5 and 6 would miss them for good.
+#[test]
+fn events_before_a_gap_are_passed_on() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 5\ndata: a\n\nid: 6\ndata: b\n\nid: 8\ndata: d\n\n");
+    let mut last = Some(4);
+
+    let taken = splitter.take_following(&mut last);
+
+    assert_eq!(&taken.bytes[..], b"id: 5\ndata: a\n\nid: 6\ndata: b\n\n");
+    assert_eq!((taken.gap.as_deref(), last), (Some("event 8 follows 6"), Some(6)));
+}
+
+/// A target sends bytes without end and never ends its event. Waiting for the end would take all of
+/// the host's memory, and every other caller's stream with it.
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; MOST_EVENT_BYTES + 1]);
+
+    let taken = splitter.take_following(&mut None);
+
+    assert!(taken.bytes.is_empty());
+    assert!(taken.gap.is_some());
+}
+
+/// The events with these numbers, as a target sends them.
+fn stream_of(ids: &[u64]) -> String {
+    ids.iter().map(|id| format!("id: {id}\ndata: text of {id}\n\n")).collect()
+}
+
+proptest! {
+    /// Bytes come in pieces of any size, with events repeated and missing: what is passed on is
+    /// always whole events with numbers that follow each other without a gap.
+    #[test]
+    fn what_is_passed_on_has_no_gap(
+        ids in prop::collection::vec(1_u64..12, 0..30),
+        cut in 1_usize..40,
+    ) {
+        let mut splitter = EventSplitter::default();
+        let (mut last, mut passed_on) = (Some(0), Vec::new());
+
+        for piece in stream_of(&ids).as_bytes().chunks(cut) {
+            splitter.push(piece);
+            let taken = splitter.take_following(&mut last);
+            passed_on.extend_from_slice(&taken.bytes);
+            if taken.gap.is_some() {
+                break;
+            }
+        }
+
+        let whole: Vec<u64> = (1..=last.unwrap_or(0)).collect();
+        prop_assert_eq!(String::from_utf8(passed_on).unwrap(), stream_of(&whole));
+    }
+
+    /// Whatever bytes a target sends, no byte is lost or made up: events and rest are the stream.
+    #[test]
+    fn any_bytes_are_cut_and_kept(bytes in prop::collection::vec(prop::sample::select(
+        b"id:\ndata\r 19\xff".to_vec()), 0..200), cut in 1_usize..50,
+    ) {
+        let mut splitter = EventSplitter::default();
+        let mut seen = Vec::new();
+
+        for piece in bytes.chunks(cut) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event() {
+                seen.extend_from_slice(&event.raw);
+            }
+        }
+
+        seen.extend_from_slice(splitter.rest());
+        prop_assert_eq!(seen, bytes);
+    }
+}
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -97,6 +97,12 @@
     if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
+/// The longest time that can be set, in seconds: a day. Above what a duration can hold, the daemon
+/// would stop at its start without saying which setting is wrong.
+const LONGEST_TIME_S: f64 = 86_400.0;
+/// The shortest, in seconds: what the runtime's timers can tell apart.
+const SHORTEST_TIME_S: f64 = 0.001;
+
 fn check_values(settings: &GatewaySettings, faults: &mut Vec<SettingsFault>) {
     let addresses = [
         ("caller-address", &settings.caller_address),
@@ -119,21 +125,25 @@
     if settings.availability_zone.is_empty() {
         faults.push(SettingsFault::new("availability-zone", "must not be empty"));
     }
-    if settings.grace_s <= 0.0 {
-        faults.push(SettingsFault::new("grace-s", "must be above 0"));
-    }
     let tolerances = [
         ("rate-tolerance-share", settings.rate_tolerance_share),
         ("rate-tolerance-requests", settings.rate_tolerance_requests),
-        ("rate-window-s", settings.rate_window_s),
     ];
     for (place, value) in tolerances {
         if value < 0.0 {
             faults.push(SettingsFault::new(place, "must not be below 0"));
         }
     }
-    if settings.steering_keep_s <= 0.0 {
-        faults.push(SettingsFault::new("steering-keep-s", "must be above 0"));
+    let times = [
+        ("grace-s", settings.grace_s, SHORTEST_TIME_S),
+        ("steering-keep-s", settings.steering_keep_s, SHORTEST_TIME_S),
+        ("rate-window-s", settings.rate_window_s, 0.0),
+    ];
+    for (place, seconds, least) in times {
+        if !(least..=LONGEST_TIME_S).contains(&seconds) {
+            let reason = format!("must be from {least} to {LONGEST_TIME_S}");
+            faults.push(SettingsFault::new(place, reason));
+        }
     }
 }
 
