Model the counts that hosts tell each other

Three hosts, one of them cut off and back, beats that cross each other. Caught: admissions of others charged one token, what was spent in a silence forgiven, a division that nobody notices.

--- a/models/check.sh
+++ b/models/check.sh
@@ -35,10 +35,12 @@
   case "$found" in "$wanted"*) ;; *) failed=1 ;; esac
 }
 
-for model in tokens chunks marks accept keeper; do
+for model in tokens chunks marks told accept keeper; do
   expect holds "$model"
   for mutant in $(grep -oE 'MUTANT_[A-Z_]+' "$model.pml" | sort -u); do
     expect broken "$model" "-D$mutant"
   done
 done
+# The same with tokens that come in, for which there are too many states with a larger burst.
+expect holds told -DBURST=12 -DTICKS=1
 exit "$failed"
