Name the job in the line of a refused call about it, and leave leaving hosts out of the silent ones

Ends of jobs that fail leave a line (`job-not-ended`) with the reason; they were counted only.

What hosts do is unchanged.

--- a/crates/cuminramp-gateway/src/borders.rs
+++ b/crates/cuminramp-gateway/src/borders.rs
@@ -76,6 +76,25 @@
     },
 }
 
+impl CallerCall {
+    /// The job that it is about, where it names one.
+    ///
+    /// ```
+    /// use cuminramp_gateway::CallerCall;
+    /// let call = CallerCall::EndJob { job: "j1".into() };
+    /// assert_eq!(call.job().map(|job| &**job), Some("j1"));
+    /// assert_eq!(CallerCall::Request.job(), None);
+    /// ```
+    pub fn job(&self) -> Option<&Name> {
+        match self {
+            CallerCall::Request => None,
+            CallerCall::ReadResults { job, .. }
+            | CallerCall::ReadItem { job, .. }
+            | CallerCall::EndJob { job } => Some(job),
+        }
+    }
+}
+
 /// A question for hosts to use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SteeringCall {
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -59,6 +59,20 @@
     );
 }
 
+/// Logs a call about a job that failed. Such calls mostly have no identity of their own; without the
+/// job's, a caller's complaint about it would find no line.
+fn log_job_refusal(head: &CallHead, job: Option<Name>, version: u64, refusal: &Refusal) {
+    log::info!(
+        job = job.as_deref().unwrap_or("-"),
+        request_id = head.request_id.as_deref().unwrap_or("-"), host = &*head.host,
+        declarations = version, code = refusal.code.number(), name = refusal.code.name(),
+        execution = refusal.execution.as_str(),
+        retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
+        reason = refusal.message.as_str();
+        "job-call-refused"
+    );
+}
+
 async fn dispatch(
     state: &Arc<GatewayState>,
     parts: request::Parts,
@@ -75,8 +89,9 @@
     let version = declared.version();
     let call = state.calls.read_call(&parts);
     if call != CallerCall::Request {
+        let job = call.job().cloned();
         let outcome = answer_job_call(state, &declared, head, call).await;
-        return outcome.inspect_err(|refusal| log_refusal(head, None, version, refusal));
+        return outcome.inspect_err(|refusal| log_job_refusal(head, job, version, refusal));
     }
     let path = parts.uri.path();
     let Some(route) = declared.find_route(&head.host, path).cloned() else {
--- a/crates/cuminramp-gateway/src/jobs/end.rs
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -41,14 +41,11 @@
                 let refusal = Refusal::not_run(ResultCode::StoreUnavailable, error.to_string());
                 return Err(refusal.with_retry_after(PAUSE));
             }
-            Err(_) => {
-                state.metrics.count_store_failure("end");
-                tokio::time::sleep(PAUSE).await;
-            }
+            Err(error) => wait_after(state, &known, &error).await,
         }
         match read_row(state, &known).await {
             Ok(found) => known = found,
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Err(error) => wait_after(state, &known, &error).await,
         }
     }
     log::info!(
@@ -58,6 +55,16 @@
     Ok(whole_response(StatusCode::OK, Bytes::from_static(b"{}")))
 }
 
+async fn wait_after(state: &GatewayState, known: &KnownJob, error: &StoreError) {
+    state.metrics.count_store_failure("end");
+    let reason = error.to_string();
+    log::warn!(
+        job = known.row.id.as_str(), row_version = known.version, reason = reason.as_str();
+        "job-not-ended"
+    );
+    tokio::time::sleep(PAUSE).await;
+}
+
 async fn try_end(state: &Arc<GatewayState>, known: &KnownJob) -> Result<bool, StoreError> {
     let mut row = known.row.clone();
     row.phase = JobPhase::Ended as i32;
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -253,7 +253,11 @@
     drop(peers);
     for id in &unheard {
         if !silent.contains(id) {
-            log::warn!(peer = &*id.address, incarnation = id.incarnation; "host-silent");
+            // A host that said that it leaves is missed by nobody.
+            let has_left = lock(&state.peers).get(&id.address).is_some_and(|host| host.has_left);
+            if !has_left {
+                log::warn!(peer = &*id.address, incarnation = id.incarnation; "host-silent");
+            }
             lock(&state.board).forget_host(id);
             lock(&state.quota).note_silent(id);
         }
