--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -204,16 +204,6 @@
         self.routes.get(host)?.iter().find(|rule| path.starts_with(&*rule.prefix))
     }
 
-    /// The route of a job that was accepted on it, by its name.
-    pub fn route_named(&self, name: &str) -> Option<&RouteRule> {
-        self.routes.values().flatten().find(|rule| &*rule.name == name)
-    }
-
-    /// Whether `host` has a route of batch jobs.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes.contains_key(host)
-    }
-
     /// The team that holds a key.
     pub fn find_team(&self, key: &str) -> Option<&TeamRule> {
         self.teams.get(&**self.keys.get(key)?)
@@ -223,11 +213,6 @@
     pub fn teams(&self) -> impl Iterator<Item = &TeamRule> {
         self.teams.values()
     }
-
-    /// A pool by its name.
-    pub fn pool(&self, name: &str) -> Option<&PoolRule> {
-        self.pools.get(name)
-    }
 }
 
 /// The declarations in force; they never go back to an earlier version.
