Hold back, at every host, a request that broke three targets

Cause: a request may crash each target that begins to run it, and its caller sends it again through another host. Gateways tried it on as many targets as its route allows, each time anew; nothing was remembered between attempts or hosts. The daemon had a register of such requests, the gateway did not use it.

A connection that breaks before the first event counts against the request's team, path and body; hosts tell each other in beats for two seconds; three breaks hold it back for a minute with 503, "not run", and the time left; a whole run clears it.

--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -110,6 +110,8 @@
     AlreadyStarted = 1305, 409, "conflict_error";
     /// The queue of the pool is full.
     QueueFull = 1306, 503, "service_unavailable";
+    /// The same request broke targets before; this time it was not run.
+    RequestHeldBack = 1307, 503, "service_unavailable";
     /// The platform's table or object store can't be reached.
     StoreUnavailable = 1400, 503, "service_unavailable";
     /// The host is draining and takes no new requests.
--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -35,6 +35,15 @@
     pub level: i32,
 }
 
+/// A request that broke targets, told to others so that it does not break theirs.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectCount {
+    /// The request's team, path and body, hashed.
+    pub fingerprint: u64,
+    /// Targets that it took.
+    pub crashes: u32,
+}
+
 /// Where a host can be reached, passed on by hosts that know it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KnownHost {
@@ -80,4 +89,6 @@
     pub is_settled: bool,
     /// Some of the hosts it knows.
     pub known: Vec<KnownHost>,
+    /// Requests that broke targets under its eyes lately.
+    pub suspects: Vec<SuspectCount>,
 }
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -31,6 +31,7 @@
         is_usage_whole: true,
         is_settled: true,
         known: vec![],
+        suspects: vec![],
     }
 }
 
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -61,6 +61,7 @@
         is_usage_whole: is_whole,
         is_settled: book.is_settled(now),
         known: vec![],
+        suspects: vec![],
     }
 }
 
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
     QuotaTolerance, TargetBoard,
 };
 use cuminramp_settings::GatewaySettings;
+use cuminramp_targets::CrashRegister;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
@@ -84,6 +85,13 @@
     state: Arc<GatewayState>,
 }
 
+/// Targets that a request may break before it is held back: one more than a route's usual two
+/// attempts, so that two breaks that came by chance hold nothing back.
+const MOST_CRASHES: u32 = 3;
+/// How long it is held back. Callers give up within seconds; a target that was replaced by a version
+/// without the fault is there within a minute.
+const QUARANTINE: Duration = Duration::from_secs(60);
+
 async fn listen(setting: &'static str, address: &str) -> Result<TcpListener, GatewayError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| GatewayError::Listen { setting, address: address.to_owned(), source })
@@ -120,6 +128,7 @@
         declarations: Default::default(),
         quota: QuotaBook::new(tolerance, now).into(),
         board: TargetBoard::new(id, me.zone.clone(), PlacementPolicy::default()).into(),
+        crashes: CrashRegister::new(MOST_CRASHES, QUARANTINE).into(),
         peers: PeerTable::new(me.clone(), PEERS).into(),
         jobs: JobBoard::new(JobPolicy::default()).into(),
         directory: Default::default(),
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -102,6 +102,15 @@
         );
     }
 
+    /// A target broke under it.
+    pub(crate) fn note_crash(&self, fingerprint: u64, crashes: u32) {
+        log::warn!(
+            request_id = &*self.request_id, target_id = self.target.as_deref().unwrap_or("-"),
+            fingerprint = fingerprint, crashes = crashes;
+            "request-suspected"
+        );
+    }
+
     /// The first event went to the caller.
     pub(crate) fn note_first_event(&mut self) {
         if self.first_event.is_none() {
--- a/crates/cuminramp-gateway/src/online/relay.rs
+++ b/crates/cuminramp-gateway/src/online/relay.rs
@@ -43,13 +43,19 @@
             }
             Ok(Ok(body)) => {
                 let is_failed = answer.parts.status.is_server_error();
+                if !is_failed {
+                    pass.note_whole();
+                }
                 answer.run.end_whole(answer.head.keep_alive);
                 let outcome =
                     if is_failed { RequestOutcome::TargetFailed } else { RequestOutcome::Answered };
                 pass.record.end(outcome);
                 return Ok(head.map(|()| AnswerBody::Whole(Full::new(body.to_bytes()))));
             }
-            Ok(Err(error)) => error.to_string(),
+            Ok(Err(error)) => {
+                pass.note_crash();
+                error.to_string()
+            }
             Err(_) => "answer not whole in time".to_owned(),
         };
         answer.run.end_failed();
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -1,10 +1,10 @@
 //! Sends a request to targets until one answers.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminramp_core::{Execution, Name, Refusal, ResultCode};
+use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{FleetTarget, OnlineNeed, PlacementDecision, RouteKind, RouteRule, WorkKind};
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
@@ -50,6 +50,8 @@
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
     deadline: Instant,
+    /// What tells it from other requests, whichever caller's attempt it is.
+    fingerprint: OnceLock<u64>,
 }
 
 impl RequestPass {
@@ -69,6 +71,47 @@
             tried: Vec::new(),
             last_event,
             deadline,
+            fingerprint: OnceLock::new(),
+        }
+    }
+
+    fn fingerprint(&self) -> u64 {
+        *self.fingerprint.get_or_init(|| {
+            let request = &self.request;
+            let team = request.team.as_deref().unwrap_or_default();
+            let body = String::from_utf8_lossy(&request.body);
+            hash_parts(&[team, &request.parts.uri.to_string(), &body])
+        })
+    }
+
+    /// A refusal, if the request broke as many targets as are allowed, here or at other hosts.
+    fn refuse_suspect(&self) -> Result<(), Refusal> {
+        let crashes = lock(&self.state.crashes);
+        if crashes.is_empty() {
+            return Ok(());
+        }
+        let Some(left) = crashes.held_back(self.fingerprint(), Instant::now()) else {
+            return Ok(());
+        };
+        let execution = if self.runs > 0 { Execution::MayHaveRun } else { Execution::NotRun };
+        let reason = "the same request broke several targets";
+        Err(Refusal::not_run(ResultCode::RequestHeldBack, reason)
+            .with_execution(execution)
+            .with_retry_after(left))
+    }
+
+    /// A target broke the connection while it had nothing but this request to answer on it.
+    pub(crate) fn note_crash(&self) {
+        let crashes = lock(&self.state.crashes).on_crash(self.fingerprint(), Instant::now());
+        self.record.note_crash(self.fingerprint(), crashes);
+        self.state.want_beat();
+    }
+
+    /// It ran to its end.
+    pub(crate) fn note_whole(&self) {
+        let mut crashes = lock(&self.state.crashes);
+        if !crashes.is_empty() {
+            crashes.on_success(self.fingerprint());
         }
     }
 
@@ -131,6 +174,7 @@
     /// Sends it until a target answers or there is nothing more to try.
     pub(crate) async fn find_answer(&mut self) -> Result<TargetAnswer, Refusal> {
         loop {
+            self.refuse_suspect()?;
             let target = match self.place() {
                 PlacementDecision::Send(target) => target,
                 PlacementDecision::Full(after) => return Err(self.refuse_full(after)),
@@ -179,6 +223,9 @@
         } else {
             self.runs += 1;
         }
+        if matches!(failure, SendFailure::Broken(_)) {
+            self.note_crash();
+        }
         self.decide(stage, failure.word(), &format!("{failure:?}"))
     }
 
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -24,6 +24,8 @@
     splitter: EventSplitter,
     /// Why nothing more can be taken from the present answer, once its events are passed on.
     gap: Option<String>,
+    /// The last event that the caller had when the present answer began.
+    begun_after: Option<u64>,
 }
 
 /// What the next read brought.
@@ -38,8 +40,13 @@
 
 /// The body of an answer: dropped with the caller's connection, and the target's with it.
 pub(crate) fn stream_body(pass: RequestPass, answer: TargetAnswer) -> EventFrames {
-    let relay =
-        StreamRelay { pass, answer: Some(answer), splitter: EventSplitter::default(), gap: None };
+    let relay = StreamRelay {
+        begun_after: pass.last_event,
+        pass,
+        answer: Some(answer),
+        splitter: EventSplitter::default(),
+        gap: None,
+    };
     unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_frame().await {
@@ -90,7 +97,13 @@
                 Err(_) => {
                     return StreamStep::Broken(format!("silent for {} ms", limit.as_millis()));
                 }
-                Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
+                Ok(Some(Err(error))) => {
+                    // One that broke off later had begun well.
+                    if self.pass.last_event == self.begun_after {
+                        self.pass.note_crash();
+                    }
+                    return StreamStep::Broken(error.to_string());
+                }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
                         self.splitter.push(&bytes);
@@ -108,6 +121,7 @@
         if let Some(answer) = self.answer.take() {
             answer.run.end_whole(answer.head.keep_alive);
         }
+        self.pass.note_whole();
         self.pass.record.end(RequestOutcome::Answered);
     }
 
@@ -137,6 +151,7 @@
         match outcome {
             Ok(Ok(answer)) if answer.parts.status.is_success() => {
                 self.answer = Some(answer);
+                self.begun_after = self.pass.last_event;
                 Ok(())
             }
             _ => {
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use cuminramp_core::{HostId, Name};
-use cuminramp_fleet::{BeatTimes, HostBeat, KnownHost};
+use cuminramp_fleet::{BeatTimes, HostBeat, KnownHost, SuspectCount};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -22,6 +23,10 @@
 /// Every so many beats tell the counts of all teams and name some hosts.
 const WHOLE_EVERY: u64 = 16;
 
+/// How long a request that broke targets is told to others; beats that get lost are followed by
+/// some twenty more.
+const TELL_SUSPECTS_FOR: Duration = Duration::from_secs(2);
+
 /// The socket for beats.
 #[derive(Debug)]
 pub(crate) struct BeatSocket {
@@ -74,6 +79,7 @@
     let quota = lock(&state.quota);
     let (usage, is_settled) = (quota.usage(is_usage_whole, now), quota.is_settled(now));
     drop(quota);
+    let suspects = lock(&state.crashes).seen_lately(TELL_SUSPECTS_FOR, now);
     HostBeat {
         host: state.me.clone(),
         sequence,
@@ -89,6 +95,10 @@
         is_usage_whole,
         is_settled,
         known,
+        suspects: suspects
+            .into_iter()
+            .map(|(fingerprint, crashes)| SuspectCount { fingerprint, crashes })
+            .collect(),
     }
 }
 
@@ -223,6 +233,9 @@
         }
     }
     lock(&state.quota).hear(&told, was_silent, now);
+    for suspect in &told.suspects {
+        lock(&state.crashes).merge(suspect.fingerprint, suspect.crashes, now);
+    }
     lock(&state.board).hear(&id, told.loads);
     enforce_excess(state);
     let own_declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
--- a/crates/cuminramp-gateway/src/peers/beats/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/beats/tests.rs
@@ -22,6 +22,7 @@
         is_usage_whole: true,
         is_settled: true,
         known: vec![],
+        suspects: vec![],
     }
 }
 
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -8,6 +8,7 @@
     DeclarationStore, FleetDeclarations, JobBoard, KnownHost, PeerTable, QuotaBook, TargetBoard,
 };
 use cuminramp_settings::GatewaySettings;
+use cuminramp_targets::CrashRegister;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +43,8 @@
     pub(crate) declarations: Mutex<DeclarationStore>,
     pub(crate) quota: Mutex<QuotaBook>,
     pub(crate) board: Mutex<TargetBoard>,
+    /// Requests that broke targets.
+    pub(crate) crashes: Mutex<CrashRegister>,
     pub(crate) peers: Mutex<PeerTable>,
     pub(crate) jobs: Mutex<JobBoard>,
     pub(crate) directory: JobDirectory,
--- a/crates/cuminramp-targets/src/crashes.rs
+++ b/crates/cuminramp-targets/src/crashes.rs
@@ -16,11 +16,13 @@
     running: u32,
     /// Where it runs, while it does.
     target: Option<Name>,
+    /// When this host saw it take a target last; `None` where only others did.
+    seen_here: Option<Instant>,
 }
 
 impl CrashRecord {
     fn new(now: Instant) -> Self {
-        CrashRecord { crashes: 0, last: now, running: 0, target: None }
+        CrashRecord { crashes: 0, last: now, running: 0, target: None, seen_here: None }
     }
 }
 
@@ -92,6 +94,7 @@
         let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
         record.crashes += 1;
         record.last = now;
+        record.seen_here = Some(now);
         record.crashes
     }
 
@@ -121,6 +124,31 @@
         self.records.get(&fingerprint).map_or(0, |record| record.crashes)
     }
 
+    /// How long a request is not to be run, since it took as many targets as are allowed. Unlike
+    /// [`begin`](Self::begin) this holds back no suspect that has taken fewer: where callers often
+    /// send the same bytes, one broken connection would hold back all of them.
+    pub fn held_back(&self, fingerprint: u64, now: Instant) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        let left = self.quarantine.checked_sub(now.saturating_duration_since(record.last))?;
+        (record.crashes >= self.limit).then_some(left)
+    }
+
+    /// Whether no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// What this host saw within the last `within`, to be told to others: each fingerprint, and how
+    /// many targets it took by all that is known here. What only others saw is left out, or hosts
+    /// would tell each other the same for ever.
+    pub fn seen_lately(&self, within: Duration, now: Instant) -> Vec<(u64, u32)> {
+        let is_late = |record: &CrashRecord| {
+            record.seen_here.is_some_and(|at| now.duration_since(at) < within)
+        };
+        let lately = self.records.iter().filter(|(_, record)| is_late(record));
+        lately.map(|(fingerprint, record)| (*fingerprint, record.crashes)).collect()
+    }
+
     /// Takes in what another host counted.
     pub fn merge(&mut self, fingerprint: u64, crashes: u32, now: Instant) {
         let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
@@ -128,3 +156,6 @@
         record.last = now;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cuminramp-targets/src/crashes/tests.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use tokio::time::{Instant, advance};
+
+use super::CrashRegister;
+
+const QUARANTINE: Duration = Duration::from_secs(60);
+
+fn register() -> CrashRegister {
+    CrashRegister::new(3, QUARANTINE)
+}
+
+/// A request breaks three targets, and its caller sends it again and again. Each further run would
+/// take a target from everybody else.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_took_three_targets_is_held_back_for_a_while() {
+    let mut register = register();
+
+    let mut held_back = Vec::new();
+    for _ in 0..3 {
+        register.on_crash(7, Instant::now());
+        held_back.push(register.held_back(7, Instant::now()).is_some());
+    }
+    advance(QUARANTINE + Duration::from_secs(1)).await;
+    held_back.push(register.held_back(7, Instant::now()).is_some());
+
+    assert_eq!(held_back, [false, false, true, false]);
+    assert!(register.held_back(8, Instant::now()).is_none());
+}
+
+/// A request is cut off twice by faults that have nothing to do with it, and runs whole in between.
+#[tokio::test(start_paused = true)]
+async fn a_run_to_the_end_clears_a_request() {
+    let mut register = register();
+    register.on_crash(7, Instant::now());
+    register.on_crash(7, Instant::now());
+
+    register.on_success(7);
+    register.on_crash(7, Instant::now());
+
+    assert!(register.held_back(7, Instant::now()).is_none());
+}
+
+/// The caller goes to another host with each try. Hosts that knew only their own third of it would
+/// let it take nine targets.
+#[tokio::test(start_paused = true)]
+async fn what_others_saw_counts_and_is_not_told_on() {
+    let (mut here, mut there) = (register(), register());
+    here.on_crash(7, Instant::now());
+    here.on_crash(7, Instant::now());
+
+    for (fingerprint, crashes) in here.seen_lately(Duration::from_secs(2), Instant::now()) {
+        there.merge(fingerprint, crashes, Instant::now());
+    }
+    let told_on = there.seen_lately(Duration::from_secs(2), Instant::now());
+    there.on_crash(7, Instant::now());
+
+    assert!(told_on.is_empty());
+    assert!(there.held_back(7, Instant::now()).is_some());
+    advance(Duration::from_secs(3)).await;
+    assert!(here.seen_lately(Duration::from_secs(2), Instant::now()).is_empty());
+}
