Tell the end of a job in beats

Cause: the host that works on a job hears of its end by the watch of its row. With the store 120 times as slow and reads refused for their number (429), the row came more than three seconds late, and items were still sent to targets.

The host through which a job was ended names it, with the row's version, in its beats for three seconds.

--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -44,6 +44,16 @@
     pub crashes: u32,
 }
 
+/// A job that its caller ended, told to others: the host that works on it may not hear of its row for
+/// seconds while the store is slow.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndedJob {
+    /// The job.
+    pub job: Name,
+    /// The version of its row that ended it.
+    pub version: u64,
+}
+
 /// Where a host can be reached, passed on by hosts that know it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KnownHost {
@@ -91,4 +101,6 @@
     pub known: Vec<KnownHost>,
     /// Requests that broke targets under its eyes lately.
     pub suspects: Vec<SuspectCount>,
+    /// Jobs that were ended through it lately.
+    pub ended: Vec<EndedJob>,
 }
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -22,7 +22,7 @@
 mod targets;
 
 pub use acceptance::{AcceptanceStep, AcceptanceView, FoundJob};
-pub use beat::{HostBeat, KnownHost, SuspectCount, TargetLoad, TeamUsage, name_hash};
+pub use beat::{EndedJob, HostBeat, KnownHost, SuspectCount, TargetLoad, TeamUsage, name_hash};
 pub use declarations::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
     TeamRule,
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -32,6 +32,7 @@
         is_settled: true,
         known: vec![],
         suspects: vec![],
+        ended: vec![],
     }
 }
 
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -62,6 +62,7 @@
         is_settled: book.is_settled(now),
         known: vec![],
         suspects: vec![],
+        ended: vec![],
     }
 }
 
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_trait::async_trait;
-use cuminramp_core::{Name, SortedMap};
+use cuminramp_core::{HostId, Name, SortedMap};
+use cuminramp_fleet::EndedJob;
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::decode_row;
 use cuminramp_wire::fleet::{JobPhase, JobRow};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::names::{JOBS, gate_key, is_gate};
 use super::run::stop_job;
@@ -42,6 +44,8 @@
 struct DirectoryRows {
     jobs: SortedMap<Name, KnownJob>,
     gates: SortedMap<String, u64>,
+    /// Jobs that were ended through this host, and when.
+    ended: Vec<(EndedJob, Instant)>,
 }
 
 /// Jobs and gates of all teams, as of the last watch.
@@ -76,6 +80,18 @@
         true
     }
 
+    /// A job was ended through this host: others are told of it.
+    pub(crate) fn note_end(&self, job: &str, version: u64, now: Instant) {
+        lock(&self.rows).ended.push((EndedJob { job: job.into(), version }, now));
+    }
+
+    /// Jobs that were ended through this host within the last `within`; older ones are dropped.
+    pub(crate) fn ended_lately(&self, within: Duration, now: Instant) -> Vec<EndedJob> {
+        let mut rows = lock(&self.rows);
+        rows.ended.retain(|(_, at)| now.duration_since(*at) < within);
+        rows.ended.iter().map(|(ended, _)| ended.clone()).collect()
+    }
+
     /// The version of a team's gate; 0 where it has none yet.
     pub(crate) fn gate(&self, team: &str) -> u64 {
         lock(&self.rows).gates.get(&gate_key(team)).copied().unwrap_or(0)
@@ -154,6 +170,26 @@
     }
 }
 
+/// Takes word of another host that a job was ended through it. The row says the same, but a slow
+/// store brings it late: with answers after half a second and reads refused for their number, items
+/// of a job ran 3.5 s after its end.
+pub(crate) fn notice_end(state: &Arc<GatewayState>, ended: &EndedJob, source: &HostId) {
+    let Some(known) = state.directory.get(&ended.job) else { return };
+    let mut row = known.row;
+    row.phase = JobPhase::Ended as i32;
+    row.waiting_tokens = 0;
+    if !state.directory.put(row, ended.version) {
+        return;
+    }
+    if lock(&state.jobs).get(&ended.job).is_some() {
+        log::info!(
+            job = &*ended.job, row_version = ended.version, source = &*source.address;
+            "job-released"
+        );
+        stop_job(state, &ended.job);
+    }
+}
+
 /// Takes a row, and lets a job go that ended or that another host holds.
 pub(super) fn notice_row(state: &Arc<GatewayState>, row: &Row) {
     let Some(job) = state.directory.take_row(row) else { return };
--- a/crates/cuminramp-gateway/src/jobs/end.rs
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -48,6 +48,10 @@
             Err(error) => wait_after(state, &known, &error).await,
         }
     }
+    if known.row.phase() == JobPhase::Ended {
+        // The answer to the write that ended it was lost, or it was ended before.
+        state.directory.note_end(job, known.version, Instant::now());
+    }
     log::info!(
         job = job, team = &*caller.team, took_ms = began.elapsed().as_millis() as u64;
         "job-ended"
@@ -74,7 +78,9 @@
     match state.store.commit(transaction).await? {
         CommitOutcome::Committed(version) => {
             state.directory.put(row, version);
+            state.directory.note_end(&known.row.id, version, Instant::now());
             stop_job(state, &known.row.id);
+            state.want_beat();
             Ok(true)
         }
         CommitOutcome::Conflict(_) => Ok(false),
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -15,7 +15,7 @@
 use crate::borders::CallHead;
 
 pub(crate) use accept::accept_job;
-pub(crate) use directory::{JobDirectory, JobsFollower};
+pub(crate) use directory::{JobDirectory, JobsFollower, notice_end};
 pub(crate) use end::end_job;
 pub(crate) use keeper::JobKeepers;
 pub(crate) use leave::hand_jobs_over;
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -10,7 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use crate::jobs::enforce_excess;
+use crate::jobs::{enforce_excess, notice_end};
 use crate::state::{GatewayState, lock};
 use crate::sync::ask_for_news;
 
@@ -27,6 +27,10 @@
 /// some twenty more.
 const TELL_SUSPECTS_FOR: Duration = Duration::from_secs(2);
 
+/// How long the end of a job is told: a job has to stop within three seconds of its end, and beats
+/// that get lost are followed by others.
+const TELL_ENDS_FOR: Duration = Duration::from_secs(3);
+
 /// The socket for beats.
 #[derive(Debug)]
 pub(crate) struct BeatSocket {
@@ -95,6 +99,7 @@
         is_usage_whole,
         is_settled,
         known,
+        ended: state.directory.ended_lately(TELL_ENDS_FOR, now),
         suspects: suspects
             .into_iter()
             .map(|(fingerprint, crashes)| SuspectCount { fingerprint, crashes })
@@ -233,6 +238,9 @@
         }
     }
     lock(&state.quota).hear(&told, was_silent, now);
+    for ended in &told.ended {
+        notice_end(state, ended, &id);
+    }
     for suspect in &told.suspects {
         lock(&state.crashes).merge(suspect.fingerprint, suspect.crashes, now);
     }
--- a/crates/cuminramp-gateway/src/peers/beats/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/beats/tests.rs
@@ -23,6 +23,7 @@
         is_settled: true,
         known: vec![],
         suspects: vec![],
+        ended: vec![],
     }
 }
 
