Go on from a job's row as it is after a listing whose answer was lost

Cause: a keeper whose write of results lost its answer reads the row back, finds its commit there, and went on from the row that it had written, under the version that it had read. Where the caller had ended the job in between, the ended row carries the same commit and holder; the keeper's next write then fitted its version and opened the job again, and items of an ended job ran until there were none.

Trail: `job-ended`, `job-released phase=JOB_PHASE_ENDED row_version=46`, `results-not-listed row_version=42`, and 0.9 s later `job-loaded` of the same job, done at version 151.

The old way is a mutant of keeper.pml, and is caught.

--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -161,7 +161,9 @@
             match self.read_back().await {
                 None => {}
                 Some(found) if found.row.commit == next.commit && self.is_mine(&found.row) => {
-                    return self.listed(next, found.version, &batch);
+                    // The row as it is now: the caller may have ended the job since. Going on from
+                    // the row that was written here would open it again.
+                    return self.listed(found.row, found.version, &batch);
                 }
                 Some(found) if self.is_unchanged(&found) => self.known = found,
                 Some(found) => {
@@ -255,14 +257,16 @@
                 "item-listed"
             );
         }
-        let is_done = row.phase() == JobPhase::Done;
+        let (is_done, is_open) = (row.phase() == JobPhase::Done, row.phase() == JobPhase::Open);
         self.known = KnownJob { row: row.clone(), version };
         self.state.directory.put(row, version);
         if is_done {
             log::info!(job = self.known.row.id.as_str(), row_version = version; "job-done");
+        }
+        if !is_open {
             stop_job(&self.state, &self.known.row.id);
         }
-        !is_done
+        is_open
     }
 
     async fn read_back(&self) -> Option<KnownJob> {
--- a/models/keeper.pml
+++ b/models/keeper.pml
@@ -96,8 +96,14 @@
 }
 
 inline listed_now(i) {
+#ifdef MUTANT_KEEPS_ITS_OWN_ROW
+  /* goes on from the row that it wrote, although that was ended since */
+  host[i].known.version = version; host[i].known.commit++; host[i].known.listed++; host[i].item = NONE;
+  if :: host[i].known.listed == ITEMS -> drop(i) :: else fi
+#else
   look(host[i].known); look(host[i].view); host[i].item = NONE;
   if :: phase != OPEN -> drop(i) :: else fi
+#endif
 }
 
 active proctype system() {
