Count what is told after a silence before a whole beat comes

Cause: after a silence only a whole beat was taken; beats that came before it were passed over. On a busy machine the whole beat that a host asks for comes late, and until then each host spends as if the other spent nothing. Counts only grow, so what a beat tells of a team can be charged whether it is whole or not.

The new test fails without the change: 20 requests admitted here after 20 were told from there, where 20 are allowed.

--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -282,13 +282,16 @@
         let is_settled = self.is_settled(now);
         let counts = self.heard.get_or_insert_with(host, HeardCounts::default);
         match (counts.basis, beat.is_usage_whole) {
-            (CountBasis::Current, _) => take_counts(&mut self.teams, counts, beat, self.parts, now),
+            // Counts only grow, so what is told of a team is new whether or not the beat is whole.
+            (CountBasis::Current, _) | (CountBasis::BeforeSilence, false) => {
+                take_counts(&mut self.teams, counts, beat, self.parts, now);
+            }
             (CountBasis::BeforeSilence, true) if is_settled => {
                 settle_counts(&mut self.teams, counts, beat, now);
             }
             // A host that is not settled itself takes over what settled ones know.
             (_, true) => counts.begin(beat),
-            (_, false) => {}
+            (CountBasis::Unknown, false) => {}
         }
         if beat.is_settled && !is_settled {
             self.take_levels(beat, now);
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -182,6 +182,25 @@
     assert_eq!((spent_there, left_here), (10, 10));
 }
 
+/// Hosts on a busy machine fall silent for a moment, and the whole beat that one asks the other for
+/// afterwards comes late. Admissions told meanwhile would not be counted, and each host would spend
+/// the whole rate until it comes.
+#[tokio::test(start_paused = true)]
+async fn admissions_told_after_a_silence_count_before_a_whole_beat_comes() {
+    let (mut here, mut there) = (book(), book());
+    here.hear(&beat("there", &there, true), false, Instant::now());
+    advance(Duration::from_secs(10)).await;
+    let spent_there = admitted_at_once(&mut there);
+
+    here.hear(&beat("there", &there, false), true, Instant::now());
+    let left_here = admitted_at_once(&mut here);
+    here.hear(&beat("there", &there, true), false, Instant::now());
+    advance(Duration::from_secs(1)).await;
+    let next_second = admitted_at_once(&mut here);
+
+    assert_eq!((spent_there, left_here, next_second), (20, 0, 10));
+}
+
 /// A team sends many times its rate through all hosts at once, and each learns of the others'
 /// admissions only with the next beat. The callers of other teams would feel the excess.
 #[tokio::test(start_paused = true)]
