Bound what beats tell of ends and suspects, and unfinished events of items

A job's end is now told once, at most 64 ends and 64 suspects a beat; - the bound of 1 MiB for an event without end held for callers' streams, not for items. Both ask the splitter now.

--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -21,6 +21,10 @@
 /// about twice a second, and an ended job has to stop within seconds.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
 
+/// Ends of jobs that one beat tells. A beat that grew over what receivers read, 60 KiB, would make
+/// its host seem silent; this many are some 2 KB.
+const MOST_ENDS: usize = 64;
+
 /// Unix time in milliseconds.
 pub(super) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_millis() as u64)
@@ -82,14 +86,19 @@
 
     /// A job was ended through this host: others are told of it.
     pub(crate) fn note_end(&self, job: &str, version: u64, now: Instant) {
-        lock(&self.rows).ended.push((EndedJob { job: job.into(), version }, now));
+        let mut rows = lock(&self.rows);
+        if rows.ended.iter().any(|(ended, _)| *ended.job == *job) {
+            return;
+        }
+        rows.ended.push((EndedJob { job: job.into(), version }, now));
     }
 
-    /// Jobs that were ended through this host within the last `within`; older ones are dropped.
+    /// Jobs that were ended through this host within the last `within`, the newest [`MOST_ENDS`];
+    /// older ones are dropped.
     pub(crate) fn ended_lately(&self, within: Duration, now: Instant) -> Vec<EndedJob> {
         let mut rows = lock(&self.rows);
         rows.ended.retain(|(_, at)| now.duration_since(*at) < within);
-        rows.ended.iter().map(|(ended, _)| ended.clone()).collect()
+        rows.ended.iter().rev().take(MOST_ENDS).map(|(ended, _)| ended.clone()).collect()
     }
 
     /// The version of a team's gate; 0 where it has none yet.
@@ -208,3 +217,6 @@
         stop_job(state, &job.id);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -357,5 +357,9 @@
             progress.text.push_str(&event.data());
             progress.last_event = Some(id);
         }
+        if let Some(reason) = splitter.overlong_event() {
+            answer.run.end_failed();
+            return broken(reason);
+        }
     }
 }
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -27,6 +27,10 @@
 /// some twenty more.
 const TELL_SUSPECTS_FOR: Duration = Duration::from_secs(2);
 
+/// Such requests in one beat: some 800 bytes, where all of a mass failure would be more than
+/// receivers read.
+const MOST_SUSPECTS: usize = 64;
+
 /// How long the end of a job is told: a job has to stop within three seconds of its end, and beats
 /// that get lost are followed by others.
 const TELL_ENDS_FOR: Duration = Duration::from_secs(3);
@@ -83,7 +87,7 @@
     let quota = lock(&state.quota);
     let (usage, is_settled) = (quota.usage(is_usage_whole, now), quota.is_settled(now));
     drop(quota);
-    let suspects = lock(&state.crashes).seen_lately(TELL_SUSPECTS_FOR, now);
+    let suspects = lock(&state.crashes).seen_lately(TELL_SUSPECTS_FOR, MOST_SUSPECTS, now);
     HostBeat {
         host: state.me.clone(),
         sequence,
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -126,12 +126,16 @@
             *last = event.id.or(*last);
             taken.bytes.extend_from_slice(&event.raw);
         }
-        if self.buffer.len() > MOST_EVENT_BYTES {
-            taken.gap = Some(format!("an event of over {MOST_EVENT_BYTES} bytes"));
-        }
+        taken.gap = self.overlong_event();
         taken
     }
 
+    /// Says so where the unfinished event is longer than any that is waited for.
+    pub(crate) fn overlong_event(&self) -> Option<String> {
+        let is_overlong = self.buffer.len() > MOST_EVENT_BYTES;
+        is_overlong.then(|| format!("an event of over {MOST_EVENT_BYTES} bytes"))
+    }
+
     /// Bytes that are no whole event yet.
     pub(crate) fn rest(&self) -> &[u8] {
         &self.buffer
--- a/crates/cuminramp-targets/src/crashes.rs
+++ b/crates/cuminramp-targets/src/crashes.rs
@@ -140,13 +140,18 @@
 
     /// What this host saw within the last `within`, to be told to others: each fingerprint, and how
     /// many targets it took by all that is known here. What only others saw is left out, or hosts
-    /// would tell each other the same for ever.
-    pub fn seen_lately(&self, within: Duration, now: Instant) -> Vec<(u64, u32)> {
+    /// would tell each other the same for ever. At most `most` are named, those that took most
+    /// first.
+    pub fn seen_lately(&self, within: Duration, most: usize, now: Instant) -> Vec<(u64, u32)> {
         let is_late = |record: &CrashRecord| {
             record.seen_here.is_some_and(|at| now.duration_since(at) < within)
         };
         let lately = self.records.iter().filter(|(_, record)| is_late(record));
-        lately.map(|(fingerprint, record)| (*fingerprint, record.crashes)).collect()
+        let mut seen: Vec<(u64, u32)> =
+            lately.map(|(fingerprint, record)| (*fingerprint, record.crashes)).collect();
+        seen.sort_by_key(|(_, crashes)| std::cmp::Reverse(*crashes));
+        seen.truncate(most);
+        seen
     }
 
     /// Takes in what another host counted.
--- a/crates/cuminramp-targets/src/crashes/tests.rs
+++ b/crates/cuminramp-targets/src/crashes/tests.rs
@@ -49,14 +49,29 @@
     here.on_crash(7, Instant::now());
     here.on_crash(7, Instant::now());
 
-    for (fingerprint, crashes) in here.seen_lately(Duration::from_secs(2), Instant::now()) {
+    for (fingerprint, crashes) in here.seen_lately(Duration::from_secs(2), 64, Instant::now()) {
         there.merge(fingerprint, crashes, Instant::now());
     }
-    let told_on = there.seen_lately(Duration::from_secs(2), Instant::now());
+    let told_on = there.seen_lately(Duration::from_secs(2), 64, Instant::now());
     there.on_crash(7, Instant::now());
 
     assert!(told_on.is_empty());
     assert!(there.held_back(7, Instant::now()).is_some());
     advance(Duration::from_secs(3)).await;
-    assert!(here.seen_lately(Duration::from_secs(2), Instant::now()).is_empty());
+    assert!(here.seen_lately(Duration::from_secs(2), 64, Instant::now()).is_empty());
+}
+
+/// A third of the targets goes down under hundreds of requests. All of them in one beat would be more
+/// than receivers read; those nearest to being held back matter most.
+#[tokio::test(start_paused = true)]
+async fn what_is_told_is_bounded_and_the_worst_goes_first() {
+    let mut register = register();
+    (0..500).for_each(|fingerprint| {
+        register.on_crash(fingerprint, Instant::now());
+    });
+    register.on_crash(321, Instant::now());
+
+    let told = register.seen_lately(Duration::from_secs(2), 64, Instant::now());
+
+    assert_eq!((told.len(), told[0]), (64, (321, 2)));
 }
