Save how far running items came, twice a second

Cause: texts of items under way lived in memory only. On the further deployment batch needs 32 of 96 slots and callers 40; when all hosts lose power some 140 items are open, and the time that targets had spent on them was spent again.

Ruled out: the outage itself (callers' requests after it are in time at once), pauses after breaks.

The row goes when the item is listed.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -7,6 +7,12 @@
 use cuminramp_core::{Name, SortedMap};
 use tokio::time::Instant;
 
+mod checkpoint;
+
+pub use checkpoint::UnsavedJob;
+
+use checkpoint::SavedProgress;
+
 /// One item as the caller handed it in.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ItemSpec {
@@ -96,6 +102,8 @@
     pub index: usize,
     /// What became of it.
     pub outcome: ItemOutcome,
+    /// Whether the store has a row with its progress, which nobody needs any more.
+    pub is_saved: bool,
 }
 
 /// Pauses and estimates for items.
@@ -155,6 +163,7 @@
     item: Arc<ItemSpec>,
     phase: ItemPhase,
     progress: ItemProgress,
+    saved: SavedProgress,
     /// The last event that was known when the present run began.
     begun_after: Option<u64>,
     failures: u32,
@@ -222,6 +231,7 @@
             ItemEntry {
                 item: item.clone(),
                 phase: if is_finished { ItemPhase::Finished } else { ItemPhase::Waiting },
+                saved: SavedProgress::of(&progress),
                 progress,
                 begun_after: None,
                 failures: 0,
@@ -306,7 +316,7 @@
         entry.phase = ItemPhase::Finished;
         entry.progress = ItemProgress::default();
         job.unfinished -= 1;
-        Some(FinishedItem { index, outcome })
+        Some(FinishedItem { index, outcome, is_saved: entry.saved.is_some() })
     }
 
     /// A run ended early. The item waits again, or is given up: when a target says that it can never
@@ -358,8 +368,9 @@
                 if entry.phase == ItemPhase::Waiting {
                     entry.phase = ItemPhase::Finished;
                     job.unfinished -= 1;
-                    let finished = FinishedItem { index, outcome: ItemOutcome::GivenUp };
-                    given_up.push((id.clone(), finished));
+                    let outcome = ItemOutcome::GivenUp;
+                    let is_saved = entry.saved.is_some();
+                    given_up.push((id.clone(), FinishedItem { index, outcome, is_saved }));
                 }
             }
         }
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -82,7 +82,8 @@
     let given_up =
         board.fail("j", 0, ItemFailure::Impossible, ItemProgress::default(), Instant::now());
 
-    assert_eq!(given_up, Some(FinishedItem { index: 0, outcome: ItemOutcome::GivenUp }));
+    let outcome = ItemOutcome::GivenUp;
+    assert_eq!(given_up, Some(FinishedItem { index: 0, outcome, is_saved: false }));
     assert_eq!(take(&mut board).map(|taken| taken.1), Some(1));
 }
 
@@ -165,3 +166,39 @@
     assert_eq!(take(&mut board), Some(("j".into(), 1, progress(4))));
     assert!(take(&mut board).is_none());
 }
+
+/// A host is killed while its items run. What the store has goes on elsewhere; a write for each event
+/// would take the store's room from results, so only progress worth one is named, and once.
+#[tokio::test(start_paused = true)]
+async fn progress_is_named_for_saving_once_it_is_worth_a_write() {
+    let least = Duration::from_millis(600);
+    let mut board = board(vec![job("j", 20, &["a", "b"])]);
+    take(&mut board);
+    take(&mut board);
+    let little = ItemProgress { ran: Duration::from_millis(100), ..progress(5) };
+    board.note_progress("j", 0, &progress(40));
+    board.note_progress("j", 1, &little);
+
+    let first = board.unsaved(least);
+    board.note_saved("j", 0, &progress(40));
+    let second = board.unsaved(least);
+
+    let named: Vec<usize> = first[0].items.iter().map(|item| item.0).collect();
+    assert_eq!(named, [0]);
+    assert!(second.is_empty(), "{second:?}");
+}
+
+/// The row with an item's progress is of no use once the item is listed. Left there it would cost the
+/// store's room for good.
+#[tokio::test(start_paused = true)]
+async fn a_finished_item_says_whether_its_progress_was_saved() {
+    let mut board = board(vec![job("j", 20, &["a", "b"])]);
+    take(&mut board);
+    take(&mut board);
+    board.note_saved("j", 0, &progress(40));
+
+    let saved = board.complete("j", 0, progress(50)).unwrap();
+    let unsaved = board.complete("j", 1, progress(50)).unwrap();
+
+    assert!(saved.is_saved && !unsaved.is_saved);
+}
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
-    JobPolicy, JobSpec,
+    JobPolicy, JobSpec, UnsavedJob,
 };
 pub use peers::{PeerPolicy, PeerRecord, PeerTable};
 pub use quota::{QuotaBook, QuotaDecision, QuotaTolerance};
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 
 use crate::borders::{CallFormat, FleetFormat, FleetStore};
 use crate::entry::{serve_callers, serve_metrics, serve_readiness, serve_steering};
-use crate::jobs::{JobsFollower, hand_jobs_over, run_items, take_jobs_over};
+use crate::jobs::{JobsFollower, hand_jobs_over, run_items, save_progress, take_jobs_over};
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
     BeatSocket, PeerClients, forget_silent, greet_host, receive_beats, send_beats, serve_calls,
@@ -254,6 +254,7 @@
     spawn_loop(state, watch_pauses(state.clone()));
     spawn_loop(state, run_items(state.clone()));
     spawn_loop(state, take_jobs_over(state.clone()));
+    spawn_loop(state, save_progress(state.clone()));
     spawn_loop(state, keep_up(state.clone()));
 }
 
--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -7,10 +7,11 @@
 use cuminramp_core::{Name, SortedMap};
 use cuminramp_fleet::{FinishedItem, ItemOutcome, ItemProgress, JobSpec};
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
-use cuminramp_wire::fleet::{JobPhase, JobRow, ProgressRow, ResultRow};
+use cuminramp_wire::fleet::{JobPhase, JobRow, ResultRow};
 use cuminramp_wire::{decode_row, encode_row};
 use tokio::sync::{mpsc, oneshot};
 
+use super::checkpoint::{LONGEST_TEXT, MOST_WRITE_BYTES, put_progress};
 use super::directory::KnownJob;
 use super::names::{job_key, progress_key, result_key, result_object};
 use super::run::stop_job;
@@ -18,10 +19,6 @@
 
 /// Results in one write; the store takes a hundred rows and a megabyte.
 const MOST_RESULTS: usize = 40;
-/// Texts over this length go into an object of their own: rows hold 64 KiB in base64.
-const LONGEST_TEXT: usize = 40 << 10;
-/// Bytes of results in one write.
-const MOST_WRITE_BYTES: usize = 500 << 10;
 /// First and longest pause after a write that failed.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
@@ -242,6 +239,9 @@
                 }
             }
             transaction = transaction.put(result_key(team, id, position), encode_row(&row));
+            if finished.is_saved {
+                transaction.deletes.push(progress_key(team, id, &row.item));
+            }
         }
         Ok(transaction)
     }
@@ -287,32 +287,15 @@
         next.holder_address = String::new();
         next.holder_incarnation = 0;
         next.commit += 1;
-        let mut transaction = Transaction::default().put_at(
-            job_key(&team, &id),
-            self.known.version,
-            encode_row(&next),
-        );
-        let mut progressed = 0;
-        let mut bytes = 0;
-        for (index, progress) in held.progress() {
-            bytes += progress.text.len();
-            if progress.text.len() > LONGEST_TEXT || bytes > MOST_WRITE_BYTES {
-                continue;
-            }
-            let item = &self.items[index];
-            let row = ProgressRow {
-                item: item.to_string(),
-                last_event: progress.last_event.unwrap_or(0),
-                text: progress.text.clone(),
-                ran_ms: progress.ran.as_millis() as u64,
-            };
-            transaction = transaction.put(progress_key(&team, &id, item), encode_row(&row));
-            progressed += 1;
-        }
+        let key = job_key(&team, &id);
+        let transaction = Transaction::default().put_at(key, self.known.version, encode_row(&next));
+        let progress =
+            held.progress().map(|(index, progress)| (index, &self.items[index], progress));
+        let (transaction, written) = put_progress(transaction, &team, &id, progress);
         let outcome = self.state.store.commit(transaction).await;
         let outcome = format!("{outcome:?}");
         log::info!(
-            job = id.as_str(), items_under_way = progressed, row_version = self.known.version,
+            job = id.as_str(), items_under_way = written.len(), row_version = self.known.version,
             outcome = outcome.as_str();
             "job-handed-over"
         );
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: accepted whole, run in what online work leaves free, listed by position.
 
 mod accept;
+mod checkpoint;
 mod directory;
 mod end;
 mod keeper;
@@ -15,6 +16,7 @@
 use crate::borders::CallHead;
 
 pub(crate) use accept::accept_job;
+pub(crate) use checkpoint::save_progress;
 pub(crate) use directory::{JobDirectory, JobsFollower, notice_end};
 pub(crate) use end::end_job;
 pub(crate) use keeper::JobKeepers;
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -27,6 +27,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(6);
 /// Time without a byte after which an item goes on elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Between two notes of how far a running item came.
+const NOTE_EVERY: Duration = Duration::from_millis(250);
 /// Time that an item's target gets. It bounds work for a host that is gone.
 const ITEM_LIMIT: Duration = Duration::from_secs(15);
 
@@ -298,7 +300,10 @@
         head_limit: SILENCE_LIMIT,
     };
     match send_request(run, request).await {
-        Ok(answer) => read_answer(answer, progress).await,
+        Ok(answer) => {
+            let notes = ProgressNotes::new(state, start, progress);
+            read_answer(answer, progress, notes).await
+        }
         Err(failure @ (SendFailure::NotSent(_) | SendFailure::Refused { .. })) => {
             RunEnd::Failed(ItemFailure::GaveWay, failure.word().into())
         }
@@ -306,7 +311,11 @@
     }
 }
 
-async fn read_answer(answer: TargetAnswer, progress: &mut ItemProgress) -> RunEnd {
+async fn read_answer(
+    answer: TargetAnswer,
+    progress: &mut ItemProgress,
+    notes: ProgressNotes,
+) -> RunEnd {
     let status = answer.parts.status;
     if status == StatusCode::UNPROCESSABLE_ENTITY {
         return RunEnd::Failed(ItemFailure::Impossible, status.to_string());
@@ -317,10 +326,14 @@
     if !status.is_success() {
         return broken(status.to_string());
     }
-    read_events(answer, progress).await
+    read_events(answer, progress, notes).await
 }
 
-async fn read_events(mut answer: TargetAnswer, progress: &mut ItemProgress) -> RunEnd {
+async fn read_events(
+    mut answer: TargetAnswer,
+    progress: &mut ItemProgress,
+    mut notes: ProgressNotes,
+) -> RunEnd {
     let mut splitter = EventSplitter::default();
     loop {
         let frame = match tokio::time::timeout(SILENCE_LIMIT, answer.body.frame()).await {
@@ -357,9 +370,44 @@
             progress.text.push_str(&event.data());
             progress.last_event = Some(id);
         }
+        notes.note(progress);
         if let Some(reason) = splitter.overlong_event() {
             answer.run.end_failed();
             return broken(reason);
         }
     }
 }
+
+/// Tells the board of jobs now and then how far a running item came.
+struct ProgressNotes {
+    state: Arc<GatewayState>,
+    job: Name,
+    index: usize,
+    began: Instant,
+    ran_before: Duration,
+    noted: Instant,
+}
+
+impl ProgressNotes {
+    fn new(state: &Arc<GatewayState>, start: &ItemStart, progress: &ItemProgress) -> Self {
+        let now = Instant::now();
+        ProgressNotes {
+            state: state.clone(),
+            job: start.job.clone(),
+            index: start.index,
+            began: now,
+            ran_before: progress.ran,
+            noted: now,
+        }
+    }
+
+    fn note(&mut self, progress: &ItemProgress) {
+        if self.noted.elapsed() < NOTE_EVERY {
+            return;
+        }
+        self.noted = Instant::now();
+        let ran = self.ran_before + self.began.elapsed();
+        let progress = ItemProgress { ran, ..progress.clone() };
+        lock(&self.state.jobs).note_progress(&self.job, self.index, &progress);
+    }
+}
