Give free slots to the most urgent items of all hosts, not by how many wait

Cause: each host orders its own jobs by when they are due, but holds about one of them; between hosts free slots went by the number of waiting items.

Whether an item can be in time counts how long items take with giving way, as seen on finished ones.

--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -3,6 +3,8 @@
 use cuminramp_core::{AvailabilityZone, Incarnation, Name, hash_parts};
 use serde::{Deserialize, Serialize};
 
+use crate::demand::ItemDemand;
+
 /// The short form of a name in beats; the names themselves would make up most of a beat's bytes.
 ///
 /// ```
@@ -87,8 +89,8 @@
     pub declarations: u64,
     /// Version up to which it knows the targets.
     pub targets: u64,
-    /// Batch items that wait at it for a place.
-    pub waiting_items: u32,
+    /// Batch items that wait at it for a place, the most urgent first.
+    pub demand: Vec<ItemDemand>,
     /// What it has in flight; targets with nothing are left out.
     pub loads: Vec<TargetLoad>,
     /// What it has admitted of teams, all of them or those that asked lately.
--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -13,6 +13,8 @@
 
 use checkpoint::SavedProgress;
 
+use crate::demand::{ItemDemand, MOST_DEMAND_GROUPS};
+
 /// One item as the caller handed it in.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ItemSpec {
@@ -166,6 +168,8 @@
     saved: SavedProgress,
     /// The last event that was known when the present run began.
     begun_after: Option<u64>,
+    /// When this host first sent it to a target, and how long it had run before.
+    begun: Option<(Instant, Duration)>,
     failures: u32,
     breaks: u32,
     not_before: Option<Instant>,
@@ -211,15 +215,19 @@
     policy: JobPolicy,
     jobs: SortedMap<Name, HeldJob>,
     run: Duration,
+    /// Time from an item's first start to its end, for each second that a target works on it.
+    stretch: f64,
 }
 
 /// How much a new sample weighs in the average time that an item takes.
 const RUN_WEIGHT: f64 = 0.1;
+/// The least and largest stretch that is believed: after an outage items wait for as long as it took.
+const STRETCH_BOUNDS: (f64, f64) = (1.0, 2.5);
 
 impl JobBoard {
     /// Holds nothing yet.
     pub fn new(policy: JobPolicy) -> Self {
-        JobBoard { policy, jobs: SortedMap::new(), run: policy.first_run }
+        JobBoard { policy, jobs: SortedMap::new(), run: policy.first_run, stretch: 1.0 }
     }
 
     /// Takes a job over, with the items that are finished already and what is known of others.
@@ -234,6 +242,7 @@
                 saved: SavedProgress::of(&progress),
                 progress,
                 begun_after: None,
+                begun: None,
                 failures: 0,
                 breaks: 0,
                 not_before: None,
@@ -265,21 +274,63 @@
         items.filter(|entry| is_due_to_run(entry, now)).count() as u32
     }
 
+    /// Items that wait for a place now, by urgency. Beyond [`MOST_DEMAND_GROUPS`] the least urgent
+    /// ones count as one group.
+    pub fn demand(&self, now: Instant) -> Vec<ItemDemand> {
+        let mut groups: Vec<ItemDemand> = Vec::new();
+        for job in self.jobs.values() {
+            let waiting = || job.items.iter().filter(|entry| is_due_to_run(entry, now));
+            let late = waiting().filter(|entry| self.is_late(&job.spec, entry, now)).count() as u32;
+            let in_time = waiting().count() as u32 - late;
+            groups.push(ItemDemand::new(false, job.spec.due, in_time, now));
+            groups.push(ItemDemand::new(true, job.spec.due, late, now));
+        }
+        groups.retain(|group| group.items > 0);
+        groups.sort_by_key(|group| (group.is_late, group.due_in_ms));
+        while groups.len() > MOST_DEMAND_GROUPS {
+            let Some(last) = groups.pop() else { break };
+            if let Some(group) = groups.last_mut() {
+                group.items += last.items;
+            }
+        }
+        groups
+    }
+
+    /// Whether an item can't be done by when it is due.
+    ///
+    /// Items give way to callers on their way, so they take longer than a target works on them. Were
+    /// that left out, items with just too little time would go first, break off at the next crest and
+    /// be late, and then those behind them in turn.
+    fn is_late(&self, spec: &JobSpec, entry: &ItemEntry, now: Instant) -> bool {
+        now + self.run.saturating_sub(entry.progress.ran).mul_f64(self.stretch) > spec.due
+    }
+
+    fn note_stretch(&mut self, job: &str, index: usize, ran: Duration, now: Instant) {
+        let entry = self.jobs.get(job).and_then(|job| job.items.get(index));
+        let Some((since, ran_before)) = entry.and_then(|entry| entry.begun) else { return };
+        let ran = ran.saturating_sub(ran_before);
+        if ran.is_zero() {
+            return;
+        }
+        let (least, most) = STRETCH_BOUNDS;
+        let seen = now.duration_since(since).as_secs_f64() / ran.as_secs_f64();
+        let seen = seen.clamp(least, most);
+        self.stretch = self.stretch * (1.0 - RUN_WEIGHT) + seen * RUN_WEIGHT;
+    }
+
     /// The next item of a job on `route`, and counts it as running.
     ///
     /// Jobs that are due sooner go first, so that whole jobs finish rather than all jobs half. An
     /// item that can't be done in time any more waits behind those that still can: it would only
     /// make another late as well.
     pub fn next(&mut self, accepts: impl Fn(&JobSpec) -> bool, now: Instant) -> Option<ItemStart> {
-        let run = self.run;
         let mut best: Option<((bool, Instant, usize), Name)> = None;
         for (id, job) in self.jobs.iter().filter(|(_, job)| accepts(&job.spec)) {
             for (index, entry) in job.items.iter().enumerate() {
                 if !is_due_to_run(entry, now) {
                     continue;
                 }
-                let is_late = now + run.saturating_sub(entry.progress.ran) > job.spec.due;
-                let rank = (is_late, job.spec.due, index);
+                let rank = (self.is_late(&job.spec, entry, now), job.spec.due, index);
                 if best.as_ref().is_none_or(|(held, _)| rank < *held) {
                     best = Some((rank, id.clone()));
                 }
@@ -290,6 +341,7 @@
         entry.phase = ItemPhase::Running;
         let progress = std::mem::take(&mut entry.progress);
         entry.begun_after = progress.last_event;
+        entry.begun = entry.begun.or(Some((now, progress.ran)));
         Some(ItemStart { job: id, index, item: entry.item.clone(), progress })
     }
 
@@ -300,7 +352,9 @@
         job: &str,
         index: usize,
         progress: ItemProgress,
+        now: Instant,
     ) -> Option<FinishedItem> {
+        self.note_stretch(job, index, progress.ran, now);
         let run =
             self.run.as_secs_f64() * (1.0 - RUN_WEIGHT) + progress.ran.as_secs_f64() * RUN_WEIGHT;
         self.run = Duration::from_secs_f64(run);
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -3,6 +3,8 @@
 
 use tokio::time::{Instant, advance};
 
+use crate::demand::MOST_DEMAND_GROUPS;
+
 use super::{
     FinishedItem, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, JobBoard, JobPolicy, JobSpec,
 };
@@ -197,8 +199,43 @@
     take(&mut board);
     board.note_saved("j", 0, &progress(40));
 
-    let saved = board.complete("j", 0, progress(50)).unwrap();
-    let unsaved = board.complete("j", 1, progress(50)).unwrap();
+    let saved = board.complete("j", 0, progress(50), Instant::now()).unwrap();
+    let unsaved = board.complete("j", 1, progress(50), Instant::now()).unwrap();
 
     assert!(saved.is_saved && !unsaved.is_saved);
 }
+
+/// Items give way to callers at each crest, so one that a target works on for a second is there for
+/// two. One with just too little time for that would go first and be late all the same, and so would
+/// the one behind it.
+#[tokio::test(start_paused = true)]
+async fn an_item_without_time_for_giving_way_waits_behind_one_that_has_it() {
+    let mut board = board(vec![job("seen", 60, &["a", "b", "c", "d", "e", "f", "g", "h"])]);
+    for index in 0..8 {
+        take(&mut board);
+        advance(Duration::from_secs(10)).await;
+        let ran = ItemProgress { ran: Duration::from_secs(5), ..progress(9) };
+        board.complete("seen", index, ran, Instant::now());
+    }
+    board.hold(job("brink", 6, &["x"]), &[], vec![]);
+    board.hold(job("time", 15, &["y"]), &[], vec![]);
+
+    let demand = board.demand(Instant::now());
+    let first = take(&mut board).map(|taken| taken.0);
+
+    assert_eq!(first.as_deref(), Some("time"));
+    assert_eq!(demand.iter().map(|group| group.is_late).collect::<Vec<_>>(), [false, true]);
+}
+
+/// A host that holds hundreds of jobs tells of the most urgent ones. A beat with all of them would be
+/// larger than receivers take, and its host would seem silent.
+#[tokio::test(start_paused = true)]
+async fn demand_stays_short_however_many_jobs_wait() {
+    let jobs = (0..50).map(|index| job(&format!("j{index}"), 20 + index, &["a", "b"])).collect();
+    let board = board(jobs);
+
+    let demand = board.demand(Instant::now());
+
+    assert_eq!(demand.len(), MOST_DEMAND_GROUPS);
+    assert_eq!(demand.iter().map(|group| group.items).sum::<u32>(), 100);
+}
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -9,11 +9,13 @@
 //! - [`QuotaBook`] holds teams to their rate and burst over all hosts;
 //! - [`TargetBoard`] places requests and batch items on targets, and says which items give way;
 //! - [`AcceptanceView`] says what follows each try to make a job durable;
+//! - [`share_room`] says whose items go first where fewer slots are free than items wait;
 //! - [`JobBoard`] orders the items of the jobs that this host holds.
 
 mod acceptance;
 mod beat;
 mod declarations;
+mod demand;
 mod jobs;
 mod peers;
 mod quota;
@@ -27,6 +29,7 @@
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
     TeamRule,
 };
+pub use demand::{ItemDemand, MOST_DEMAND_GROUPS, share_room};
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
     JobPolicy, JobSpec, UnsavedJob,
@@ -36,5 +39,6 @@
 pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
 pub use rhythm::{BeatRhythm, BeatTimes};
 pub use targets::{
-    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+    BatchRoom, FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard,
+    TargetPhase, WorkKind,
 };
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -25,7 +25,7 @@
         reaches_store: true,
         declarations: 1,
         targets: 1,
-        waiting_items: 0,
+        demand: vec![],
         loads: vec![],
         usage: vec![],
         is_usage_whole: true,
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -55,7 +55,7 @@
         reaches_store: true,
         declarations: 1,
         targets: 1,
-        waiting_items: 0,
+        demand: vec![],
         loads: vec![],
         usage: book.usage(is_whole, now),
         is_usage_whole: is_whole,
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::beat::{TargetLoad, name_hash};
+use crate::demand::{ItemDemand, share_room};
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -107,6 +108,15 @@
     Nowhere,
 }
 
+/// Room that a host has for batch items now.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct BatchRoom {
+    /// Targets with the slots that are free there, fullest last.
+    pub places: Vec<(FleetTarget, u32)>,
+    /// How many items it may start: those that are among the most urgent of all hosts.
+    pub items: u32,
+}
+
 #[derive(Debug)]
 struct BoardEntry {
     target: FleetTarget,
@@ -420,31 +430,35 @@
         PlacementDecision::Full(Duration::from_secs_f64(after.max(wait.min(latest))))
     }
 
-    /// Targets that this host may send a batch item to, with the slots left for it, fullest last.
+    /// Where this host may send batch items, and how many.
     ///
-    /// `waiting` names each live host with waiting items, this one included, and how many. For each
-    /// target one of them is drawn, by its weight: two hosts that saw the same free slot at once
-    /// would both fill it and stand in the way of the next request.
+    /// `demands` names each live host with waiting items, this one included. Each target goes to one
+    /// of the hosts with the most urgent items, drawn by how many of them it has: two hosts that saw
+    /// the same free slot at once would both fill it and stand in the way of the next request.
     pub fn batch_places(
         &self,
         pool: &str,
-        waiting: &[(HostId, u32)],
+        demands: &[(HostId, Vec<ItemDemand>)],
         now: Instant,
-    ) -> Vec<(FleetTarget, u32)> {
+    ) -> BatchRoom {
+        let open = self.entries.values().filter(|entry| {
+            let is_free = entry.total() < entry.target.slots;
+            &*entry.target.pool == pool && entry.is_open(now) && is_free
+        });
+        let free: Vec<(&FleetTarget, u32)> =
+            open.map(|entry| (&entry.target, entry.target.slots - entry.total())).collect();
+        let shares = share_room(free.iter().map(|(_, room)| room).sum(), demands);
         let mut places = Vec::new();
-        for entry in self.entries.values() {
-            let taken = entry.total();
-            if &*entry.target.pool != pool || !entry.is_open(now) || taken >= entry.target.slots {
-                continue;
-            }
-            if draw_steward(&entry.target.id, waiting).is_some_and(|steward| *steward == self.me) {
-                places.push((entry.target.clone(), entry.target.slots - taken));
+        for (target, room) in free {
+            if draw_steward(&target.id, &shares).is_some_and(|steward| *steward == self.me) {
+                places.push((target.clone(), room));
             }
         }
         places.sort_by_key(|(target, room)| {
             (target.zone != self.zone, std::cmp::Reverse(*room), target.id.clone())
         });
-        places
+        let items = shares.iter().find(|(host, _)| *host == self.me).map_or(0, |share| share.1);
+        BatchRoom { places, items }
     }
 
     /// How many of this host's batch items must leave each target.
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -7,6 +7,7 @@
     FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
 };
 use crate::beat::{TargetLoad, name_hash};
+use crate::demand::ItemDemand;
 
 fn host(address: &str) -> HostId {
     HostId { address: address.into(), incarnation: 1 }
@@ -153,11 +154,13 @@
 async fn one_host_alone_may_fill_a_target_with_batch() {
     let first = board("a", &[("e1", "z1")]);
     let second = board("b", &[("e1", "z1")]);
-    let waiting = [(host("a"), 5), (host("b"), 5)];
+    let five = vec![ItemDemand { is_late: false, due_in_ms: 9_000, items: 5 }];
+    let waiting = [(host("a"), five.clone()), (host("b"), five)];
 
     let places = [&first, &second].map(|board| board.batch_places("p", &waiting, Instant::now()));
 
-    let rooms: Vec<u32> = places.iter().flatten().map(|(_, room)| *room).collect();
+    let rooms: Vec<u32> =
+        places.iter().flat_map(|room| &room.places).map(|(_, room)| *room).collect();
     assert_eq!(rooms, [8]);
 }
 
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -5,7 +5,8 @@
 
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
-    FinishedItem, FleetTarget, ItemFailure, ItemProgress, ItemStart, JobSpec, WorkKind,
+    BatchRoom, FinishedItem, FleetTarget, ItemDemand, ItemFailure, ItemProgress, ItemStart,
+    JobSpec, WorkKind,
 };
 use http::{Method, StatusCode, Uri};
 use http_body_util::BodyExt;
@@ -137,15 +138,15 @@
     }
 }
 
-/// Hosts with items that wait, and how many.
-fn waiting_hosts(state: &GatewayState, now: Instant) -> Vec<(HostId, u32)> {
-    let mut waiting = vec![(state.id(), lock(&state.jobs).waiting(now))];
+/// All live hosts, this one first, with the items that wait at each.
+fn demands(state: &GatewayState, now: Instant) -> Vec<(HostId, Vec<ItemDemand>)> {
+    let mut demands = vec![(state.id(), lock(&state.jobs).demand(now))];
     let peers = lock(&state.peers);
     for record in peers.iter().filter(|record| peers.is_heard(record, now)) {
-        let items = record.beat.as_ref().map_or(0, |beat| beat.waiting_items);
-        waiting.push((record.id(), items));
+        let told = record.beat.as_ref().map_or(vec![], |beat| beat.demand.clone());
+        demands.push((record.id(), told));
     }
-    waiting
+    demands
 }
 
 /// The pool that a job's items go to now.
@@ -158,8 +159,8 @@
 
 fn start_items(state: &Arc<GatewayState>) {
     let now = Instant::now();
-    let waiting = waiting_hosts(state, now);
-    if waiting[0].1 == 0 {
+    let demands = demands(state, now);
+    if demands[0].1.is_empty() {
         return;
     }
     let pools: Vec<(Name, Option<Name>)> = {
@@ -173,16 +174,29 @@
         let accepts = |spec: &JobSpec| {
             pools.iter().any(|(job, of)| *job == spec.id && of.as_ref() == Some(pool))
         };
-        let mut places = lock(&state.board).batch_places(pool, &waiting, now);
-        // One item to each target in turn, so that no target is filled while others stand empty.
-        while !places.is_empty() {
-            for (target, room) in &mut places {
-                let Some(start) = lock(&state.jobs).next(accepts, now) else { return };
-                start_item(state, start, target.clone());
-                *room -= 1;
+        let room = lock(&state.board).batch_places(pool, &demands, now);
+        fill_room(state, room, accepts, now);
+    }
+}
+
+/// Starts items, one at each target in turn, so that no target is filled while others stand empty.
+fn fill_room(
+    state: &Arc<GatewayState>,
+    mut room: BatchRoom,
+    accepts: impl Fn(&JobSpec) -> bool + Copy,
+    now: Instant,
+) {
+    while !room.places.is_empty() {
+        for (target, slots) in &mut room.places {
+            if room.items == 0 {
+                return;
             }
-            places.retain(|(_, room)| *room > 0);
+            let Some(start) = lock(&state.jobs).next(accepts, now) else { return };
+            start_item(state, start, target.clone());
+            *slots -= 1;
+            room.items -= 1;
         }
+        room.places.retain(|(_, slots)| *slots > 0);
     }
 }
 
@@ -250,10 +264,10 @@
 }
 
 fn finish_run(state: &Arc<GatewayState>, start: &ItemStart, end: RunEnd, progress: ItemProgress) {
+    let now = Instant::now();
     let finished: Option<FinishedItem> = match end {
-        RunEnd::Whole => lock(&state.jobs).complete(&start.job, start.index, progress),
+        RunEnd::Whole => lock(&state.jobs).complete(&start.job, start.index, progress, now),
         RunEnd::Failed(failure, _) => {
-            let now = Instant::now();
             lock(&state.jobs).fail(&start.job, start.index, failure, progress, now)
         }
     };
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -73,7 +73,7 @@
     let now = Instant::now();
     let sequence = socket.sequence.fetch_add(1, Ordering::Relaxed);
     let is_usage_whole = is_greeting || sequence.is_multiple_of(WHOLE_EVERY);
-    let waiting_items = if state.is_draining() { 0 } else { lock(&state.jobs).waiting(now) };
+    let demand = if state.is_draining() { vec![] } else { lock(&state.jobs).demand(now) };
     let known = match (is_greeting, is_usage_whole) {
         (true, _) => some_known(state, sequence, KNOWN_IN_ANSWER),
         (false, true) => some_known(state, sequence, KNOWN_IN_BEAT),
@@ -97,7 +97,7 @@
         reaches_store: state.relay.is_reached(),
         declarations,
         targets,
-        waiting_items,
+        demand,
         loads,
         usage,
         is_usage_whole,
--- a/crates/cuminramp-gateway/src/peers/beats/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/beats/tests.rs
@@ -1,4 +1,4 @@
-use cuminramp_fleet::{HostBeat, KnownHost, TargetLoad, TeamUsage};
+use cuminramp_fleet::{HostBeat, ItemDemand, KnownHost, TargetLoad, TeamUsage};
 use proptest::prelude::*;
 
 fn beat() -> HostBeat {
@@ -16,7 +16,7 @@
         reaches_store: true,
         declarations: 3,
         targets: 4,
-        waiting_items: 5,
+        demand: vec![ItemDemand { is_late: false, due_in_ms: 9_000, items: 5 }],
         loads: vec![TargetLoad { target: 1, online: 2, batch: 3 }],
         usage: vec![TeamUsage { team: 1, admitted: 2, level: -3 }],
         is_usage_whole: true,
