Tell other hosts what came of sends to failing targets, and set those aside that fail much

Cause: each host learned by its own failures which target breaks connections while it is registered as serving.

Change: a book of faded counts by target (half-life 2 s), told in beats for targets that failed anybody. From two failures of two hosts and a quarter of the sends on, a target gets nothing but one item of a job at a time; never more than half of a pool. A new run of a target begins with a clean record.

--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::demand::ItemDemand;
+use crate::health::TargetOutcomes;
 
 /// The short form of a name in beats; the names themselves would make up most of a beat's bytes.
 ///
@@ -93,6 +94,8 @@
     pub demand: Vec<ItemDemand>,
     /// What it has in flight; targets with nothing are left out.
     pub loads: Vec<TargetLoad>,
+    /// What came of its sends to targets that failed any host lately.
+    pub outcomes: Vec<TargetOutcomes>,
     /// What it has admitted of teams, all of them or those that asked lately.
     pub usage: Vec<TeamUsage>,
     /// Whether `usage` names every team of which it admitted anything.
--- /dev/null
+++ b/crates/cuminramp-fleet/src/health/tests.rs
@@ -0,0 +1,177 @@
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name, RandomSource, SeededRandom};
+use tokio::time::{Instant, advance};
+
+use super::{HealthBook, LEAST_FAILURES, TargetOutcomes};
+use crate::targets::{
+    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+};
+
+const TARGET: u32 = 7;
+
+fn host(name: &str) -> HostId {
+    HostId { address: name.into(), incarnation: 1 }
+}
+
+fn told(failures: u16, successes: u16) -> Vec<TargetOutcomes> {
+    vec![TargetOutcomes { target: TARGET, failures: failures * 16, successes: successes * 16 }]
+}
+
+fn reviewed(mut book: HealthBook) -> bool {
+    book.review(Instant::now());
+    book.is_doubtful(TARGET)
+}
+
+/// Nearly all of a target's answers come whole, and one in twenty gets lost on its way. Set aside, half
+/// of the targets would stand idle while callers wait.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_loses_few_answers_stays_in_use() {
+    let mut book = HealthBook::new();
+    for turn in 0..60 {
+        book.saw(TARGET, turn % 20 == 0, Instant::now());
+    }
+
+    assert!(!reviewed(book));
+}
+
+/// The network between one host and a target is broken. Every other host can use the target, and must
+/// not take that host's word for it.
+#[tokio::test(start_paused = true)]
+async fn one_host_alone_sets_no_target_aside_for_others() {
+    let mut book = HealthBook::new();
+    book.hear(&host("a"), told(8, 0), Instant::now());
+
+    assert!(!reviewed(book));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_two_hosts_saw_sets_a_target_aside_until_it_fades() {
+    let mut book = HealthBook::new();
+    book.hear(&host("a"), told(1, 0), Instant::now());
+    book.hear(&host("b"), told(1, 0), Instant::now());
+
+    book.review(Instant::now());
+    let at_once = book.is_doubtful(TARGET);
+    advance(Duration::from_secs(4)).await;
+    book.review(Instant::now());
+
+    assert!(at_once);
+    assert!(!book.is_doubtful(TARGET));
+}
+
+/// A target that has recovered must be back in seconds, however many requests it failed before.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_failed_hundreds_is_back_within_seconds() {
+    let mut book = HealthBook::new();
+    for _ in 0..300 {
+        book.saw(TARGET, true, Instant::now());
+    }
+
+    advance(Duration::from_secs(6)).await;
+    let left = book.tell(Instant::now())[0].failures;
+
+    assert!(f64::from(left) / 16.0 < LEAST_FAILURES);
+}
+
+const HOSTS: usize = 24;
+const TARGETS: usize = 30;
+/// Targets that break every connection although they are registered as serving.
+const BROKEN: usize = 3;
+/// Requests come this often to the whole fleet.
+const ARRIVAL: Duration = Duration::from_millis(3);
+/// Time that a request holds its slot.
+const HOLD: Duration = Duration::from_millis(300);
+/// Hosts tell each other this often.
+const NEWS: Duration = Duration::from_millis(30);
+const LOAD_TIME: Duration = Duration::from_secs(6);
+
+fn target(index: usize) -> FleetTarget {
+    FleetTarget {
+        id: format!("t{index}").into(),
+        pool: "p".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        slots: 8,
+        phase: TargetPhase::Serving,
+        born_ms: 1,
+    }
+}
+
+fn is_broken(id: &str) -> bool {
+    (0..BROKEN).any(|index| id == format!("t{index}"))
+}
+
+fn make_boards() -> Vec<TargetBoard> {
+    let make = |index: usize| {
+        let id = host(&format!("h{index}"));
+        let mut board = TargetBoard::new(id, "z".into(), PlacementPolicy::default());
+        (0..TARGETS).for_each(|index| board.put(target(index)));
+        board
+    };
+    (0..HOSTS).map(make).collect()
+}
+
+fn exchange_news(boards: &mut [TargetBoard]) {
+    let now = Instant::now();
+    let news: Vec<_> =
+        boards.iter().map(|board| (board.own_loads(), board.own_outcomes(now))).collect();
+    for (to, board) in boards.iter_mut().enumerate() {
+        for (from, (loads, outcomes)) in news.iter().enumerate().filter(|(from, _)| *from != to) {
+            let id = host(&format!("h{from}"));
+            board.hear(&id, loads.clone());
+            board.hear_outcomes(&id, outcomes.clone(), now);
+        }
+    }
+}
+
+fn send(board: &mut TargetBoard, random: &mut SeededRandom) -> Option<Name> {
+    let objective = Duration::from_millis(300);
+    let need = OnlineNeed { pool: "p", objective, is_again: false, tried: &[] };
+    match board.place(&need, random, Instant::now()) {
+        PlacementDecision::Send(target) => Some(target.id),
+        _ => None,
+    }
+}
+
+/// A tenth of the targets break every connection while they are registered as serving, and callers'
+/// requests may run only once: each that goes there is lost to its caller. What one host saw has to
+/// spare the others; at most three in a hundred sends may fail.
+#[tokio::test(start_paused = true)]
+async fn a_fleet_before_lying_targets_loses_few_requests() {
+    let mut boards = make_boards();
+    let mut random = SeededRandom::new(11);
+    let mut held: Vec<(Instant, usize, Name)> = Vec::new();
+    let (mut sends, mut failures) = (0_u32, 0_u32);
+    let (began, mut next_news) = (Instant::now(), Instant::now());
+
+    while began.elapsed() < LOAD_TIME {
+        advance(ARRIVAL).await;
+        let now = Instant::now();
+        held.retain(|(until, host, id)| {
+            let is_held = *until > now;
+            if !is_held {
+                boards[*host].end(id, WorkKind::Online);
+                boards[*host].saw_success(id, now);
+            }
+            is_held
+        });
+        if now >= next_news {
+            exchange_news(&mut boards);
+            next_news = now + NEWS;
+        }
+        let host = random.below(HOSTS);
+        let Some(id) = send(&mut boards[host], &mut random) else { continue };
+        sends += 1;
+        if is_broken(&id) {
+            failures += 1;
+            boards[host].saw_failure(&id, now);
+        } else {
+            boards[host].begin(&id, WorkKind::Online);
+            held.push((now + HOLD, host, id));
+        }
+    }
+
+    assert!(sends > 1_900, "{sends}");
+    assert!(failures * 100 <= sends * 3, "{failures} of {sends} sends failed");
+}
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod beat;
 mod declarations;
 mod demand;
+mod health;
 mod jobs;
 mod peers;
 mod quota;
@@ -30,6 +31,7 @@
     TeamRule,
 };
 pub use demand::{ItemDemand, MOST_DEMAND_GROUPS, share_room};
+pub use health::TargetOutcomes;
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
     JobPolicy, JobSpec, UnsavedJob,
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -27,6 +27,7 @@
         targets: 1,
         demand: vec![],
         loads: vec![],
+        outcomes: vec![],
         usage: vec![],
         is_usage_whole: true,
         is_settled: true,
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -57,6 +57,7 @@
         targets: 1,
         demand: vec![],
         loads: vec![],
+        outcomes: vec![],
         usage: book.usage(is_whole, now),
         is_usage_whole: is_whole,
         is_settled: book.is_settled(now),
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -14,6 +14,7 @@
 
 use crate::beat::{TargetLoad, name_hash};
 use crate::demand::{ItemDemand, share_room};
+use crate::health::{HealthBook, TargetOutcomes};
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -120,6 +121,8 @@
 #[derive(Debug)]
 struct BoardEntry {
     target: FleetTarget,
+    /// The short form of its identity.
+    hash: u32,
     own_online: u32,
     own_batch: u32,
     others_online: u32,
@@ -158,6 +161,7 @@
     entries: SortedMap<Name, BoardEntry>,
     hashes: SortedMap<u32, Name>,
     peer_loads: SortedMap<HostId, Vec<TargetLoad>>,
+    health: HealthBook,
     hold: Duration,
 }
 
@@ -176,6 +180,7 @@
             entries: SortedMap::new(),
             hashes: SortedMap::new(),
             peer_loads: SortedMap::new(),
+            health: HealthBook::new(),
             hold: policy.first_hold,
         }
     }
@@ -189,6 +194,7 @@
             if entry.target.born_ms != target.born_ms {
                 entry.paused_until = None;
                 entry.failures = 0;
+                self.health.forget(name_hash(&target.id));
             }
             entry.target = target;
             return;
@@ -197,6 +203,7 @@
         self.hashes.insert(hash, target.id.clone());
         let (others_online, others_batch) = self.told_of(hash);
         let entry = BoardEntry {
+            hash,
             own_online: 0,
             own_batch: 0,
             others_online,
@@ -213,6 +220,7 @@
     pub fn remove(&mut self, id: &str) {
         if self.entries.remove(id).is_some() {
             self.hashes.remove(&name_hash(id));
+            self.health.forget(name_hash(id));
         }
     }
 
@@ -264,6 +272,18 @@
                 self.shift(&loads, false);
             }
         }
+        self.health.forget_host(host);
+    }
+
+    /// Takes what a host tells of failing targets in place of what it told before.
+    pub fn hear_outcomes(&mut self, host: &HostId, outcomes: Vec<TargetOutcomes>, now: Instant) {
+        self.health.hear(host, outcomes, now);
+        self.health.review(now);
+    }
+
+    /// What this host tells others of failing targets.
+    pub fn own_outcomes(&self, now: Instant) -> Vec<TargetOutcomes> {
+        self.health.tell(now)
     }
 
     /// What this host has in flight.
@@ -305,7 +325,8 @@
     }
 
     /// A target answered as it should.
-    pub fn saw_success(&mut self, id: &str) {
+    pub fn saw_success(&mut self, id: &str, now: Instant) {
+        self.health.saw(name_hash(id), false, now);
         if let Some(entry) = self.entries.get_mut(id) {
             entry.failures = 0;
             entry.paused_until = None;
@@ -323,6 +344,8 @@
     /// A target failed, broke off or fell silent: it gets no new work for a while, unless more than
     /// half of its pool would then get none.
     pub fn saw_failure(&mut self, id: &str, now: Instant) {
+        self.health.saw(name_hash(id), true, now);
+        self.health.review(now);
         let Some(pool) = self.entries.get(id).map(|entry| entry.target.pool.clone()) else {
             return;
         };
@@ -351,13 +374,7 @@
         let of_pool = |entry: &&BoardEntry| {
             &*entry.target.pool == need.pool && !need.tried.contains(&entry.target.id)
         };
-        let mut open: Vec<&BoardEntry> =
-            self.entries.values().filter(of_pool).filter(|entry| entry.is_open(now)).collect();
-        if open.is_empty() {
-            // Every target is paused: one that failed lately is better than none.
-            let serving = |entry: &&BoardEntry| entry.target.phase == TargetPhase::Serving;
-            open = self.entries.values().filter(of_pool).filter(serving).collect();
-        }
+        let open = self.usable(of_pool, now);
         if open.is_empty() {
             return PlacementDecision::Nowhere;
         }
@@ -370,6 +387,28 @@
         self.shortest_queue(&open, need, random)
     }
 
+    /// Targets that take work and don't fail too much of it. Where more than half are doubtful, doubt is
+    /// no guide any more; where all are paused, one that failed lately is better than none.
+    fn usable<'a>(
+        &'a self,
+        of_pool: impl Fn(&&'a BoardEntry) -> bool,
+        now: Instant,
+    ) -> Vec<&'a BoardEntry> {
+        let open: Vec<&BoardEntry> =
+            self.entries.values().filter(&of_pool).filter(|entry| entry.is_open(now)).collect();
+        if open.is_empty() {
+            let serving = |entry: &&BoardEntry| entry.target.phase == TargetPhase::Serving;
+            return self.entries.values().filter(&of_pool).filter(serving).collect();
+        }
+        let sound: Vec<&BoardEntry> =
+            open.iter().copied().filter(|entry| !self.is_doubtful(entry)).collect();
+        if sound.len() * 2 < open.len() { open } else { sound }
+    }
+
+    fn is_doubtful(&self, entry: &BoardEntry) -> bool {
+        self.health.is_doubtful(entry.hash)
+    }
+
     fn with_free_slot<'a>(
         &self,
         open: &[&'a BoardEntry],
@@ -442,11 +481,11 @@
         now: Instant,
     ) -> BatchRoom {
         let open = self.entries.values().filter(|entry| {
-            let is_free = entry.total() < entry.target.slots;
+            let is_free = entry.total() < self.batch_slots(entry);
             &*entry.target.pool == pool && entry.is_open(now) && is_free
         });
         let free: Vec<(&FleetTarget, u32)> =
-            open.map(|entry| (&entry.target, entry.target.slots - entry.total())).collect();
+            open.map(|entry| (&entry.target, self.batch_slots(entry) - entry.total())).collect();
         let shares = share_room(free.iter().map(|(_, room)| room).sum(), demands);
         let mut places = Vec::new();
         for (target, room) in free {
@@ -461,6 +500,12 @@
         BatchRoom { places, items }
     }
 
+    /// Slots of a target that batch items may enter. A doubtful one gets a single item, which can run
+    /// again elsewhere: without it nobody would see that the target has recovered.
+    fn batch_slots(&self, entry: &BoardEntry) -> u32 {
+        if self.is_doubtful(entry) { entry.target.slots.min(1) } else { entry.target.slots }
+    }
+
     /// How many of this host's batch items must leave each target.
     ///
     /// Every host comes to the same order of the hosts that have items there, so that one of them
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -83,7 +83,9 @@
     // would stop the host for good.
     let declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
     let targets = lock(&state.news).targets_version();
-    let loads = lock(&state.board).own_loads();
+    let board = lock(&state.board);
+    let (loads, outcomes) = (board.own_loads(), board.own_outcomes(now));
+    drop(board);
     let quota = lock(&state.quota);
     let (usage, is_settled) = (quota.usage(is_usage_whole, now), quota.is_settled(now));
     drop(quota);
@@ -99,6 +101,7 @@
         targets,
         demand,
         loads,
+        outcomes,
         usage,
         is_usage_whole,
         is_settled,
@@ -248,7 +251,10 @@
     for suspect in &told.suspects {
         lock(&state.crashes).merge(suspect.fingerprint, suspect.crashes, now);
     }
-    lock(&state.board).hear(&id, told.loads);
+    let mut board = lock(&state.board);
+    board.hear(&id, told.loads);
+    board.hear_outcomes(&id, told.outcomes, now);
+    drop(board);
     enforce_excess(state);
     let own_declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
     let own_targets = lock(&state.news).targets_version();
--- a/crates/cuminramp-gateway/src/peers/beats/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/beats/tests.rs
@@ -18,6 +18,7 @@
         targets: 4,
         demand: vec![ItemDemand { is_late: false, due_in_ms: 9_000, items: 5 }],
         loads: vec![TargetLoad { target: 1, online: 2, batch: 3 }],
+        outcomes: vec![],
         usage: vec![TeamUsage { team: 1, admitted: 2, level: -3 }],
         is_usage_whole: true,
         is_settled: true,
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -93,7 +93,7 @@
             self.state.connections.put_back(lease, keep_alive);
         }
         let mut board = lock(&self.state.board);
-        board.saw_success(&self.target.id);
+        board.saw_success(&self.target.id, Instant::now());
         if self.kind == WorkKind::Online {
             board.saw_hold(self.began.elapsed());
         }
