Write a job's input with its row, in one transaction

Cause: an acceptance stored the input as an object first (25 ms) and then the job's row (5 to 10 ms). While the store is slow or loses answers both calls took their part of the half second within which callers want to hear of the acceptance, and a lost answer to either cost a retry.

Change: inputs up to 600 KB go as rows of 40 KiB into the transaction of the job's row; larger ones stay objects.

--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::directory::{KnownJob, unix_ms};
-use super::names::{gate_key, input_object, job_key, jobs_prefix};
+use super::names::{gate_key, input_key, input_object, job_key, jobs_prefix};
 use super::{JobCaller, keeper};
 use crate::entry::{AnswerBody, whole_response};
 use crate::state::{GatewayState, lock};
@@ -28,9 +28,16 @@
 /// Most rows of a partition that one scan reads.
 const MOST_ROWS: usize = 5_000;
 
+/// Bytes of a job's input in one row: rows hold 64 KiB in base64.
+const PIECE_BYTES: usize = 40 << 10;
+/// Rows that a job's input may take; a write holds a megabyte. Larger inputs become objects.
+const MOST_PIECES: usize = 15;
+
 /// What becomes durable.
 struct JobDraft {
     row: JobRow,
+    /// Its input.
+    input: Bytes,
     tokens: u64,
     limit: u64,
     gate: String,
@@ -106,7 +113,9 @@
         .read_job(body)
         .map_err(|fault| Refusal::not_run(ResultCode::BodyMalformed, fault.to_string()))?;
     let mut draft = make_draft(state, route, caller, &id, &items, body, began);
-    store_input(state, &draft, &items).await?;
+    if draft.row.input_rows == 0 {
+        store_input(state, &draft).await?;
+    }
     let outcome = make_durable(state, &mut draft).await?;
     if outcome == "accepted" {
         hold(state, &draft, items);
@@ -128,6 +137,8 @@
     began: Instant,
 ) -> JobDraft {
     let tokens = items.iter().map(|item| item.tokens).sum();
+    let input = pack_input(items);
+    let pieces = input.len().div_ceil(PIECE_BYTES);
     let now = unix_ms();
     let row = JobRow {
         id: id.to_string(),
@@ -147,9 +158,11 @@
         waiting_tokens: tokens,
         commit: 0,
         digest: hash_parts(&[&String::from_utf8_lossy(body)]),
+        input_rows: if pieces <= MOST_PIECES { pieces as u32 } else { 0 },
     };
     JobDraft {
         row,
+        input,
         tokens,
         limit: route.waiting_tokens,
         gate: gate_key(&caller.team),
@@ -163,11 +176,7 @@
     Refusal::not_run(ResultCode::StoreUnavailable, reason).with_retry_after(RETURN_PAUSE)
 }
 
-async fn store_input(
-    state: &GatewayState,
-    draft: &JobDraft,
-    items: &[ItemSpec],
-) -> Result<(), Refusal> {
+fn pack_input(items: &[ItemSpec]) -> Bytes {
     let packed = items.iter().map(|item| JobItem {
         id: item.id.to_string(),
         path: item.path.to_string(),
@@ -179,10 +188,14 @@
         body: item.body.to_vec(),
         tokens: item.tokens,
     });
-    let bytes = Bytes::from(encode_row(&JobInput { items: packed.collect() }));
+    Bytes::from(encode_row(&JobInput { items: packed.collect() }))
+}
+
+/// Stores an input that is too large for rows.
+async fn store_input(state: &GatewayState, draft: &JobDraft) -> Result<(), Refusal> {
     let name = input_object(&draft.row.team, &draft.row.id);
     loop {
-        match state.store.put(&name, bytes.clone()).await {
+        match state.store.put(&name, draft.input.clone()).await {
             Ok(()) => return Ok(()),
             Err(error) if draft.began.elapsed() >= ACCEPT_LIMIT => {
                 return Err(unavailable(error.to_string()));
@@ -279,9 +292,17 @@
 /// so that of several at most one takes effect.
 async fn write_row(state: &Arc<GatewayState>, draft: &JobDraft, gate_version: u64) -> WriteOutcome {
     let gate = GateRow { accepted: draft.row.accepted_ms };
-    let transaction = Transaction::default()
+    let mut transaction = Transaction::default()
         .put_at(draft.gate.clone(), gate_version, encode_row(&gate))
         .put_at(draft.key.clone(), 0, encode_row(&draft.row));
+    if draft.row.input_rows > 0 {
+        // With the job in one write: an object before it takes five times as long, and while the store
+        // is slow callers would hear of the acceptance seconds after they want to.
+        for (piece, bytes) in draft.input.chunks(PIECE_BYTES).enumerate() {
+            let key = input_key(&draft.row.team, &draft.row.id, piece);
+            transaction = transaction.put(key, Bytes::copy_from_slice(bytes));
+        }
+    }
     let reason = match state.store.commit(transaction).await {
         Ok(CommitOutcome::Committed(version)) => {
             state.directory.put(draft.row.clone(), version);
--- a/crates/cuminramp-gateway/src/jobs/names.rs
+++ b/crates/cuminramp-gateway/src/jobs/names.rs
@@ -6,6 +6,7 @@
 pub(super) const JOBS: &str = "jobs";
 const RESULTS: &str = "results";
 const PROGRESS: &str = "progress";
+const INPUTS: &str = "inputs";
 /// Teams are spread over so many partitions, each of which bears a few hundred writes a second.
 const PARTITIONS: u64 = 4;
 /// Longest identity that stands in a key as it is.
@@ -64,7 +65,17 @@
     format!("{}{}", progress_prefix(team, job), plain(item))
 }
 
-/// The object with a job's input.
+/// What the keys of the rows of a job's input begin with.
+pub(super) fn input_prefix(team: &str, job: &str) -> String {
+    format!("{INPUTS}/p{}/{}.", part(team), plain(job))
+}
+
+/// A row of a job's input.
+pub(super) fn input_key(team: &str, job: &str, piece: usize) -> String {
+    format!("{}{piece:04}", input_prefix(team, job))
+}
+
+/// The object with a job's input, where it is too large for rows.
 pub(super) fn input_object(team: &str, job: &str) -> String {
     format!("input-{}-{}", plain(team), plain(job))
 }
--- a/crates/cuminramp-gateway/src/jobs/read.rs
+++ b/crates/cuminramp-gateway/src/jobs/read.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cuminramp_core::{Refusal, ResultCode};
 use cuminramp_platform::StoreError;
 use cuminramp_wire::decode_row;
@@ -13,7 +13,7 @@
 
 use super::JobCaller;
 use super::directory::KnownJob;
-use super::names::{input_object, job_key, result_key, results_prefix};
+use super::names::{input_object, input_prefix, job_key, result_key, results_prefix};
 use crate::borders::{ListedResult, ResultPage};
 use crate::entry::{AnswerBody, whole_response};
 use crate::state::{GatewayState, lock};
@@ -151,8 +151,30 @@
 
 /// A job's input.
 pub(super) async fn read_input(state: &GatewayState, job: &JobRow) -> Result<JobInput, StoreError> {
+    let bytes = match job.input_rows {
+        0 => read_input_object(state, job).await?,
+        rows => read_input_rows(state, job, rows as usize).await?,
+    };
+    decode_row::<JobInput>(&bytes).map_err(|error| StoreError::Unknown(error.to_string()))
+}
+
+async fn read_input_object(state: &GatewayState, job: &JobRow) -> Result<Bytes, StoreError> {
     let name = input_object(&job.team, &job.id);
     let object = state.store.get(&name).await?;
-    let bytes = object.ok_or_else(|| StoreError::Unknown(format!("no object {name}")))?;
-    decode_row::<JobInput>(&bytes).map_err(|error| StoreError::Unknown(error.to_string()))
+    object.ok_or_else(|| StoreError::Unknown(format!("no object {name}")))
+}
+
+async fn read_input_rows(
+    state: &GatewayState,
+    job: &JobRow,
+    rows: usize,
+) -> Result<Bytes, StoreError> {
+    let prefix = input_prefix(&job.team, &job.id);
+    let found = state.store.scan(&prefix, "", rows).await?;
+    if found.len() != rows {
+        return Err(StoreError::Unknown(format!("{} of {rows} rows of {prefix}", found.len())));
+    }
+    let mut bytes = BytesMut::new();
+    found.iter().for_each(|row| bytes.extend_from_slice(&row.value));
+    Ok(bytes.freeze())
 }
