Take a job as accepted when the watch brings its row, not only when the write is answered

Cause: an answer of the store that got lost was missed after 1.2 s, the limit of a call; the write had taken effect, and the caller heard of the acceptance after the half second in which it counts.

Ruled out: a shorter limit for writes (a slow store answers within a second, and the same write would be sent twice).

Change: a write of a job's row also ends when the watch that every host has on jobs brings that row.

--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -303,7 +303,12 @@
             transaction = transaction.put(key, Bytes::copy_from_slice(bytes));
         }
     }
-    let reason = match state.store.commit(transaction).await {
+    let outcome = tokio::select! {
+        biased;
+        outcome = state.store.commit(transaction) => outcome,
+        () = row_seen(state, draft) => return WriteOutcome::Settled,
+    };
+    let reason = match outcome {
         Ok(CommitOutcome::Committed(version)) => {
             state.directory.put(draft.row.clone(), version);
             state.directory.put_gate(&draft.gate, version);
@@ -335,6 +340,21 @@
     }
 }
 
+/// Waits until the watch of the table brings the row that this call writes. An answer that got lost would
+/// be missed only when the call's limit has passed, and callers would hear of the acceptance too late.
+async fn row_seen(state: &GatewayState, draft: &JobDraft) {
+    let mut changes = state.directory.subscribe();
+    loop {
+        let known = state.directory.get(&draft.row.id);
+        if known.is_some_and(|known| is_written_by(&known, draft)) {
+            return;
+        }
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 fn note_failure(state: &GatewayState, draft: &JobDraft, reason: &str) {
     state.metrics.count_store_failure("accept");
     log::warn!(
