--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -9,13 +9,15 @@
 
 use std::time::Duration;
 
-use cuminramp_core::{AvailabilityZone, HostId, Name, RandomSource, SortedMap};
+use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap};
 use tokio::time::Instant;
 
 use crate::beat::{TargetLoad, name_hash};
-use crate::demand::{ItemDemand, share_room};
 use crate::health::{HealthBook, TargetOutcomes};
 
+mod batch_room;
+mod placement;
+
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetPhase {
@@ -167,8 +169,6 @@
 
 /// How much a new sample weighs in the average time that a request holds a slot.
 const HOLD_WEIGHT: f64 = 0.05;
-/// The shortest and longest time after which a refused request is asked back.
-const RETURN_BOUNDS: (f64, f64) = (0.25, 1.6);
 
 impl TargetBoard {
     /// Knows no target yet. `zone` is where this host stands.
@@ -364,175 +364,10 @@
         }
     }
 
-    /// Places a request.
-    pub fn place(
-        &self,
-        need: &OnlineNeed<'_>,
-        random: &mut dyn RandomSource,
-        now: Instant,
-    ) -> PlacementDecision {
-        let of_pool = |entry: &&BoardEntry| {
-            &*entry.target.pool == need.pool && !need.tried.contains(&entry.target.id)
-        };
-        let open = self.usable(of_pool, now);
-        if open.is_empty() {
-            return PlacementDecision::Nowhere;
-        }
-        if let Some(entry) = self.with_free_slot(&open, random) {
-            return PlacementDecision::Send(entry.target.clone());
-        }
-        if let Some(entry) = self.with_batch(&open, random) {
-            return PlacementDecision::Send(entry.target.clone());
-        }
-        self.shortest_queue(&open, need, random)
-    }
-
-    /// Targets that take work and don't fail too much of it. Where more than half are doubtful, doubt is
-    /// no guide any more; where all are paused, one that failed lately is better than none.
-    fn usable<'a>(
-        &'a self,
-        of_pool: impl Fn(&&'a BoardEntry) -> bool,
-        now: Instant,
-    ) -> Vec<&'a BoardEntry> {
-        let open: Vec<&BoardEntry> =
-            self.entries.values().filter(&of_pool).filter(|entry| entry.is_open(now)).collect();
-        if open.is_empty() {
-            let serving = |entry: &&BoardEntry| entry.target.phase == TargetPhase::Serving;
-            return self.entries.values().filter(&of_pool).filter(serving).collect();
-        }
-        let sound: Vec<&BoardEntry> =
-            open.iter().copied().filter(|entry| !self.is_doubtful(entry)).collect();
-        if sound.len() * 2 < open.len() { open } else { sound }
-    }
-
     fn is_doubtful(&self, entry: &BoardEntry) -> bool {
         self.health.is_doubtful(entry.hash)
     }
 
-    fn with_free_slot<'a>(
-        &self,
-        open: &[&'a BoardEntry],
-        random: &mut dyn RandomSource,
-    ) -> Option<&'a BoardEntry> {
-        let free = open.iter().filter(|entry| entry.total() < entry.target.slots);
-        let rated = free.map(|entry| {
-            let is_near = entry.target.zone == self.zone;
-            let bonus = if is_near { self.policy.zone_bonus } else { 0 };
-            (entry.target.slots - entry.total() + bonus, random.below(1 << 16), *entry)
-        });
-        rated.max_by_key(|rated| (rated.0, rated.1)).map(|rated| rated.2)
-    }
-
-    /// A target where batch items give way: one where this host holds an item goes first, since it
-    /// breaks that off before the request is sent.
-    fn with_batch<'a>(
-        &self,
-        open: &[&'a BoardEntry],
-        random: &mut dyn RandomSource,
-    ) -> Option<&'a BoardEntry> {
-        let yielding = open.iter().filter(|entry| entry.online() < entry.target.slots);
-        let rated = yielding.map(|entry| {
-            let is_near = entry.target.zone == self.zone;
-            let over = entry.total() - entry.target.slots;
-            let is_own = entry.own_batch > 0;
-            ((std::cmp::Reverse(over), is_own, is_near, random.below(1 << 16)), *entry)
-        });
-        rated.max_by_key(|rated| rated.0).map(|rated| rated.1)
-    }
-
-    /// The target whose queue is shortest, if the request would still be in time there.
-    ///
-    /// A slot comes free about every `hold / slots`; a request that would wait longer than its part
-    /// of the objective is worth more when it comes back while there is room.
-    fn shortest_queue(
-        &self,
-        open: &[&BoardEntry],
-        need: &OnlineNeed<'_>,
-        random: &mut dyn RandomSource,
-    ) -> PlacementDecision {
-        let waiting = |entry: &BoardEntry| {
-            let over = entry.online().saturating_sub(entry.target.slots) + 1;
-            self.hold.as_secs_f64() * f64::from(over) / f64::from(entry.target.slots.max(1))
-        };
-        let rated = open.iter().map(|entry| (waiting(entry), random.below(1 << 16), *entry));
-        let best =
-            rated.min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
-        let Some((wait, _, entry)) = best else {
-            return PlacementDecision::Nowhere;
-        };
-        let allowed = need.objective.as_secs_f64() * self.policy.wait_share;
-        if wait <= allowed || need.is_again {
-            return PlacementDecision::Send(entry.target.clone());
-        }
-        let (soonest, latest) = RETURN_BOUNDS;
-        let after = soonest + (latest - soonest) * random.fraction();
-        PlacementDecision::Full(Duration::from_secs_f64(after.max(wait.min(latest))))
-    }
-
-    /// Where this host may send batch items, and how many.
-    ///
-    /// `demands` names each live host with waiting items, this one included. Each target goes to one
-    /// of the hosts with the most urgent items, drawn by how many of them it has: two hosts that saw
-    /// the same free slot at once would both fill it and stand in the way of the next request.
-    pub fn batch_places(
-        &self,
-        pool: &str,
-        demands: &[(HostId, Vec<ItemDemand>)],
-        now: Instant,
-    ) -> BatchRoom {
-        let open = self.entries.values().filter(|entry| {
-            let is_free = entry.total() < self.batch_slots(entry);
-            &*entry.target.pool == pool && entry.is_open(now) && is_free
-        });
-        let free: Vec<(&FleetTarget, u32)> =
-            open.map(|entry| (&entry.target, self.batch_slots(entry) - entry.total())).collect();
-        let shares = share_room(free.iter().map(|(_, room)| room).sum(), demands);
-        let mut places = Vec::new();
-        for (target, room) in free {
-            if draw_steward(&target.id, &shares).is_some_and(|steward| *steward == self.me) {
-                places.push((target.clone(), room));
-            }
-        }
-        places.sort_by_key(|(target, room)| {
-            (target.zone != self.zone, std::cmp::Reverse(*room), target.id.clone())
-        });
-        let items = shares.iter().find(|(host, _)| *host == self.me).map_or(0, |share| share.1);
-        BatchRoom { places, items }
-    }
-
-    /// Slots of a target that batch items may enter. A doubtful one gets a single item, which can run
-    /// again elsewhere: without it nobody would see that the target has recovered.
-    fn batch_slots(&self, entry: &BoardEntry) -> u32 {
-        if self.is_doubtful(entry) { entry.target.slots.min(1) } else { entry.target.slots }
-    }
-
-    /// How many of this host's batch items must leave each target.
-    ///
-    /// Every host comes to the same order of the hosts that have items there, so that one of them
-    /// breaks an item off and not all. A target that drains keeps what it has.
-    pub fn batch_excess(&self) -> Vec<(Name, u32)> {
-        let mut excess = Vec::new();
-        for entry in self.entries.values() {
-            let over = entry.total().saturating_sub(entry.target.slots);
-            if over == 0 || entry.own_batch == 0 {
-                continue;
-            }
-            let hash = name_hash(&entry.target.id);
-            let before: u32 = self
-                .peer_loads
-                .iter()
-                .filter(|(host, _)| **host < self.me)
-                .flat_map(|(_, loads)| loads.iter().filter(|load| load.target == hash))
-                .map(|load| u32::from(load.batch))
-                .sum();
-            let mine = over.saturating_sub(before).min(entry.own_batch);
-            if mine > 0 {
-                excess.push((entry.target.id.clone(), mine));
-            }
-        }
-        excess
-    }
-
     /// Online requests and batch items at all targets, those of this host, and all slots.
     pub fn load(&self) -> (u32, u32, u32, u32, u32) {
         self.entries.values().fold((0, 0, 0, 0, 0), |sum, entry| {
@@ -555,15 +390,5 @@
     }
 }
 
-/// Draws the host that may send batch items to a target: each host's chance is its weight.
-fn draw_steward<'a>(target: &str, waiting: &'a [(HostId, u32)]) -> Option<&'a HostId> {
-    let rated = waiting.iter().filter(|(_, weight)| *weight > 0).map(|(host, weight)| {
-        let hash = cuminramp_core::rendezvous_score(target, &host.address);
-        let fraction = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        (-fraction.ln() / f64::from(*weight), host)
-    });
-    rated.min_by(|left, right| left.0.total_cmp(&right.0)).map(|rated| rated.1)
-}
-
 #[cfg(test)]
 mod tests;
