Choose the best of four targets with room, and replay loads without I/O

Cause: each host took the emptiest target that it knew of. With news of 100 to 200 ms all hosts know the same one, and a queue forms there while others stand empty. A target that breaks everything is always the emptiest, so it drew requests again each time its failures had faded.

Found by: `cuminramp bench replay`, new: the boards of hosts decide against emulated callers, targets and news; five patterns, same seed, same figures.

The goal of 1.2 times the mean for the busiest target is not reached in the replay.

--- a/crates/cuminramp-cli/src/bench/mod.rs
+++ b/crates/cuminramp-cli/src/bench/mod.rs
@@ -8,6 +8,7 @@
 mod online;
 mod quota;
 mod record;
+mod replay;
 mod roles;
 mod throughput;
 
@@ -24,6 +25,7 @@
         BenchCmd::Quota(flags) => quota::execute(flags).await,
         BenchCmd::Once(flags) => once::execute(flags).await,
         BenchCmd::Control(flags) => control::execute(flags).await,
+        BenchCmd::Replay(flags) => replay::execute(&flags),
         BenchCmd::Roles(flags) => roles::execute(&flags),
     }
 }
--- a/crates/cuminramp-cli/src/flags.rs
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -194,6 +194,21 @@
                 /// Append the results to this file, a JSON line each.
                 optional --out out: PathBuf
             }
+            /// Replays a load or fault against the decisions of hosts, without I/O.
+            cmd replay {
+                /// waves, job-burst, lost-targets, lying-targets or mass-loss.
+                required --pattern pattern: String
+                /// Hosts; 12 where it is left out, 1,000 at most.
+                optional --hosts hosts: usize
+                /// Targets; as many as hosts where it is left out.
+                optional --targets targets: usize
+                /// How old news between hosts is, in milliseconds.
+                optional --news-ms news_ms: u64
+                /// Decides arrivals and draws.
+                optional --seed seed: u64
+                /// Append the results to this file, a JSON line each.
+                optional --out out: PathBuf
+            }
             /// Measures what the roles cost, as slopes over size.
             cmd roles {
                 /// Append the results to this file, a JSON line each.
--- a/crates/cuminramp-fleet/src/health.rs
+++ b/crates/cuminramp-fleet/src/health.rs
@@ -27,6 +27,8 @@
 const MOST_OF_ONE_HOST: f64 = 1.5;
 /// What a target's failures count at the most, so that one that has recovered is back in seconds.
 const MOST_FAILURES: f64 = 8.0;
+/// Whole answers that a target is given credit for beside those seen: one failure alone says little.
+const PRIOR_SUCCESSES: f64 = 4.0;
 /// Counts travel in sixteenths.
 const SCALE: f64 = 16.0;
 /// Targets in one beat: some 400 bytes.
@@ -81,8 +83,8 @@
 pub(crate) struct HealthBook {
     own: SortedMap<u32, (FadedCounts, Instant)>,
     told: SortedMap<HostId, ToldOutcomes>,
-    /// Faded failures of targets that have any, and whether each is doubtful.
-    reviewed: SortedMap<u32, (f64, bool)>,
+    /// Faded counts of targets that have failures, of all hosts together.
+    reviewed: SortedMap<u32, FadedCounts>,
     next_review: Option<Instant>,
 }
 
@@ -173,14 +175,22 @@
             sum.failures += counts.failures;
             sum.successes += counts.successes;
         }
-        let failing = sums.iter().filter(|(_, sum)| sum.failures >= LEAST_COUNT);
-        self.reviewed =
-            failing.map(|(target, sum)| (*target, (sum.failures, sum.is_doubtful()))).collect();
+        sums.retain(|_, sum| sum.failures >= LEAST_COUNT);
+        self.reviewed = sums;
     }
 
     /// Whether a target fails too much to be sent what may run only once.
     pub(crate) fn is_doubtful(&self, target: u32) -> bool {
-        self.reviewed.get(&target).is_some_and(|(_, is_doubtful)| *is_doubtful)
+        self.reviewed.get(&target).is_some_and(FadedCounts::is_doubtful)
+    }
+
+    /// The part of the sends to a target that failed lately.
+    ///
+    /// A target that breaks everything stands empty. Were it rated by its free slots alone, it would
+    /// draw nearly all requests until the news of it is out, and again when its failures have faded.
+    pub(crate) fn failure_share(&self, target: u32) -> f64 {
+        let counts = self.reviewed.get(&target).copied().unwrap_or_default();
+        counts.failures / (counts.failures + counts.successes + PRIOR_SUCCESSES)
     }
 }
 
--- a/crates/cuminramp-fleet/src/targets/placement.rs
+++ b/crates/cuminramp-fleet/src/targets/placement.rs
@@ -9,6 +9,9 @@
 
 /// The shortest and longest time after which a refused request is asked back.
 const RETURN_BOUNDS: (f64, f64) = (0.25, 1.6);
+/// Targets that a request chooses among: enough to find one of the caller's zone with room, few enough
+/// that hosts with the same news choose differently.
+const CHOICES: usize = 4;
 
 impl TargetBoard {
     /// Places a request.
@@ -52,18 +55,31 @@
         if sound.len() * 2 < open.len() { open } else { sound }
     }
 
+    /// The best of a few targets with a free slot, drawn by chance.
+    ///
+    /// What others have in flight is known as of their last news. Did every host take the emptiest of
+    /// all, all would send there until the next news, and a queue would form before it while others
+    /// stand empty: callers would hear late at every crest, the more so the more hosts there are.
     fn with_free_slot<'a>(
         &self,
         open: &[&'a BoardEntry],
         random: &mut dyn RandomSource,
     ) -> Option<&'a BoardEntry> {
         let free = open.iter().filter(|entry| entry.total() < entry.target.slots);
-        let rated = free.map(|entry| {
-            let is_near = entry.target.zone == self.zone;
-            let bonus = if is_near { self.policy.zone_bonus } else { 0 };
-            (entry.target.slots - entry.total() + bonus, random.below(1 << 16), *entry)
-        });
-        rated.max_by_key(|rated| (rated.0, rated.1)).map(|rated| rated.2)
+        let mut drawn: Vec<(usize, &BoardEntry)> =
+            free.map(|entry| (random.below(1 << 16), *entry)).collect();
+        drawn.sort_by_key(|drawn| drawn.0);
+        drawn.truncate(CHOICES);
+        let rated = drawn.into_iter().map(|(_, entry)| (self.rate_free(entry), entry));
+        rated.max_by(|left, right| left.0.total_cmp(&right.0)).map(|rated| rated.1)
+    }
+
+    /// How much a target with free slots is preferred.
+    fn rate_free(&self, entry: &BoardEntry) -> f64 {
+        let is_near = entry.target.zone == self.zone;
+        let bonus = if is_near { self.policy.zone_bonus } else { 0 };
+        let failing = self.health.failure_share(entry.hash) * f64::from(entry.target.slots);
+        f64::from(entry.target.slots - entry.total() + bonus) - failing
     }
 
     /// A target where batch items give way: one where this host holds an item goes first, since it
--- /dev/null
+++ b/crates/cuminramp-replay/src/world.rs
@@ -0,0 +1,558 @@
+//! Callers, hosts, targets and the news between hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name, RandomSource, SeededRandom};
+use cuminramp_fleet::{
+    FleetTarget, ItemDemand, ItemFailure, ItemProgress, ItemSpec, JobBoard, JobPolicy, JobSpec,
+    OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+};
+use tokio::time::Instant;
+
+use crate::plan::{LoadPattern, ReplayPlan};
+use crate::report::ReplayReport;
+use crate::target::{EmulatedTarget, TargetHealth};
+
+/// Time of one step.
+const STEP: Duration = Duration::from_millis(5);
+/// First event that a caller wants, and what a target needs for it.
+const OBJECTIVE: Duration = Duration::from_millis(300);
+const FIRST_EVENT: Duration = Duration::from_millis(60);
+/// Time that a request and an item take a slot, on average.
+const REQUEST_RUN: Duration = Duration::from_millis(750);
+const ITEM_RUN: Duration = Duration::from_millis(4_700);
+/// How much these vary, up and down.
+const SPREAD: f64 = 0.4;
+/// Items of a job, and when it is due.
+const ITEMS: usize = 10;
+const DUE: Duration = Duration::from_secs(18);
+/// Time after the load in which jobs may still end.
+const AFTER: Duration = Duration::from_secs(20);
+/// A wave: trough, then crest, with their parts of the mean load.
+const TROUGH: (f64, f64) = (3.6, 0.39);
+const CREST: (f64, f64) = (2.4, 1.91);
+/// When the fault begins, in a crest.
+const FAULT_AT: Duration = Duration::from_millis(10_200);
+/// How long targets lie, hosts are away, and jobs come in a burst.
+const LYING: Duration = Duration::from_secs(6);
+const AWAY: Duration = Duration::from_secs(2);
+const BURST: (Duration, f64) = (Duration::from_secs(3), 6.0);
+/// Progress that hosts which lost power find again is this old at the most.
+const SAVED_EVERY: Duration = Duration::from_millis(1_100);
+/// Sends that a target refused, for one request.
+const MOST_UNRUN_SENDS: usize = 5;
+const POOL: &str = "pool";
+
+/// What a piece of work is.
+#[derive(Clone, Debug)]
+enum Owner {
+    Caller { since: Instant, may_return: bool },
+    Item { job: Name, index: usize, due: Instant, ran: Duration },
+}
+
+#[derive(Clone, Debug)]
+struct Work {
+    owner: Owner,
+    host: usize,
+    target: Name,
+    began: Option<Instant>,
+    /// Whether anybody still waits for it.
+    is_wanted: bool,
+}
+
+struct EmulatedHost {
+    id: HostId,
+    board: TargetBoard,
+    jobs: JobBoard,
+}
+
+struct World {
+    plan: ReplayPlan,
+    start: Instant,
+    now: Instant,
+    random: SeededRandom,
+    hosts: Vec<EmulatedHost>,
+    demands: Vec<(HostId, Vec<ItemDemand>)>,
+    targets: Vec<EmulatedTarget>,
+    works: Vec<Work>,
+    returns: Vec<(Instant, Instant)>,
+    jobs: Vec<JobSpec>,
+    finished: Vec<(Name, usize)>,
+    saved: Vec<(Name, usize, ItemProgress)>,
+    next_news: Instant,
+    is_away: bool,
+    report: ReplayReport,
+}
+
+fn target_name(index: usize) -> Name {
+    format!("t{index}").into()
+}
+
+fn target_index(name: &str) -> usize {
+    name[1..].parse().unwrap_or(0)
+}
+
+fn new_host(index: usize, incarnation: u64, plan: &ReplayPlan) -> EmulatedHost {
+    let id = HostId { address: format!("h{index:03}").into(), incarnation };
+    let mut board = TargetBoard::new(id.clone(), "z".into(), PlacementPolicy::default());
+    for target in 0..plan.targets {
+        board.put(FleetTarget {
+            id: target_name(target),
+            pool: POOL.into(),
+            address: "127.0.0.1:1".into(),
+            zone: "z".into(),
+            slots: plan.slots,
+            phase: TargetPhase::Serving,
+            born_ms: 1,
+        });
+    }
+    EmulatedHost { id, board, jobs: JobBoard::new(JobPolicy::default()) }
+}
+
+/// Replays a plan.
+///
+/// ```
+/// use cuminramp_replay::{LoadPattern, ReplayPlan, run_replay};
+/// use std::time::Duration;
+/// let plan = ReplayPlan { length: Duration::from_secs(2), ..ReplayPlan::new(LoadPattern::Waves, 1) };
+/// assert_eq!(run_replay(&plan), run_replay(&plan));
+/// ```
+pub fn run_replay(plan: &ReplayPlan) -> ReplayReport {
+    let mut world = World::new(*plan);
+    while world.now < world.start + plan.length + AFTER {
+        world.step();
+    }
+    world.finish()
+}
+
+impl World {
+    fn new(plan: ReplayPlan) -> Self {
+        let start = Instant::now();
+        World {
+            plan,
+            start,
+            now: start,
+            random: SeededRandom::new(plan.seed),
+            hosts: (0..plan.hosts).map(|index| new_host(index, 1, &plan)).collect(),
+            demands: vec![],
+            targets: (0..plan.targets).map(|_| EmulatedTarget::new(plan.slots)).collect(),
+            works: vec![],
+            returns: vec![],
+            jobs: vec![],
+            finished: vec![],
+            saved: vec![],
+            next_news: start,
+            is_away: false,
+            report: ReplayReport::default(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.strike();
+        self.advance_targets();
+        if !self.is_away {
+            if self.now >= self.next_news {
+                self.exchange_news();
+                self.next_news = self.now + self.plan.news;
+            }
+            self.start_items();
+        }
+        self.arrive();
+    }
+
+    fn passed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Whether `at` from the start falls into this step.
+    fn is_at(&self, at: Duration) -> bool {
+        self.passed() >= at && self.passed() < at + STEP
+    }
+
+    fn strike(&mut self) {
+        let (pattern, targets) = (self.plan.pattern, self.plan.targets);
+        match pattern {
+            LoadPattern::LostTargets if self.is_at(FAULT_AT) => {
+                (0..targets / 3).for_each(|target| self.lose_target(target));
+            }
+            LoadPattern::LyingTargets if self.is_at(FAULT_AT) => {
+                let lying = &mut self.targets[..targets.div_ceil(10)];
+                lying.iter_mut().for_each(|target| target.health = TargetHealth::Lying);
+            }
+            LoadPattern::LyingTargets if self.is_at(FAULT_AT + LYING) => {
+                self.targets.iter_mut().for_each(|target| target.health = TargetHealth::Sound);
+            }
+            LoadPattern::MassLoss if self.is_at(FAULT_AT) => self.lose_hosts(),
+            LoadPattern::MassLoss if self.is_at(FAULT_AT + AWAY) => self.start_hosts(),
+            _ => {}
+        }
+    }
+
+    fn lose_target(&mut self, target: usize) {
+        self.targets[target].health = TargetHealth::Lost;
+        for run in self.targets[target].lose_all() {
+            self.break_work(run.work);
+        }
+        let name = target_name(target);
+        self.hosts.iter_mut().for_each(|host| host.board.remove(&name));
+    }
+
+    /// Power goes: targets go on with work that nobody waits for.
+    fn lose_hosts(&mut self) {
+        self.is_away = true;
+        for work in self.works.iter_mut().filter(|work| work.is_wanted) {
+            work.is_wanted = false;
+            if matches!(work.owner, Owner::Caller { .. }) {
+                self.report.failed += 1;
+            }
+        }
+    }
+
+    fn start_hosts(&mut self) {
+        self.is_away = false;
+        let plan = self.plan;
+        self.hosts = (0..plan.hosts).map(|index| new_host(index, 2, &plan)).collect();
+        self.demands.clear();
+        for job in std::mem::take(&mut self.jobs) {
+            let finished: Vec<Name> = job
+                .items
+                .iter()
+                .enumerate()
+                .filter(|(index, _)| self.finished.contains(&(job.id.clone(), *index)))
+                .map(|(_, item)| item.id.clone())
+                .collect();
+            let of_job = self.saved.iter().filter(|(id, _, _)| *id == job.id);
+            let known: Vec<(Name, ItemProgress)> = of_job
+                .map(|(_, index, progress)| (job.items[*index].id.clone(), progress.clone()))
+                .collect();
+            let host = self.random.below(plan.hosts);
+            self.hosts[host].jobs.hold(job.clone(), &finished, known);
+            self.jobs.push(job);
+        }
+    }
+
+    fn advance_targets(&mut self) {
+        for target in 0..self.targets.len() {
+            let (begun, ended) = self.targets[target].advance(self.now);
+            begun.into_iter().for_each(|work| self.works[work].began = Some(self.now));
+            ended.into_iter().for_each(|work| self.end_work(work));
+        }
+    }
+
+    fn ran(&self, work: usize) -> Duration {
+        self.works[work].began.map_or(Duration::ZERO, |began| self.now - began)
+    }
+
+    fn end_work(&mut self, work: usize) {
+        let ran = self.ran(work);
+        let done = self.works[work].clone();
+        if !done.is_wanted {
+            self.report.slot_s_wasted += ran.as_secs_f64();
+            return;
+        }
+        self.report.slot_s_used += ran.as_secs_f64();
+        self.works[work].is_wanted = false;
+        let host = &mut self.hosts[done.host];
+        match &done.owner {
+            Owner::Caller { since, may_return } => {
+                host.board.end(&done.target, WorkKind::Online);
+                host.board.saw_hold(ran);
+                let first = done.began.unwrap_or(self.now) + FIRST_EVENT;
+                let is_in_time = first - *since <= OBJECTIVE;
+                self.report.in_time += u32::from(is_in_time);
+                self.report.late += u32::from(!is_in_time);
+                self.report.returned += u32::from(!may_return);
+            }
+            Owner::Item { job, index, due, ran: before } => {
+                host.board.end(&done.target, WorkKind::Batch);
+                let progress = ItemProgress { ran: *before + ran, ..ItemProgress::default() };
+                host.jobs.complete(job, *index, progress, self.now);
+                self.finished.push((job.clone(), *index));
+                self.report.items_in_time += u32::from(self.now <= *due);
+            }
+        }
+        host.board.saw_success(&done.target, self.now);
+    }
+
+    /// The target broke under it.
+    fn break_work(&mut self, work: usize) {
+        let broken = self.works[work].clone();
+        if !std::mem::take(&mut self.works[work].is_wanted) {
+            return;
+        }
+        self.report.slot_s_wasted += self.ran(work).as_secs_f64();
+        let host = &mut self.hosts[broken.host];
+        match &broken.owner {
+            Owner::Caller { .. } => {
+                host.board.end(&broken.target, WorkKind::Online);
+                self.report.failed += 1;
+            }
+            Owner::Item { job, index, ran, .. } => {
+                host.board.end(&broken.target, WorkKind::Batch);
+                let progress = progress_of(*ran);
+                host.jobs.fail(job, *index, ItemFailure::Broken, progress, self.now);
+            }
+        }
+    }
+
+    fn exchange_news(&mut self) {
+        let now = self.now;
+        let told: Vec<_> = self
+            .hosts
+            .iter()
+            .map(|host| (host.board.own_loads(), host.board.own_outcomes(now)))
+            .collect();
+        self.demands =
+            self.hosts.iter().map(|host| (host.id.clone(), host.jobs.demand(now))).collect();
+        let ids: Vec<HostId> = self.hosts.iter().map(|host| host.id.clone()).collect();
+        for (to, host) in self.hosts.iter_mut().enumerate() {
+            for (from, (loads, outcomes)) in told.iter().enumerate().filter(|(at, _)| *at != to) {
+                host.board.hear(&ids[from], loads.clone());
+                host.board.hear_outcomes(&ids[from], outcomes.clone(), now);
+            }
+        }
+        (0..self.hosts.len()).for_each(|host| self.give_way(host));
+        self.save_progress();
+    }
+
+    /// Breaks off items of a host where more work is than slots, those that are due last first.
+    fn give_way(&mut self, host: usize) {
+        for (target, excess) in self.hosts[host].board.batch_excess() {
+            let here = self.targets[target_index(&target)].works();
+            let mut items: Vec<(Instant, usize)> = here
+                .map(|at| (at, &self.works[at]))
+                .filter(|(_, work)| work.is_wanted && work.host == host)
+                .filter_map(|(at, work)| match work.owner {
+                    Owner::Item { due, .. } => Some((due, at)),
+                    Owner::Caller { .. } => None,
+                })
+                .collect();
+            items.sort();
+            for (_, work) in items.into_iter().rev().take(excess as usize) {
+                self.stop_item(work);
+            }
+        }
+    }
+
+    fn stop_item(&mut self, work: usize) {
+        let stopped = self.works[work].clone();
+        let Owner::Item { job, index, ran: before, .. } = &stopped.owner else { return };
+        let ran = self.ran(work);
+        self.targets[target_index(&stopped.target)].drop_work(work);
+        self.works[work].is_wanted = false;
+        self.report.slot_s_used += ran.as_secs_f64();
+        let host = &mut self.hosts[stopped.host];
+        host.board.end(&stopped.target, WorkKind::Batch);
+        let progress = progress_of(*before + ran);
+        host.jobs.fail(job, *index, ItemFailure::GaveWay, progress, self.now);
+    }
+
+    /// Keeps what hosts that lose power find again.
+    fn save_progress(&mut self) {
+        if !self.passed().as_millis().is_multiple_of(SAVED_EVERY.as_millis()) {
+            return;
+        }
+        let mut saved = Vec::new();
+        let on_targets = self.targets.iter().flat_map(EmulatedTarget::works);
+        for work in on_targets.map(|at| &self.works[at]).filter(|work| work.is_wanted) {
+            if let Owner::Item { job, index, ran, .. } = &work.owner {
+                let now = work.began.map_or(Duration::ZERO, |began| self.now - began);
+                saved.push((job.clone(), *index, progress_of(*ran + now)));
+            }
+        }
+        for (job, index, progress) in saved {
+            self.saved.retain(|(id, at, _)| *id != job || *at != index);
+            self.saved.push((job, index, progress));
+        }
+    }
+
+    fn start_items(&mut self) {
+        for host in 0..self.hosts.len() {
+            let mut demands = self.demands.clone();
+            let own = self.hosts[host].jobs.demand(self.now);
+            if own.is_empty() {
+                continue;
+            }
+            let id = self.hosts[host].id.clone();
+            match demands.iter_mut().find(|(told, _)| *told == id) {
+                Some(told) => told.1 = own,
+                None => demands.push((id, own)),
+            }
+            let room = self.hosts[host].board.batch_places(POOL, &demands, self.now);
+            let places = room
+                .places
+                .into_iter()
+                .flat_map(|(target, slots)| std::iter::repeat_n(target.id, slots as usize));
+            for target in places.take(room.items as usize).collect::<Vec<Name>>() {
+                self.start_item(host, target);
+            }
+        }
+    }
+
+    fn start_item(&mut self, host: usize, target: Name) {
+        let now = self.now;
+        let Some(start) = self.hosts[host].jobs.next(|_| true, now) else { return };
+        let Some(due) = self.hosts[host].jobs.get(&start.job).map(|job| job.spec().due) else {
+            return;
+        };
+        let whole = Duration::from_millis(start.item.tokens);
+        let ran = start.progress.ran;
+        let owner = Owner::Item { job: start.job, index: start.index, due, ran };
+        self.send(host, target, owner, whole.saturating_sub(ran).max(STEP));
+    }
+
+    /// Sends work; `false` where the target had no room.
+    fn send(&mut self, host: usize, target: Name, owner: Owner, takes: Duration) -> bool {
+        let kind = match owner {
+            Owner::Caller { .. } => WorkKind::Online,
+            Owner::Item { .. } => WorkKind::Batch,
+        };
+        let work = self.works.len();
+        self.hosts[host].board.begin(&target, kind);
+        self.works.push(Work { owner, host, target: target.clone(), began: None, is_wanted: true });
+        let emulated = &mut self.targets[target_index(&target)];
+        if emulated.health != TargetHealth::Sound {
+            self.report.broken_sends += u32::from(kind == WorkKind::Online);
+            self.hosts[host].board.saw_failure(&target, self.now);
+            self.break_work(work);
+            return true;
+        }
+        if emulated.admit(work, takes) {
+            return true;
+        }
+        self.refuse_work(work);
+        false
+    }
+
+    /// The target had no room and did not run it.
+    fn refuse_work(&mut self, work: usize) {
+        let refused = self.works[work].clone();
+        self.works[work].is_wanted = false;
+        self.report.refused_sends += 1;
+        let host = &mut self.hosts[refused.host];
+        host.board.saw_full(&refused.target, self.now);
+        match &refused.owner {
+            Owner::Caller { .. } => host.board.end(&refused.target, WorkKind::Online),
+            Owner::Item { job, index, ran, .. } => {
+                host.board.end(&refused.target, WorkKind::Batch);
+                host.jobs.fail(job, *index, ItemFailure::GaveWay, progress_of(*ran), self.now);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.passed() < self.plan.length {
+            self.arrive_callers();
+            self.arrive_jobs();
+        }
+        let now = self.now;
+        let due: Vec<(Instant, Instant)> =
+            self.returns.iter().copied().filter(|(at, _)| *at <= now).collect();
+        self.returns.retain(|(at, _)| *at > now);
+        due.into_iter().for_each(|(_, since)| self.call(since, false));
+    }
+
+    fn arrive_callers(&mut self) {
+        let second = self.passed().as_secs_f64() % (TROUGH.0 + CREST.0);
+        let part = if second < TROUGH.0 { TROUGH.1 } else { CREST.1 };
+        let per_s = self.plan.requests_per_s * self.plan.targets as f64 * part;
+        if self.random.fraction() < per_s * STEP.as_secs_f64() {
+            self.report.requests += 1;
+            self.call(self.now, true);
+        }
+    }
+
+    fn arrive_jobs(&mut self) {
+        let in_burst = self.plan.pattern == LoadPattern::JobBurst
+            && self.passed() >= FAULT_AT
+            && self.passed() < FAULT_AT + BURST.0;
+        let part = if in_burst { BURST.1 } else { 1.0 };
+        let per_s = self.plan.jobs_per_s * self.plan.targets as f64 * part;
+        if self.is_away || self.random.fraction() >= per_s * STEP.as_secs_f64() {
+            return;
+        }
+        let job: Name = format!("j{}", self.jobs.len()).into();
+        let make_item = |index| {
+            Arc::new(ItemSpec {
+                id: format!("{job}-{index}").into(),
+                path: "/".into(),
+                headers: vec![],
+                body: Default::default(),
+                // Stands for how long it runs, which no decision looks at.
+                tokens: self.vary(ITEM_RUN).as_millis() as u64,
+            })
+        };
+        let items: Vec<Arc<ItemSpec>> = (0..ITEMS).map(make_item).collect();
+        let spec = JobSpec {
+            id: job.clone(),
+            team: "team".into(),
+            route: "route".into(),
+            host: "host".into(),
+            due: self.now + DUE,
+            give_up: self.now + DUE * 10,
+            max_attempts: 3,
+            items,
+        };
+        self.report.items += ITEMS as u32;
+        let host = self.random.below(self.hosts.len());
+        self.hosts[host].jobs.hold(spec.clone(), &[], vec![]);
+        self.jobs.push(spec);
+    }
+
+    fn vary(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(1.0 + SPREAD * (2.0 * self.random.fraction() - 1.0))
+    }
+
+    fn call(&mut self, since: Instant, may_return: bool) {
+        if self.is_away {
+            self.report.failed += 1;
+            return;
+        }
+        let host = self.random.below(self.hosts.len());
+        let takes = self.vary(REQUEST_RUN);
+        let mut tried: Vec<Name> = Vec::new();
+        while tried.len() < MOST_UNRUN_SENDS {
+            let need = OnlineNeed {
+                pool: POOL,
+                objective: OBJECTIVE,
+                is_again: !may_return,
+                tried: &tried,
+            };
+            let decision = self.hosts[host].board.place(&need, &mut self.random, self.now);
+            match decision {
+                PlacementDecision::Send(target) => {
+                    self.report.sends += 1;
+                    let owner = Owner::Caller { since, may_return };
+                    let is_admitted = self.send(host, target.id.clone(), owner, takes);
+                    self.give_way(host);
+                    if is_admitted {
+                        return;
+                    }
+                    tried.push(target.id);
+                }
+                PlacementDecision::Full(after) if may_return => {
+                    self.returns.push((self.now + after, since));
+                    return;
+                }
+                PlacementDecision::Full(_) | PlacementDecision::Nowhere => break,
+            }
+        }
+        self.report.refused += 1;
+    }
+
+    fn finish(mut self) -> ReplayReport {
+        self.report.items_late = self.report.items - self.report.items_in_time;
+        let begun: Vec<u32> = self.targets.iter().map(|target| target.begun).collect();
+        let mean = f64::from(begun.iter().sum::<u32>()) / begun.len().max(1) as f64;
+        let most = begun.into_iter().max().unwrap_or(0);
+        self.report.busiest_over_mean = f64::from(most) / mean.max(1.0);
+        self.report
+    }
+}
+
+fn progress_of(ran: Duration) -> ItemProgress {
+    // One event a millisecond: the board only asks whether the run moved.
+    ItemProgress { last_event: Some(ran.as_millis() as u64), text: String::new(), ran }
+}
