Count what a beat leaves out of a host's demand as urgent as its last group

Counted as urgent as the eighth group, late items of a host with many jobs would have passed for items that can be in time and taken the room of other hosts. Found while reading; the test of short beats now names the due time of the last group.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -184,8 +184,9 @@
         items.filter(|entry| is_due_to_run(entry, now)).count() as u32
     }
 
-    /// Items that wait for a place now, by urgency. Beyond [`MOST_DEMAND_GROUPS`] the least urgent
-    /// ones count as one group.
+    /// Items that wait for a place now, by urgency. Beyond [`MOST_DEMAND_GROUPS`] the others count as
+    /// one group, as urgent as its last: counted as urgent as its first, items that are late already
+    /// would take the room of those of other hosts that can still be in time.
     pub fn demand(&self, now: Instant) -> Vec<ItemDemand> {
         let mut groups: Vec<ItemDemand> = Vec::new();
         for job in self.jobs.values() {
@@ -198,9 +199,9 @@
         groups.retain(|group| group.items > 0);
         groups.sort_by_key(|group| (group.is_late, group.due_in_ms));
         while groups.len() > MOST_DEMAND_GROUPS {
-            let Some(last) = groups.pop() else { break };
-            if let Some(group) = groups.last_mut() {
-                group.items += last.items;
+            let before_last = groups.remove(groups.len() - 2);
+            if let Some(last) = groups.last_mut() {
+                last.items += before_last.items;
             }
         }
         groups
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -238,4 +238,5 @@
 
     assert_eq!(demand.len(), MOST_DEMAND_GROUPS);
     assert_eq!(demand.iter().map(|group| group.items).sum::<u32>(), 100);
+    assert_eq!(demand.last().map(|group| group.due_in_ms), Some(69_000));
 }
