--- a/crates/cuminramp-cli/src/flags.rs
+++ b/crates/cuminramp-cli/src/flags.rs
@@ -196,7 +196,7 @@
             }
             /// Replays a load or fault against the decisions of hosts, without I/O.
             cmd replay {
-                /// waves, job-burst, lost-targets, lying-targets or mass-loss.
+                /// waves, job-burst, lost-targets, failing-targets or mass-loss.
                 required --pattern pattern: String
                 /// Hosts; 12 where it is left out, 1,000 at most.
                 optional --hosts hosts: usize
--- a/crates/cuminramp-fleet/src/health/tests.rs
+++ b/crates/cuminramp-fleet/src/health/tests.rs
@@ -138,7 +138,7 @@
 /// requests may run only once: each that goes there is lost to its caller. What one host saw has to
 /// spare the others; at most three in a hundred sends may fail.
 #[tokio::test(start_paused = true)]
-async fn a_fleet_before_lying_targets_loses_few_requests() {
+async fn a_fleet_before_failing_targets_loses_few_requests() {
     let mut boards = make_boards();
     let mut random = SeededRandom::new(11);
     let mut held: Vec<(Instant, usize, Name)> = Vec::new();
--- a/crates/cuminramp-replay/src/plan.rs
+++ b/crates/cuminramp-replay/src/plan.rs
@@ -13,7 +13,7 @@
     /// A third of the targets is lost at a crest and stays away.
     LostTargets,
     /// A tenth of the targets breaks every connection for six seconds while it counts as serving.
-    LyingTargets,
+    FailingTargets,
     /// All hosts lose power for two seconds and start with nothing known.
     MassLoss,
 }
@@ -24,7 +24,7 @@
         ("waves", LoadPattern::Waves),
         ("job-burst", LoadPattern::JobBurst),
         ("lost-targets", LoadPattern::LostTargets),
-        ("lying-targets", LoadPattern::LyingTargets),
+        ("failing-targets", LoadPattern::FailingTargets),
         ("mass-loss", LoadPattern::MassLoss),
     ];
 }
--- a/crates/cuminramp-replay/src/target.rs
+++ b/crates/cuminramp-replay/src/target.rs
@@ -25,7 +25,7 @@
     /// It serves.
     Sound,
     /// It breaks every new connection.
-    Lying,
+    Failing,
     /// It is gone.
     Lost,
 }
--- a/crates/cuminramp-replay/src/tests.rs
+++ b/crates/cuminramp-replay/src/tests.rs
@@ -48,13 +48,13 @@
 #[test_case(1; "seed 1")]
 #[test_case(2; "seed 2")]
 #[test_case(3; "seed 3")]
-fn lying_targets_break_few_sends(seed: u64) {
+fn failing_targets_break_few_sends(seed: u64) {
     let plan = ReplayPlan {
         hosts: 35,
         targets: 45,
         news: Duration::from_millis(100),
         length: Duration::from_secs(17),
-        ..ReplayPlan::new(LoadPattern::LyingTargets, seed)
+        ..ReplayPlan::new(LoadPattern::FailingTargets, seed)
     };
 
     let report = run_replay(&plan);
--- a/crates/cuminramp-replay/src/world.rs
+++ b/crates/cuminramp-replay/src/world.rs
@@ -34,8 +34,8 @@
 const CREST: (f64, f64) = (2.4, 1.91);
 /// When the fault begins, in a crest.
 const FAULT_AT: Duration = Duration::from_millis(10_200);
-/// How long targets lie, hosts are away, and jobs come in a burst.
-const LYING: Duration = Duration::from_secs(6);
+/// How long targets fail, hosts are away, and jobs come in a burst.
+const FAILING_FOR: Duration = Duration::from_secs(6);
 const AWAY: Duration = Duration::from_secs(2);
 const BURST: (Duration, f64) = (Duration::from_secs(3), 6.0);
 /// Progress that hosts which lost power find again is this old at the most.
@@ -177,11 +177,11 @@
             LoadPattern::LostTargets if self.is_at(FAULT_AT) => {
                 (0..targets / 3).for_each(|target| self.lose_target(target));
             }
-            LoadPattern::LyingTargets if self.is_at(FAULT_AT) => {
-                let lying = &mut self.targets[..targets.div_ceil(10)];
-                lying.iter_mut().for_each(|target| target.health = TargetHealth::Lying);
+            LoadPattern::FailingTargets if self.is_at(FAULT_AT) => {
+                let failing = &mut self.targets[..targets.div_ceil(10)];
+                failing.iter_mut().for_each(|target| target.health = TargetHealth::Failing);
             }
-            LoadPattern::LyingTargets if self.is_at(FAULT_AT + LYING) => {
+            LoadPattern::FailingTargets if self.is_at(FAULT_AT + FAILING_FOR) => {
                 self.targets.iter_mut().for_each(|target| target.health = TargetHealth::Sound);
             }
             LoadPattern::MassLoss if self.is_at(FAULT_AT) => self.lose_hosts(),
