--- a/crates/cuminramp-replay/src/world.rs
+++ b/crates/cuminramp-replay/src/world.rs
@@ -1,16 +1,15 @@
 //! Callers, hosts, targets and the news between hosts.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use cuminramp_core::{HostId, Name, RandomSource, SeededRandom};
+use cuminramp_core::{HostId, Name, SeededRandom};
 use cuminramp_fleet::{
-    FleetTarget, ItemDemand, ItemFailure, ItemProgress, ItemSpec, JobBoard, JobPolicy, JobSpec,
-    OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+    FleetTarget, ItemDemand, ItemFailure, ItemProgress, JobBoard, JobPolicy, JobSpec,
+    PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
 };
 use tokio::time::Instant;
 
-use crate::plan::{LoadPattern, ReplayPlan};
+use crate::plan::ReplayPlan;
 use crate::report::ReplayReport;
 use crate::target::{EmulatedTarget, TargetHealth};
 
@@ -19,31 +18,17 @@
 /// First event that a caller wants, and what a target needs for it.
 const OBJECTIVE: Duration = Duration::from_millis(300);
 const FIRST_EVENT: Duration = Duration::from_millis(60);
-/// Time that a request and an item take a slot, on average.
-const REQUEST_RUN: Duration = Duration::from_millis(750);
-const ITEM_RUN: Duration = Duration::from_millis(4_700);
-/// How much these vary, up and down.
-const SPREAD: f64 = 0.4;
-/// Items of a job, and when it is due.
-const ITEMS: usize = 10;
-const DUE: Duration = Duration::from_secs(18);
 /// Time after the load in which jobs may still end.
 const AFTER: Duration = Duration::from_secs(20);
-/// A wave: trough, then crest, with their parts of the mean load.
-const TROUGH: (f64, f64) = (3.6, 0.39);
-const CREST: (f64, f64) = (2.4, 1.91);
 /// When the fault begins, in a crest.
 const FAULT_AT: Duration = Duration::from_millis(10_200);
-/// How long targets fail, hosts are away, and jobs come in a burst.
-const FAILING_FOR: Duration = Duration::from_secs(6);
-const AWAY: Duration = Duration::from_secs(2);
-const BURST: (Duration, f64) = (Duration::from_secs(3), 6.0);
 /// Progress that hosts which lost power find again is this old at the most.
 const SAVED_EVERY: Duration = Duration::from_millis(1_100);
-/// Sends that a target refused, for one request.
-const MOST_UNRUN_SENDS: usize = 5;
 const POOL: &str = "pool";
 
+mod arrivals;
+mod faults;
+
 /// What a piece of work is.
 #[derive(Clone, Debug)]
 enum Owner {
@@ -171,68 +156,6 @@
         self.passed() >= at && self.passed() < at + STEP
     }
 
-    fn strike(&mut self) {
-        let (pattern, targets) = (self.plan.pattern, self.plan.targets);
-        match pattern {
-            LoadPattern::LostTargets if self.is_at(FAULT_AT) => {
-                (0..targets / 3).for_each(|target| self.lose_target(target));
-            }
-            LoadPattern::FailingTargets if self.is_at(FAULT_AT) => {
-                let failing = &mut self.targets[..targets.div_ceil(10)];
-                failing.iter_mut().for_each(|target| target.health = TargetHealth::Failing);
-            }
-            LoadPattern::FailingTargets if self.is_at(FAULT_AT + FAILING_FOR) => {
-                self.targets.iter_mut().for_each(|target| target.health = TargetHealth::Sound);
-            }
-            LoadPattern::MassLoss if self.is_at(FAULT_AT) => self.lose_hosts(),
-            LoadPattern::MassLoss if self.is_at(FAULT_AT + AWAY) => self.start_hosts(),
-            _ => {}
-        }
-    }
-
-    fn lose_target(&mut self, target: usize) {
-        self.targets[target].health = TargetHealth::Lost;
-        for run in self.targets[target].lose_all() {
-            self.break_work(run.work);
-        }
-        let name = target_name(target);
-        self.hosts.iter_mut().for_each(|host| host.board.remove(&name));
-    }
-
-    /// Power goes: targets go on with work that nobody waits for.
-    fn lose_hosts(&mut self) {
-        self.is_away = true;
-        for work in self.works.iter_mut().filter(|work| work.is_wanted) {
-            work.is_wanted = false;
-            if matches!(work.owner, Owner::Caller { .. }) {
-                self.report.failed += 1;
-            }
-        }
-    }
-
-    fn start_hosts(&mut self) {
-        self.is_away = false;
-        let plan = self.plan;
-        self.hosts = (0..plan.hosts).map(|index| new_host(index, 2, &plan)).collect();
-        self.demands.clear();
-        for job in std::mem::take(&mut self.jobs) {
-            let finished: Vec<Name> = job
-                .items
-                .iter()
-                .enumerate()
-                .filter(|(index, _)| self.finished.contains(&(job.id.clone(), *index)))
-                .map(|(_, item)| item.id.clone())
-                .collect();
-            let of_job = self.saved.iter().filter(|(id, _, _)| *id == job.id);
-            let known: Vec<(Name, ItemProgress)> = of_job
-                .map(|(_, index, progress)| (job.items[*index].id.clone(), progress.clone()))
-                .collect();
-            let host = self.random.below(plan.hosts);
-            self.hosts[host].jobs.hold(job.clone(), &finished, known);
-            self.jobs.push(job);
-        }
-    }
-
     fn advance_targets(&mut self) {
         for target in 0..self.targets.len() {
             let (begun, ended) = self.targets[target].advance(self.now);
@@ -442,106 +365,6 @@
         }
     }
 
-    fn arrive(&mut self) {
-        if self.passed() < self.plan.length {
-            self.arrive_callers();
-            self.arrive_jobs();
-        }
-        let now = self.now;
-        let due: Vec<(Instant, Instant)> =
-            self.returns.iter().copied().filter(|(at, _)| *at <= now).collect();
-        self.returns.retain(|(at, _)| *at > now);
-        due.into_iter().for_each(|(_, since)| self.call(since, false));
-    }
-
-    fn arrive_callers(&mut self) {
-        let second = self.passed().as_secs_f64() % (TROUGH.0 + CREST.0);
-        let part = if second < TROUGH.0 { TROUGH.1 } else { CREST.1 };
-        let per_s = self.plan.requests_per_s * self.plan.targets as f64 * part;
-        if self.random.fraction() < per_s * STEP.as_secs_f64() {
-            self.report.requests += 1;
-            self.call(self.now, true);
-        }
-    }
-
-    fn arrive_jobs(&mut self) {
-        let in_burst = self.plan.pattern == LoadPattern::JobBurst
-            && self.passed() >= FAULT_AT
-            && self.passed() < FAULT_AT + BURST.0;
-        let part = if in_burst { BURST.1 } else { 1.0 };
-        let per_s = self.plan.jobs_per_s * self.plan.targets as f64 * part;
-        if self.is_away || self.random.fraction() >= per_s * STEP.as_secs_f64() {
-            return;
-        }
-        let job: Name = format!("j{}", self.jobs.len()).into();
-        let make_item = |index| {
-            Arc::new(ItemSpec {
-                id: format!("{job}-{index}").into(),
-                path: "/".into(),
-                headers: vec![],
-                body: Default::default(),
-                // Stands for how long it runs, which no decision looks at.
-                tokens: self.vary(ITEM_RUN).as_millis() as u64,
-            })
-        };
-        let items: Vec<Arc<ItemSpec>> = (0..ITEMS).map(make_item).collect();
-        let spec = JobSpec {
-            id: job.clone(),
-            team: "team".into(),
-            route: "route".into(),
-            host: "host".into(),
-            due: self.now + DUE,
-            give_up: self.now + DUE * 10,
-            max_attempts: 3,
-            items,
-        };
-        self.report.items += ITEMS as u32;
-        let host = self.random.below(self.hosts.len());
-        self.hosts[host].jobs.hold(spec.clone(), &[], vec![]);
-        self.jobs.push(spec);
-    }
-
-    fn vary(&mut self, mean: Duration) -> Duration {
-        mean.mul_f64(1.0 + SPREAD * (2.0 * self.random.fraction() - 1.0))
-    }
-
-    fn call(&mut self, since: Instant, may_return: bool) {
-        if self.is_away {
-            self.report.failed += 1;
-            return;
-        }
-        let host = self.random.below(self.hosts.len());
-        let takes = self.vary(REQUEST_RUN);
-        let mut tried: Vec<Name> = Vec::new();
-        while tried.len() < MOST_UNRUN_SENDS {
-            let need = OnlineNeed {
-                pool: POOL,
-                objective: OBJECTIVE,
-                is_again: !may_return,
-                tried: &tried,
-            };
-            let decision = self.hosts[host].board.place(&need, &mut self.random, self.now);
-            match decision {
-                PlacementDecision::Send(target) => {
-                    self.report.sends += 1;
-                    let owner = Owner::Caller { since, may_return };
-                    let is_admitted = self.send(host, target.id.clone(), owner, takes);
-                    self.give_way(host);
-                    if is_admitted {
-                        return;
-                    }
-                    tried.push(target.id);
-                }
-                PlacementDecision::Full(after) if may_return => {
-                    self.returns.push((self.now + after, since));
-                    return;
-                }
-                PlacementDecision::Full(_) | PlacementDecision::Nowhere => break,
-            }
-        }
-        self.report.refused += 1;
-    }
-
     fn finish(mut self) -> ReplayReport {
         self.report.items_late = self.report.items - self.report.items_in_time;
         let begun: Vec<u32> = self.targets.iter().map(|target| target.begun).collect();
