Greet, beat and watch less in large fleets, and log targets that are set aside

A target that is set aside for failing, or used again, gets a line with the counts that decided it, which was missing.

--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -81,6 +81,8 @@
     pub has_left: bool,
     /// Whether the receiver should answer with a beat of its own at once, as a new host asks.
     pub wants_answer: bool,
+    /// Whether that answer should name hosts: the sender knows hardly any.
+    pub wants_known: bool,
     /// Whether the store answers it.
     pub reaches_store: bool,
     /// Version of the declarations that it has in force.
--- a/crates/cuminramp-fleet/src/health.rs
+++ b/crates/cuminramp-fleet/src/health.rs
@@ -86,6 +86,21 @@
     /// Faded counts of targets that have failures, of all hosts together.
     reviewed: SortedMap<u32, FadedCounts>,
     next_review: Option<Instant>,
+    /// Targets that were doubtful when [`HealthBook::take_changes`] was last asked.
+    reported: Vec<u32>,
+}
+
+/// A target was set aside, or is used again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DoubtChange {
+    /// The target, as [`name_hash`](crate::name_hash) gives it.
+    pub target: u32,
+    /// Whether it is set aside now.
+    pub is_doubtful: bool,
+    /// Failures of all hosts lately, faded.
+    pub failures: f64,
+    /// Whole answers to all hosts lately, faded.
+    pub successes: f64,
 }
 
 impl HealthBook {
@@ -95,9 +110,31 @@
             told: SortedMap::new(),
             reviewed: SortedMap::new(),
             next_review: None,
+            reported: Vec::new(),
         }
     }
 
+    /// Targets that were set aside or are used again since this was last asked.
+    pub(crate) fn take_changes(&mut self, now: Instant) -> Vec<DoubtChange> {
+        self.review(now);
+        let doubtful: Vec<u32> = self
+            .reviewed
+            .iter()
+            .filter(|(_, counts)| counts.is_doubtful())
+            .map(|(target, _)| *target)
+            .collect();
+        let before = std::mem::replace(&mut self.reported, doubtful);
+        let change = |target: u32, is_doubtful: bool| {
+            let counts = self.reviewed.get(&target).copied().unwrap_or_default();
+            let FadedCounts { failures, successes } = counts;
+            DoubtChange { target, is_doubtful, failures, successes }
+        };
+        let gone = before.iter().filter(|target| !self.reported.contains(target));
+        let new = self.reported.iter().filter(|target| !before.contains(target));
+        let gone = gone.map(|target| change(*target, false));
+        gone.chain(new.map(|target| change(*target, true))).collect()
+    }
+
     /// A send to a target failed, or was answered as it should be.
     pub(crate) fn saw(&mut self, target: u32, is_failure: bool, now: Instant) {
         let (counts, at) = self.own.get_or_insert_with(target, || (FadedCounts::default(), now));
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -35,7 +35,7 @@
     TeamRule,
 };
 pub use demand::{ItemDemand, MOST_DEMAND_GROUPS, share_room};
-pub use health::TargetOutcomes;
+pub use health::{DoubtChange, TargetOutcomes};
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
     JobPolicy, JobSpec, UnsavedJob,
@@ -46,8 +46,8 @@
 pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
 pub use rhythm::{BeatRhythm, BeatTimes};
 pub use slots::{
-    ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed, SearchStep, SlotAnswer,
-    SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport, SlotSearch,
+    ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed, SearchStep,
+    SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport, SlotSearch,
 };
 pub use targets::{
     FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -22,6 +22,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        wants_known: false,
         reaches_store: true,
         declarations: 1,
         targets: 1,
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -52,6 +52,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        wants_known: false,
         reaches_store: true,
         declarations: 1,
         targets: 1,
--- a/crates/cuminramp-fleet/src/rhythm/tests.rs
+++ b/crates/cuminramp-fleet/src/rhythm/tests.rs
@@ -11,6 +11,8 @@
 #[test_case(11, 4)]
 #[test_case(85, 29)]
 #[test_case(91, 23)]
+#[test_case(195, 39)]
+#[test_case(300, 60)]
 #[test_case(360, 16)]
 #[tokio::test(start_paused = true)]
 async fn a_host_that_beats_in_time_is_never_silent(hosts: usize, near: usize) {
@@ -31,6 +33,30 @@
     }
 }
 
+/// A zone has many hosts, and nothing happens. Each would still be busy with telling all others so.
+#[test_case(11, 4, 100)]
+#[test_case(195, 39, 200)]
+#[test_case(300, 60, 200)]
+#[tokio::test(start_paused = true)]
+async fn an_idle_host_tells_its_zone_a_bounded_number_of_times(
+    hosts: usize,
+    near: usize,
+    most_a_second: usize,
+) {
+    let rhythm = BeatRhythm::new(hosts, near);
+    let mut times = BeatTimes::new(Instant::now());
+    times.take_due(&rhythm, Instant::now());
+    let (until, mut sent) = (Instant::now() + Duration::from_secs(4), 0);
+
+    while times.next() < until {
+        advance(times.next().saturating_duration_since(Instant::now())).await;
+        let (is_near_due, _) = times.take_due(&rhythm, Instant::now());
+        sent += usize::from(is_near_due) * (near - 1);
+    }
+
+    assert!(sent / 4 <= most_a_second, "{}", sent / 4);
+}
+
 /// Under full load something changes all the time. Beats for each change would take up the host.
 #[test_case(11, 4, 2_500)]
 #[test_case(85, 29, 1_300)]
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -24,6 +24,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        wants_known: false,
         reaches_store: true,
         declarations: 1,
         targets: 1,
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::beat::{TargetLoad, name_hash};
-use crate::health::{HealthBook, TargetOutcomes};
+use crate::health::{DoubtChange, HealthBook, TargetOutcomes};
 use crate::slots::SlotGroup;
 
 mod group;
@@ -380,6 +380,11 @@
         }
     }
 
+    /// Targets that were set aside or are used again since this was last asked.
+    pub fn take_doubt_changes(&mut self, now: Instant) -> Vec<DoubtChange> {
+        self.health.take_changes(now)
+    }
+
     fn is_doubtful(&self, entry: &BoardEntry) -> bool {
         self.health.is_doubtful(entry.hash)
     }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -43,6 +43,8 @@
 const LOAD_LINE_EVERY: u32 = 20;
 /// Between two reads of all hosts' rows. New hosts greet by themselves; this finds what that missed.
 const LEARN_EVERY: Duration = Duration::from_secs(5);
+/// The longest such time: each read brings a row of every host.
+const LONGEST_LEARN: Duration = Duration::from_secs(30);
 /// Pause after such a read failed.
 const LEARN_PAUSE: Duration = Duration::from_millis(400);
 /// Time that callers need to learn that this host leaves: they keep answers for two seconds, some
@@ -142,6 +144,7 @@
         metrics,
         socket: OnceLock::new(),
         beat_sequence: AtomicU64::new(1),
+        has_read_hosts: AtomicBool::new(false),
         asks_for_news: Semaphore::new(1),
         beat_wanted: Notify::new(),
         items_wanted: Notify::new(),
@@ -270,7 +273,10 @@
     }
     loop {
         let pause = match learn_hosts(&state).await {
-            Ok(()) => LEARN_EVERY,
+            Ok(()) => {
+                state.has_read_hosts.store(true, Ordering::Relaxed);
+                lock(&state.peers).rhythm().stretch(LEARN_EVERY, LONGEST_LEARN)
+            }
             Err(error) => {
                 state.metrics.count_store_failure("hosts");
                 log::debug!(reason = error.to_string().as_str(); "hosts-not-read");
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use cuminramp_core::{HostId, Name, SortedMap};
-use cuminramp_fleet::EndedJob;
+use cuminramp_fleet::{BeatRhythm, EndedJob};
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::decode_row;
 use cuminramp_wire::fleet::{JobPhase, JobRow};
@@ -21,6 +21,10 @@
 /// about twice a second, and an ended job has to stop within seconds.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
 
+/// The longest such pause. Every host watches every job, so in a large fleet most of the calls of the
+/// store would be these.
+const LONGEST_WATCH_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Ends of jobs that one beat tells. A beat that grew over what receivers read, 60 KiB, would make
 /// its host seem silent; this many are some 2 KB.
 const MOST_ENDS: usize = 64;
@@ -162,8 +166,8 @@
         JOBS
     }
 
-    fn pause(&self) -> Duration {
-        WATCH_PAUSE
+    fn pause(&self, rhythm: &BeatRhythm) -> Duration {
+        rhythm.stretch(WATCH_PAUSE, LONGEST_WATCH_PAUSE)
     }
 
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot) {
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -15,7 +15,8 @@
 
 /// Hosts that a whole beat names.
 const KNOWN_IN_BEAT: usize = 2;
-/// Hosts that a beat names to one that asks.
+/// Hosts that a beat names to one that knows hardly any. Named to each host that greets, they would be
+/// most of the bytes of a start of hundreds of hosts.
 const KNOWN_IN_ANSWER: usize = 40;
 /// Every so many beats tell the counts of all teams and name some hosts.
 const WHOLE_EVERY: u64 = 16;
@@ -32,14 +33,31 @@
 /// that get lost are followed by others.
 const TELL_ENDS_FOR: Duration = Duration::from_secs(3);
 
-fn make_beat(state: &GatewayState, wants_answer: bool, is_greeting: bool) -> HostBeat {
+/// Why a beat goes out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BeatKind {
+    /// It is time, or something changed.
+    Usual,
+    /// The receiver may not know this host.
+    Greeting {
+        /// Whether this host knows hardly any others.
+        wants_known: bool,
+    },
+    /// The receiver greeted this host.
+    Answer {
+        /// Whether it asked for hosts.
+        names_hosts: bool,
+    },
+}
+
+fn make_beat(state: &GatewayState, kind: BeatKind) -> HostBeat {
     let now = Instant::now();
     let sequence = state.beat_sequence.fetch_add(1, Ordering::Relaxed);
-    let is_usage_whole = is_greeting || sequence.is_multiple_of(WHOLE_EVERY);
-    let known = match (is_greeting, is_usage_whole) {
-        (true, _) => some_known(state, sequence, KNOWN_IN_ANSWER),
-        (false, true) => some_known(state, sequence, KNOWN_IN_BEAT),
-        (false, false) => vec![],
+    let is_usage_whole = kind != BeatKind::Usual || sequence.is_multiple_of(WHOLE_EVERY);
+    let known = match kind {
+        BeatKind::Answer { names_hosts: true } => some_known(state, sequence, KNOWN_IN_ANSWER),
+        BeatKind::Usual if is_usage_whole => some_known(state, sequence, KNOWN_IN_BEAT),
+        _ => vec![],
     };
     // Each lock is taken and released in a statement of its own: two of one lock in one expression
     // would stop the host for good.
@@ -54,7 +72,8 @@
         sequence,
         is_ready: state.is_ready(),
         has_left: state.has_left.load(Ordering::Relaxed),
-        wants_answer,
+        wants_answer: matches!(kind, BeatKind::Greeting { .. }),
+        wants_known: kind == BeatKind::Greeting { wants_known: true },
         reaches_store: state.relay.is_reached(),
         declarations,
         targets,
@@ -89,7 +108,8 @@
 
 /// Greets a host that may not know this one.
 pub(crate) async fn greet_host(state: &Arc<GatewayState>, address: &Name) {
-    let beat = make_beat(state, true, true);
+    let wants_known = !state.has_read_hosts.load(Ordering::Relaxed);
+    let beat = make_beat(state, BeatKind::Greeting { wants_known });
     send_to_host(state, HostMessage::Beat(beat), address).await;
 }
 
@@ -129,7 +149,7 @@
 }
 
 async fn send_beat(state: &GatewayState, socket: &HostSocket, to: &[Name]) {
-    let beat = make_beat(state, false, false);
+    let beat = make_beat(state, BeatKind::Usual);
     socket.send(&HostMessage::Beat(beat), to).await;
 }
 
@@ -142,12 +162,12 @@
 /// Takes a beat that came from an address.
 pub(super) async fn take_beat(state: &Arc<GatewayState>, beat: HostBeat, from: Name) {
     let now = Instant::now();
-    let wants_answer = beat.wants_answer;
+    let (wants_answer, names_hosts) = (beat.wants_answer, beat.wants_known);
     let address = beat.host.address.clone();
     let known = beat.known.clone();
     let is_taken = merge_beat(state, beat, now);
     if is_taken && wants_answer {
-        let answer = make_beat(state, false, true);
+        let answer = make_beat(state, BeatKind::Answer { names_hosts });
         send_to_host(state, HostMessage::Beat(answer), &from).await;
     }
     for host in known {
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -17,6 +17,7 @@
         is_ready: true,
         has_left: false,
         wants_answer: false,
+        wants_known: false,
         reaches_store: true,
         declarations: 3,
         targets: 4,
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -129,6 +129,7 @@
             note_owned_groups(&state);
         }
         turn = turn.wrapping_add(1);
+        log_doubts(&state);
         let owned = {
             let mut board = lock(&state.board);
             let mut ledger = lock(&state.slots.ledger);
@@ -144,6 +145,20 @@
     }
 }
 
+/// One line for each target that is set aside for failing too much, or used again.
+fn log_doubts(state: &GatewayState) {
+    let mut board = lock(&state.board);
+    for change in board.take_doubt_changes(Instant::now()) {
+        let id = board.by_hash(change.target).map(|target| target.id.clone());
+        let message = if change.is_doubtful { "target-set-aside" } else { "target-used-again" };
+        log::warn!(
+            target_id = id.as_deref().unwrap_or("-"), failures = change.failures,
+            successes = change.successes;
+            "{message}"
+        );
+    }
+}
+
 /// Takes note of the groups that are this host's, so that it is settled when the first items come.
 fn note_owned_groups(state: &GatewayState) {
     let groups = lock(&state.board).all_groups();
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) slots: SlotState,
     pub(crate) socket: OnceLock<HostSocket>,
     pub(crate) beat_sequence: AtomicU64,
+    /// Whether the table of hosts was read since the start; until then others are asked for hosts.
+    pub(crate) has_read_hosts: AtomicBool,
     /// One question for news at a time.
     pub(crate) asks_for_news: Semaphore,
     pub(crate) beat_wanted: Notify,
--- a/crates/cuminramp-gateway/src/sync/follow.rs
+++ b/crates/cuminramp-gateway/src/sync/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use cuminramp_fleet::BeatRhythm;
 use cuminramp_platform::{RowChange, StoreError, TableSnapshot, WatchAnswer};
 use tokio::time::Instant;
 
@@ -24,7 +25,7 @@
     fn table(&self) -> &'static str;
 
     /// Pause between two watches, so that a table that changes all the time costs few calls.
-    fn pause(&self) -> Duration;
+    fn pause(&self, rhythm: &BeatRhythm) -> Duration;
 
     /// Takes the whole table.
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot);
@@ -56,7 +57,8 @@
                 is_lost = false;
                 version = next;
                 pause = PAUSES.0;
-                tokio::time::sleep(follower.pause()).await;
+                let rhythm = lock(&state.peers).rhythm();
+                tokio::time::sleep(follower.pause(&rhythm)).await;
             }
             Err(error) => {
                 state.metrics.count_store_failure("watch");
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use cuminramp_core::{Name, SortedMap};
-use cuminramp_fleet::{ChangedRow, KnownRow, RowAction, RowRegistry};
+use cuminramp_fleet::{BeatRhythm, ChangedRow, KnownRow, RowAction, RowRegistry};
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::fleet::{NewsReply, NewsRequest, NewsRow};
 use tokio::time::Instant;
@@ -17,6 +17,13 @@
 /// How long the store has the first word before other hosts are asked for what it should have said.
 const STORE_FIRST: Duration = Duration::from_millis(150);
 
+/// Pause between two watches of declarations.
+const DECLARATIONS_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two watches of targets, and the longest one: a target that leaves gets nothing new
+/// within two seconds.
+const TARGETS_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_TARGETS_PAUSE: Duration = Duration::from_millis(250);
+
 /// An outage of this length may make entries run out: targets renew theirs about every 1.2 s and
 /// lose them after three missed renewals.
 const LONG_OUTAGE: Duration = Duration::from_millis(1_500);
@@ -78,8 +85,8 @@
         self.table
     }
 
-    fn pause(&self) -> Duration {
-        Duration::from_millis(20)
+    fn pause(&self, _: &BeatRhythm) -> Duration {
+        DECLARATIONS_PAUSE
     }
 
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot) {
@@ -129,8 +136,8 @@
         self.table
     }
 
-    fn pause(&self) -> Duration {
-        Duration::from_millis(50)
+    fn pause(&self, rhythm: &BeatRhythm) -> Duration {
+        rhythm.stretch(TARGETS_PAUSE, LONGEST_TARGETS_PAUSE)
     }
 
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot) {
