--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -46,7 +46,7 @@
 pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
 pub use rhythm::{BeatRhythm, BeatTimes};
 pub use slots::{
-    ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed, SearchStep,
+    GrantNumbers, ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed, SearchStep,
     SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport, SlotSearch,
 };
 pub use targets::{
--- a/crates/cuminramp-fleet/src/slots.rs
+++ b/crates/cuminramp-fleet/src/slots.rs
@@ -12,12 +12,14 @@
 //! - [`SlotLedger`] is what an owner knows and decides;
 //! - [`ReportTimes`] says when a host reports what it has in flight.
 
+mod grants;
 mod ledger;
 mod message;
 mod owners;
 mod reports;
 mod search;
 
+pub use grants::GrantNumbers;
 pub use ledger::{ItemGrant, ItemLimit, SlotLedger};
 pub use message::{OwnerClaim, SlotAnswer, SlotAsk, SlotGroup, SlotOrder, SlotOutcome, SlotReport};
 pub use owners::OwnerBook;
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -4,7 +4,8 @@
 use tokio::time::{Instant, advance};
 
 use super::{
-    ItemGrant, ItemLimit, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOutcome, SlotReport,
+    GrantNumbers, ItemGrant, ItemLimit, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOutcome,
+    SlotReport,
 };
 use crate::beat::{TargetLoad, name_hash};
 use crate::demand::ItemDemand;
@@ -179,6 +180,23 @@
     assert_eq!((before_it_came, in_use, owner.online("a", "e1")), (1, 1, 0));
 }
 
+/// Two answers to one host change places on their way, and a report leaves between them. It says that the
+/// first grant came to nothing, and its slot goes to another host; used after all, it would be taken twice.
+#[tokio::test(start_paused = true)]
+async fn an_overtaken_grant_is_not_used() {
+    let mut owner = Owner::new(&["e1"]);
+    let mut numbers = GrantNumbers::default();
+    let ((_, first), (_, second)) = (owner.granted("a"), owner.granted("a"));
+
+    let is_second_used = numbers.take(second);
+    let seen_grant = numbers.tell();
+    owner.hear("a", SlotReport { seen_grant, ..report(1, vec![load("e1", 1, 0)]) });
+
+    assert!(is_second_used);
+    assert_eq!(owner.online("a", "e1"), 1);
+    assert!(!numbers.take(first));
+}
+
 /// Datagrams overtake each other. An old report in place of a new one would count work that has ended.
 #[tokio::test(start_paused = true)]
 async fn a_report_that_came_late_is_dropped() {
--- a/crates/cuminramp-gateway/src/slots/ask.rs
+++ b/crates/cuminramp-gateway/src/slots/ask.rs
@@ -144,7 +144,7 @@
         send_to_host(state, HostMessage::Ask(ask.clone()), &owner.address).await;
         match timeout(ANSWER_LIMIT, &mut receiver).await {
             Ok(Ok(answer)) => {
-                end = AskEnd::Answered(answer.outcome);
+                end = AskEnd::Answered(take_outcome(state, owner, answer.outcome));
                 break;
             }
             Ok(Err(_)) => break,
@@ -159,6 +159,16 @@
     end
 }
 
+/// What an answer is worth now. A grant that a later one overtook may be given to others already.
+fn take_outcome(state: &GatewayState, owner: &HostId, outcome: SlotOutcome) -> SlotOutcome {
+    match outcome {
+        SlotOutcome::Granted { grant, .. } if !state.slots.take_grant(&owner.address, grant) => {
+            SlotOutcome::Busy { wait_ms: 0 }
+        }
+        outcome => outcome,
+    }
+}
+
 /// Passes a silent owner over, and tells the hosts of the zone: they report to the next one at once.
 async fn accuse(state: &GatewayState, group: &SlotGroup, owner: &HostId) {
     let is_new = lock(&state.slots.owners).pass_over(owner, Instant::now());
@@ -189,11 +199,13 @@
 
 /// Takes the answer of an owner.
 pub(crate) fn take_answer(state: &GatewayState, from: &Name, answer: SlotAnswer) {
-    if let SlotOutcome::Granted { grant, .. } = answer.outcome {
-        state.slots.see_grant(from, grant);
-    }
-    // A request that no longer waits leaves the slot to the next report, which does not name it.
-    if let Some(sender) = lock(&state.slots.waiting).remove(&answer.ask) {
-        let _ = sender.send(answer);
+    let waiting = lock(&state.slots.waiting).remove(&answer.ask);
+    let unused = match waiting {
+        Some(sender) => sender.send(answer).err(),
+        None => Some(answer),
+    };
+    // A slot that no request waits for any more goes back with the next report, which does not name it.
+    if let Some(SlotOutcome::Granted { grant, .. }) = unused.map(|answer| answer.outcome) {
+        state.slots.take_grant(from, grant);
     }
 }
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::AtomicU64;
 
 use cuminramp_core::{HostId, Name, SortedMap};
-use cuminramp_fleet::{ItemDemand, OwnerBook, ReportTimes, SlotAnswer, SlotGroup, SlotLedger};
+use cuminramp_fleet::{
+    GrantNumbers, ItemDemand, OwnerBook, ReportTimes, SlotAnswer, SlotGroup, SlotLedger,
+};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
@@ -26,8 +28,8 @@
     reports: Mutex<ReportTimes>,
     report_wanted: Notify,
     report_sequence: AtomicU64,
-    /// By address of the owner, the last grant that came from it.
-    seen_grants: Mutex<SortedMap<Name, u64>>,
+    /// By address of the owner.
+    grants: Mutex<SortedMap<Name, GrantNumbers>>,
     next_ask: AtomicU64,
     waiting: Mutex<SortedMap<u64, oneshot::Sender<SlotAnswer>>>,
 }
@@ -41,7 +43,7 @@
             reports: Default::default(),
             report_wanted: Notify::new(),
             report_sequence: AtomicU64::new(1),
-            seen_grants: Default::default(),
+            grants: Default::default(),
             next_ask: AtomicU64::new(1),
             waiting: Default::default(),
         }
@@ -72,10 +74,16 @@
         self.report_wanted.notify_one();
     }
 
-    fn see_grant(&self, owner: &Name, grant: u64) {
-        let mut seen = lock(&self.seen_grants);
-        let last = seen.get_or_insert_with(owner.clone(), || 0);
-        *last = grant.max(*last);
+    /// Takes a grant; `false` where a report has told its owner already that it came to nothing.
+    fn take_grant(&self, owner: &Name, grant: u64) -> bool {
+        let mut grants = lock(&self.grants);
+        grants.get_or_insert_with(owner.clone(), GrantNumbers::default).take(grant)
+    }
+
+    /// The last grant of an owner, as a report tells it.
+    fn tell_grants(&self, owner: &Name) -> u64 {
+        let mut grants = lock(&self.grants);
+        grants.get_or_insert_with(owner.clone(), GrantNumbers::default).tell()
     }
 }
 
--- a/crates/cuminramp-gateway/src/slots/report.rs
+++ b/crates/cuminramp-gateway/src/slots/report.rs
@@ -55,7 +55,7 @@
 fn make_report(state: &GatewayState, group: &SlotGroup, owner: &HostId) -> SlotReport {
     let now = Instant::now();
     let demand = item_demand(state, &group.pool);
-    let seen_grant = lock(&state.slots.seen_grants).get(&owner.address).copied().unwrap_or(0);
+    let seen_grant = state.slots.tell_grants(&owner.address);
     let board = lock(&state.board);
     SlotReport {
         incarnation: state.me.incarnation,
@@ -89,9 +89,9 @@
     match order {
         SlotOrder::Keep { target, items } => keep_items(state, target, items),
         SlotOrder::Start { group, grant, target, items } => {
-            state.slots.see_grant(from, grant);
+            let is_usable = state.slots.take_grant(from, grant);
             let group = lock(&state.board).group_of(group).cloned();
-            if let Some(group) = group {
+            if let Some(group) = group.filter(|_| is_usable) {
                 start_granted(state, &group, target, items);
             }
         }
