Split the ledger of slots by matter, and share the fixtures of beats

No change of behaviour: what an owner counts of a host and what it does with items stand in files of their own, a look-up that only tests use is built for tests only, three test modules take hosts and beats from one place, and comments say claim and order where they said word.

--- /dev/null
+++ b/crates/cuminramp-fleet/src/fixtures.rs
@@ -0,0 +1,34 @@
+//! What several test modules need.
+
+use crate::beat::{HostBeat, KnownHost};
+
+/// A host whose callers reach it at `{address}-callers`.
+pub(crate) fn known_host(address: &str, incarnation: u64, zone: &str) -> KnownHost {
+    KnownHost {
+        address: address.into(),
+        incarnation,
+        caller_address: format!("{address}-callers").into(),
+        zone: zone.into(),
+    }
+}
+
+/// A beat of a ready host that has admitted nothing.
+pub(crate) fn host_beat(host: KnownHost, sequence: u64) -> HostBeat {
+    HostBeat {
+        host,
+        sequence,
+        is_ready: true,
+        has_left: false,
+        wants_answer: false,
+        wants_known: false,
+        reaches_store: true,
+        declarations: 1,
+        targets: 1,
+        usage: vec![],
+        is_usage_whole: true,
+        is_settled: true,
+        known: vec![],
+        suspects: vec![],
+        ended: vec![],
+    }
+}
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -18,6 +18,8 @@
 mod beat;
 mod declarations;
 mod demand;
+#[cfg(test)]
+mod fixtures;
 mod health;
 mod jobs;
 mod message;
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -4,36 +4,8 @@
 use tokio::time::{Instant, advance};
 
 use super::{PeerPolicy, PeerTable};
-use crate::beat::{HostBeat, KnownHost};
-
-fn known(address: &str, incarnation: u64, zone: &str) -> KnownHost {
-    KnownHost {
-        address: address.into(),
-        incarnation,
-        caller_address: format!("{address}-callers").into(),
-        zone: zone.into(),
-    }
-}
-
-fn beat(host: KnownHost, sequence: u64) -> HostBeat {
-    HostBeat {
-        host,
-        sequence,
-        is_ready: true,
-        has_left: false,
-        wants_answer: false,
-        wants_known: false,
-        reaches_store: true,
-        declarations: 1,
-        targets: 1,
-        usage: vec![],
-        is_usage_whole: true,
-        is_settled: true,
-        known: vec![],
-        suspects: vec![],
-        ended: vec![],
-    }
-}
+use crate::beat::HostBeat;
+use crate::fixtures::{host_beat as beat, known_host as known};
 
 fn table() -> PeerTable {
     let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -8,8 +8,9 @@
 use tokio::time::{Instant, advance};
 
 use super::{QuotaBook, QuotaDecision, QuotaTolerance};
-use crate::beat::{HostBeat, KnownHost};
+use crate::beat::HostBeat;
 use crate::declarations::{CallerLimits, FleetDeclarations, TeamRule};
+use crate::fixtures::{host_beat, known_host};
 
 const RATE: f64 = 10.0;
 const BURST: f64 = 20.0;
@@ -42,26 +43,10 @@
 fn beat(address: &str, book: &QuotaBook, is_whole: bool) -> HostBeat {
     let now = Instant::now();
     HostBeat {
-        host: KnownHost {
-            address: address.into(),
-            incarnation: 1,
-            caller_address: "".into(),
-            zone: "z".into(),
-        },
-        sequence: 1,
-        is_ready: true,
-        has_left: false,
-        wants_answer: false,
-        wants_known: false,
-        reaches_store: true,
-        declarations: 1,
-        targets: 1,
         usage: book.usage(is_whole, now),
         is_usage_whole: is_whole,
         is_settled: book.is_settled(now),
-        known: vec![],
-        suspects: vec![],
-        ended: vec![],
+        ..host_beat(known_host(address, 1, "z"), 1)
     }
 }
 
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -8,105 +8,29 @@
 
 use super::message::{SlotAnswer, SlotAsk, SlotGroup, SlotOutcome, SlotReport};
 use crate::beat::TargetLoad;
-use crate::demand::{ItemDemand, share_room};
-use crate::targets::{GroupNeed, GroupPlace, TargetBoard, WorkKind};
+#[cfg(test)]
+use crate::targets::WorkKind;
+use crate::targets::{GroupNeed, GroupPlace, TargetBoard};
+
+mod account;
+mod items;
+
+use account::{GroupAccount, PendingGrant};
+pub use items::{ItemGrant, ItemLimit};
 
 /// A grant that no report confirms after so long was not used: its answer got lost, or came late.
 const GRANT_LIFE: Duration = Duration::from_millis(250);
-/// A host whose reports stay away for so long has nothing in flight any more, or reports to another
-/// owner. Busy hosts report ten times a second.
-const REPORT_LIFE: Duration = Duration::from_millis(450);
 /// How long an answer is kept for a question that comes again.
 const ANSWER_LIFE: Duration = Duration::from_millis(250);
-/// Time from the first word of a group until its owner starts batch items: all hosts report what they
-/// have in flight meanwhile. Without it a new owner would fill slots that callers have.
+/// Time from the start of an ownership until the owner starts batch items: all hosts report what they have
+/// in flight meanwhile. Without it a new owner would fill slots that callers have.
 const SETTLE: Duration = Duration::from_millis(150);
-/// An item leaves a target within a few milliseconds of being asked to, and its host reports it.
-const REPEAT_LIMIT: Duration = Duration::from_millis(15);
-/// A group of which there was no word for so long is another host's.
+/// A group for which no host asks or reports, and which rendezvous does not give to this host, is another
+/// host's after so long.
 const OWNED_FOR: Duration = Duration::from_millis(600);
 /// As many slots stay free of items as callers took in the time before. An item in such a slot would be
 /// broken off within that time, and its prompt read again elsewhere.
 const RESERVE_FOR: Duration = Duration::from_millis(100);
-/// Grants of items in one round, so that an owner does not stop for a burst of jobs.
-const MOST_ITEM_GRANTS: usize = 64;
-
-#[derive(Clone, Copy, Debug)]
-struct PendingGrant {
-    number: u64,
-    load: TargetLoad,
-    at: Instant,
-}
-
-/// What one host reported of one group.
-#[derive(Debug, Default)]
-struct GroupAccount {
-    sequence: u64,
-    heard_at: Option<Instant>,
-    report: Option<SlotReport>,
-    pending: Vec<PendingGrant>,
-}
-
-impl GroupAccount {
-    fn is_alive(&self, now: Instant) -> bool {
-        let is_heard = self.heard_at.is_some_and(|at| now.duration_since(at) < REPORT_LIFE);
-        is_heard || !self.pending.is_empty()
-    }
-
-    fn loads(&self) -> impl Iterator<Item = &TargetLoad> {
-        let told = self.report.iter().flat_map(|report| &report.loads);
-        told.chain(self.pending.iter().map(|grant| &grant.load))
-    }
-
-    fn items_at(&self, target: u32) -> u32 {
-        let here = self.loads().filter(|load| load.target == target);
-        here.map(|load| u32::from(load.batch)).sum()
-    }
-
-    /// Items that wait, less those that were granted a slot since.
-    fn demand(&self) -> Vec<ItemDemand> {
-        let mut granted: u32 = self.pending.iter().map(|grant| u32::from(grant.load.batch)).sum();
-        let told = self.report.iter().flat_map(|report| &report.demand);
-        let mut left: Vec<ItemDemand> = Vec::new();
-        for demand in told {
-            let taken = granted.min(demand.items);
-            granted -= taken;
-            if demand.items > taken {
-                left.push(ItemDemand { items: demand.items - taken, ..*demand });
-            }
-        }
-        left
-    }
-
-    fn avoids(&self, target: u32) -> bool {
-        self.report.as_ref().is_some_and(|report| report.avoided.contains(&target))
-    }
-}
-
-/// Slots for batch items of a host.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ItemGrant {
-    /// The host that may start them.
-    pub host: HostId,
-    /// The target.
-    pub target: u32,
-    /// How many.
-    pub items: u16,
-    /// The number of the grant.
-    pub grant: u64,
-}
-
-/// How many batch items a host may keep at a target.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ItemLimit {
-    /// The host that has items there.
-    pub host: HostId,
-    /// The target.
-    pub target: u32,
-    /// How many may stay.
-    pub items: u16,
-}
-
 #[derive(Debug)]
 struct KeptAnswer {
     host: HostId,
@@ -304,101 +228,9 @@
         }
     }
 
-    /// Hands free slots of a group to waiting items, the most urgent of all hosts first. `own` are the
-    /// items that wait at this host.
-    pub fn grant_items(
-        &mut self,
-        board: &mut TargetBoard,
-        group: &SlotGroup,
-        own: Vec<ItemDemand>,
-        now: Instant,
-    ) -> Vec<ItemGrant> {
-        let hash = group.hash();
-        let mut grants: Vec<ItemGrant> = Vec::new();
-        if !self.is_settled(hash, now) {
-            return grants;
-        }
-        let mut demands = vec![(self.me.clone(), own)];
-        let told =
-            self.accounts.iter().filter(|((_, of), account)| *of == hash && account.is_alive(now));
-        demands.extend(told.map(|((host, _), account)| (host.clone(), account.demand())));
-        demands.retain(|(_, waiting)| !waiting.is_empty());
-        if demands.is_empty() {
-            return grants;
-        }
-        let mut free = board.free_for_items(group, now);
-        let reserve = self.owned.get_mut(&hash).map_or(0, |owned| owned.reserve(now));
-        let room = free.iter().map(|(_, slots)| slots).sum::<u32>().saturating_sub(reserve);
-        let mut shares = share_room(room, &demands);
-        for (host, share) in &mut shares {
-            while *share > 0 && grants.len() < MOST_ITEM_GRANTS {
-                let account = self.accounts.get(&(host.clone(), hash));
-                let turn = self.last_grant as u32 ^ grants.len() as u32;
-                let best = free
-                    .iter_mut()
-                    .filter(|(target, slots)| {
-                        *slots > 0 && !account.is_some_and(|account| account.avoids(*target))
-                    })
-                    .max_by_key(|(target, slots)| (*slots, mix(*target, turn)));
-                let Some((target, slots)) = best else { break };
-                *slots -= 1;
-                *share -= 1;
-                add_item(&mut grants, host, *target);
-            }
-        }
-        for grant in &mut grants {
-            let load = TargetLoad { target: grant.target, online: 0, batch: grant.items };
-            grant.grant = self.grant(board, &grant.host, hash, load, now);
-        }
-        grants
-    }
-
-    /// Batch items that have to leave targets of a group which hold more work than slots. An item that
-    /// this host has goes first: it is gone before any message. What was asked of a host is asked again
-    /// only after a moment, in case the message got lost.
-    pub fn item_limits(
-        &mut self,
-        board: &TargetBoard,
-        group: &SlotGroup,
-        now: Instant,
-    ) -> Vec<ItemLimit> {
-        let mut limits = self.find_limits(board, group);
-        self.limits_sent.retain(|_, (_, at)| now.duration_since(*at) < REPEAT_LIMIT);
-        limits.retain(|limit| {
-            let key = (limit.host.clone(), limit.target);
-            let sent = self.limits_sent.get(&key);
-            let is_new = sent.is_none_or(|(items, _)| *items != limit.items);
-            if is_new {
-                self.limits_sent.insert(key, (limit.items, now));
-            }
-            is_new || limit.host == self.me
-        });
-        limits
-    }
-
-    fn find_limits(&self, board: &TargetBoard, group: &SlotGroup) -> Vec<ItemLimit> {
-        let hash = group.hash();
-        let mut limits = Vec::new();
-        for (target, over, own_items) in board.overfull(group) {
-            let mut over = over;
-            let own = (own_items > 0).then(|| (self.me.clone(), own_items));
-            let others = self.accounts.iter().filter(|((_, of), _)| *of == hash);
-            let others =
-                others.map(|((host, _), account)| (host.clone(), account.items_at(target)));
-            for (host, items) in own.into_iter().chain(others) {
-                let leaving = items.min(over);
-                if leaving > 0 {
-                    over -= leaving;
-                    let items = (items - leaving) as u16;
-                    limits.push(ItemLimit { host, target, items });
-                }
-            }
-        }
-        limits
-    }
-
-    /// What a host holds at a target in this ledger, for tests and logs.
-    pub fn held(&self, host: &HostId, group: u32, target: u32, kind: WorkKind) -> u32 {
+    /// What a host holds at a target in this ledger.
+    #[cfg(test)]
+    pub(super) fn held(&self, host: &HostId, group: u32, target: u32, kind: WorkKind) -> u32 {
         let Some(account) = self.accounts.get(&(host.clone(), group)) else { return 0 };
         let here = account.loads().filter(|load| load.target == target);
         here.map(|load| match kind {
@@ -408,19 +240,3 @@
         .sum()
     }
 }
-
-/// An order of targets that differs from turn to turn: where all are equally free, the last by name would
-/// get most items.
-fn mix(target: u32, turn: u32) -> u32 {
-    /// Odd, with its bits spread, so that each turn gives another order.
-    const SPREAD: u32 = 0x9E37_79B1;
-    (target ^ turn.wrapping_mul(SPREAD)).wrapping_mul(SPREAD)
-}
-
-fn add_item(grants: &mut Vec<ItemGrant>, host: &HostId, target: u32) {
-    let same = grants.iter_mut().find(|grant| grant.host == *host && grant.target == target);
-    match same {
-        Some(grant) => grant.items += 1,
-        None => grants.push(ItemGrant { host: host.clone(), target, items: 1, grant: 0 }),
-    }
-}
--- a/crates/cuminramp-fleet/src/slots/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/owners.rs
@@ -12,10 +12,10 @@
 /// slow again and again would otherwise hold up requests twice a second.
 const PASS_OVER: Duration = Duration::from_millis(700);
 const LONGEST_PASS_OVER: Duration = Duration::from_secs(8);
-/// Silences that are further apart than this are not counted together.
+/// A host that has answered for so long since it was passed over begins with the shortest time again.
 const FORGIVE_AFTER: Duration = Duration::from_secs(10);
 
-/// Words of other hosts on the same owner that are further apart than this are not counted together.
+/// Claims of other hosts about the same owner that are further apart than this are not counted together.
 const CLAIM_LIFE: Duration = Duration::from_millis(500);
 /// An owner chosen so lately is not chosen anew: hosts ask a hundred times a second.
 const CHOICE_LIFE: Duration = Duration::from_millis(10);
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Silence {
     until: Instant,
-    strikes: u32,
+    repeats: u32,
 }
 
 /// Owners that were found silent lately, by this host or another.
@@ -38,20 +38,20 @@
     /// Passes a host over for a while; says whether it was not passed over already.
     pub fn pass_over(&mut self, host: &HostId, now: Instant) -> bool {
         self.silences.retain(|_, silence| silence.until + FORGIVE_AFTER > now);
-        let fresh = Silence { until: now, strikes: 0 };
+        let fresh = Silence { until: now, repeats: 0 };
         let silence = self.silences.get_or_insert_with(host.clone(), || fresh);
         if silence.until > now {
             return false;
         }
-        let pause = PASS_OVER * (1 << silence.strikes.min(4));
-        silence.strikes += 1;
+        let pause = PASS_OVER * (1 << silence.repeats.min(4));
+        silence.repeats += 1;
         silence.until = now + pause.min(LONGEST_PASS_OVER);
         self.choices = SortedMap::new();
         true
     }
 
-    /// Takes the word of another host that an owner is silent; says whether it is passed over now and
-    /// was not before. It takes two hosts: one alone may itself be slow or cut off.
+    /// Takes the claim of another host that an owner is silent; says whether it is passed over now and was
+    /// not before. It takes two hosts: one alone may itself be slow or cut off.
     pub fn hear_claim(&mut self, from: &Name, silent: &HostId, now: Instant) -> bool {
         self.claims.retain(|_, (_, at)| now.duration_since(*at) < CLAIM_LIFE);
         let first = self.claims.get(silent).is_none_or(|(by, _)| by == from);
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -265,11 +265,11 @@
     assert_eq!(limits, [ItemLimit { host: host("a"), target: name_hash("e1"), items: 0 }]);
 }
 
-/// The word to let an item go got lost. The caller that was placed there would wait behind the item
-/// for seconds, so the word is repeated until a report shows that the item is gone; in between it is
-/// not sent with every other message.
+/// The order to let an item go got lost. The caller that was placed there would wait behind the item for
+/// seconds, so the order is repeated until a report shows that the item is gone; in between it is not sent
+/// with every other message.
 #[tokio::test(start_paused = true)]
-async fn the_word_to_give_way_is_repeated_until_the_item_is_gone() {
+async fn the_order_to_give_way_is_repeated_until_the_item_is_gone() {
     let mut owner = Owner::new(&["e1"]);
     owner.hear("b", report(1, vec![load("e1", 0, 1)]));
     owner.hear("c", report(1, vec![load("e1", 8, 0)]));
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -4,44 +4,15 @@
 use tokio::time::{Instant, advance};
 
 use super::{group, host};
-use crate::beat::{HostBeat, KnownHost};
+use crate::fixtures::{host_beat, known_host};
 use crate::peers::{PeerPolicy, PeerTable};
 use crate::slots::OwnerBook;
 
-fn known(address: &str, zone: &str) -> KnownHost {
-    KnownHost {
-        address: address.into(),
-        incarnation: 1,
-        caller_address: format!("{address}-callers").into(),
-        zone: zone.into(),
-    }
-}
-
-fn beat(address: &str, zone: &str) -> HostBeat {
-    HostBeat {
-        host: known(address, zone),
-        sequence: 1,
-        is_ready: true,
-        has_left: false,
-        wants_answer: false,
-        wants_known: false,
-        reaches_store: true,
-        declarations: 1,
-        targets: 1,
-        usage: vec![],
-        is_usage_whole: true,
-        is_settled: true,
-        known: vec![],
-        suspects: vec![],
-        ended: vec![],
-    }
-}
-
 fn table(me: &str, others: &[(&str, &str)]) -> PeerTable {
     let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
-    let mut table = PeerTable::new(known(me, "z1"), policy);
+    let mut table = PeerTable::new(known_host(me, 1, "z1"), policy);
     for (address, zone) in others {
-        table.hear(beat(address, zone), Instant::now());
+        table.hear(host_beat(known_host(address, 1, zone), 1), Instant::now());
     }
     table
 }
@@ -67,7 +38,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_host_of_another_zone_owns_a_group_only_where_its_zone_has_none() {
     let mut peers = table("d", &[("b", "z2")]);
-    peers.hear(beat("a", "z1"), Instant::now());
+    peers.hear(host_beat(known_host("a", 1, "z1"), 1), Instant::now());
     let near = owner(&mut OwnerBook::default(), &peers);
 
     let far = table("e", &[]);
@@ -97,15 +68,15 @@
 /// A host that is itself slow finds every owner silent. Believed by all, it would move ownership about
 /// and no owner would ever know what is in flight.
 #[tokio::test(start_paused = true)]
-async fn the_word_of_one_host_alone_moves_no_owner() {
+async fn the_claim_of_one_host_alone_moves_no_owner() {
     let mut book = OwnerBook::default();
     let silent = host("c");
 
-    let words = [
+    let believed = [
         book.hear_claim(&"a".into(), &silent, Instant::now()),
         book.hear_claim(&"a".into(), &silent, Instant::now()),
         book.hear_claim(&"b".into(), &silent, Instant::now()),
     ];
 
-    assert_eq!(words, [false, false, true]);
+    assert_eq!(believed, [false, false, true]);
 }
--- a/crates/cuminramp-gateway/src/slots/ask.rs
+++ b/crates/cuminramp-gateway/src/slots/ask.rs
@@ -36,7 +36,7 @@
 }
 
 impl PlacedBy {
-    /// The word for logs.
+    /// The name in logs and metrics.
     pub(crate) fn word(self) -> &'static str {
         match self {
             PlacedBy::Owner => "owner",
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -106,8 +106,7 @@
     }
 }
 
-/// Takes the word of another host that an owner is silent. One word alone may come from a host that is
-/// itself slow or cut off.
+/// Takes the claim of another host that an owner is silent.
 pub(crate) fn take_claim(state: &GatewayState, from: &Name, claim: &OwnerClaim) {
     let silent = claim.silent();
     let is_new = lock(&state.slots.owners).hear_claim(from, &silent, Instant::now());
