--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/beat.rs
@@ -3,6 +3,8 @@
 use cuminramp_core::{AvailabilityZone, Incarnation, Name, hash_parts};
 use serde::{Deserialize, Serialize};
 
+use crate::drains::ZoneDrain;
+
 /// The short form of a name in beats; the names themselves would make up most of a beat's bytes.
 ///
 /// ```
@@ -110,4 +112,6 @@
     pub suspects: Vec<SuspectCount>,
     /// Jobs that were ended through it lately.
     pub ended: Vec<EndedJob>,
+    /// Zones that are drained, and those that were lately.
+    pub drains: Vec<ZoneDrain>,
 }
--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -5,6 +5,8 @@
 
 use cuminramp_core::{Name, SortedMap};
 
+use crate::targets::ColdRule;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -58,6 +60,8 @@
     pub keep: Duration,
     /// Tokens that a team may have waiting; 0 means no limit.
     pub waiting_tokens: u64,
+    /// Regions in which its requests may run; all where none is named.
+    pub homes: Vec<Name>,
 }
 
 impl RouteRule {
@@ -89,12 +93,14 @@
 }
 
 /// One pool of targets.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PoolRule {
     /// Its name.
     pub name: Name,
     /// Connections that a target takes from all hosts together.
     pub max_connections: u32,
+    /// What its targets bear while they are cold.
+    pub cold: ColdRule,
 }
 
 /// One team.
@@ -108,6 +114,8 @@
     pub rate: f64,
     /// Requests at once over all hosts.
     pub burst: f64,
+    /// Regions in which its requests may run; all where none is named.
+    pub homes: Vec<Name>,
 }
 
 /// What a caller may send, and how long it may take.
@@ -209,6 +217,28 @@
         self.teams.get(&**self.keys.get(key)?)
     }
 
+    /// A team by its name.
+    pub fn team(&self, name: &str) -> Option<&TeamRule> {
+        self.teams.get(name)
+    }
+
+    /// What cold targets of each pool bear.
+    pub fn cold_rules(&self) -> SortedMap<Name, ColdRule> {
+        self.pools.iter().map(|(name, pool)| (name.clone(), pool.cold)).collect()
+    }
+
+    /// Regions in which requests for a host name may run; none where a route of it names no homes.
+    pub fn homes_of(&self, host: &str) -> Vec<Name> {
+        let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        if routes.iter().any(|route| route.homes.is_empty()) {
+            return vec![];
+        }
+        let mut homes: Vec<Name> = routes.iter().flat_map(|route| route.homes.clone()).collect();
+        homes.sort();
+        homes.dedup();
+        homes
+    }
+
     /// All teams in the order of their names.
     pub fn teams(&self) -> impl Iterator<Item = &TeamRule> {
         self.teams.values()
--- a/crates/cuminramp-fleet/src/declarations/tests.rs
+++ b/crates/cuminramp-fleet/src/declarations/tests.rs
@@ -21,11 +21,18 @@
         due: Duration::ZERO,
         keep: Duration::ZERO,
         waiting_tokens: 0,
+        homes: vec![],
     }
 }
 
 fn declared(version: u64) -> FleetDeclarations {
-    let team = TeamRule { name: "parish".into(), keys: vec!["k1".into()], rate: 1.0, burst: 1.0 };
+    let team = TeamRule {
+        name: "parish".into(),
+        keys: vec!["k1".into()],
+        rate: 1.0,
+        burst: 1.0,
+        homes: vec![],
+    };
     let routes = vec![route("/a/"), route("/a/b/")];
     FleetDeclarations::new(version, CallerLimits::default(), routes, vec![], vec![team])
 }
--- a/crates/cuminramp-fleet/src/fixtures.rs
+++ b/crates/cuminramp-fleet/src/fixtures.rs
@@ -30,5 +30,6 @@
         known: vec![],
         suspects: vec![],
         ended: vec![],
+        drains: vec![],
     }
 }
--- a/crates/cuminramp-fleet/src/health/tests.rs
+++ b/crates/cuminramp-fleet/src/health/tests.rs
@@ -4,8 +4,10 @@
 use tokio::time::{Instant, advance};
 
 use super::{HealthBook, LEAST_FAILURES, TargetOutcomes};
+use crate::homes::ZoneLimit;
 use crate::targets::{
-    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+    ColdShare, FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard,
+    TargetPhase, WorkKind,
 };
 
 const TARGET: u32 = 7;
@@ -95,6 +97,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         born_ms: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -128,8 +131,9 @@
 
 fn send(board: &mut TargetBoard, random: &mut SeededRandom) -> Option<Name> {
     let objective = Duration::from_millis(300);
-    let need = OnlineNeed { pool: "p", objective, is_again: false, tried: &[] };
-    match board.place(&need, random, Instant::now()) {
+    let zones = &ZoneLimit::none();
+    let need = OnlineNeed { pool: "p", objective, is_again: false, tried: &[], zones };
+    match board.place(&need, &ColdShare::Owner, random, Instant::now()) {
         PlacementDecision::Send(target) => Some(target.id),
         _ => None,
     }
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -8,6 +8,8 @@
 //!   believes of the others by it;
 //! - [`QuotaBook`] holds teams to their rate and burst over all hosts;
 //! - [`TargetBoard`] knows what is in flight at targets, and which of them fail;
+//! - [`DrainBook`] knows the availability zones that operators drained, and [`RegionMap`] where work of a
+//!   route or team may run;
 //! - [`SlotLedger`] hands out the slots of a group of targets, which one host owns, and says which items
 //!   give way; [`SlotSearch`] asks owners, [`OwnerBook`] says who they are;
 //! - [`AcceptanceView`] says what follows each try to make a job durable;
@@ -18,9 +20,11 @@
 mod beat;
 mod declarations;
 mod demand;
+mod drains;
 #[cfg(test)]
 mod fixtures;
 mod health;
+mod homes;
 mod jobs;
 mod message;
 mod peers;
@@ -28,6 +32,7 @@
 mod registry;
 mod rhythm;
 mod slots;
+mod steering;
 mod targets;
 
 pub use acceptance::{AcceptanceStep, AcceptanceView, FoundJob};
@@ -39,7 +44,9 @@
     TeamRule,
 };
 pub use demand::{ItemDemand, MOST_DEMAND_GROUPS, share_room};
+pub use drains::{DrainBook, ZoneDrain};
 pub use health::{DoubtChange, TargetOutcomes};
+pub use homes::{RegionMap, ZoneLimit};
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
     JobPolicy, JobSpec, UnsavedJob,
@@ -50,9 +57,12 @@
 pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
 pub use rhythm::{BeatRhythm, BeatTimes};
 pub use slots::{
-    GrantNumbers, ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed, SearchStep,
-    SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport, SlotSearch,
+    GrantNumbers, GroupShare, ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed,
+    SearchStep, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport,
+    SlotSearch,
 };
+pub use steering::SteeringArea;
 pub use targets::{
-    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
+    ColdRule, ColdShare, ColdTolerance, FleetTarget, OnlineNeed, PlacementDecision,
+    PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
 };
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap};
+use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap, rendezvous_score};
 use tokio::time::Instant;
 
 use crate::beat::{HostBeat, KnownHost};
 use crate::rhythm::BeatRhythm;
+use crate::steering::SteeringArea;
+
+/// How long a host that is not heard is still named to callers where hardly any other is: longer, and
+/// callers would be sent to hosts that are gone.
+const NAME_UNHEARD_FOR: Duration = Duration::from_secs(4);
 
 /// When a host is no longer believed to be there.
 #[derive(Clone, Copy, Debug)]
@@ -215,9 +220,38 @@
         Some(chosen.host.address.clone())
     }
 
-    /// Hosts for callers in `zone`: live ones of the zone, all live ones where it has fewer than
-    /// `fewest`, and those that are only known by name where none is heard.
-    pub fn steer(&self, zone: &str, is_me_ready: bool, fewest: usize, now: Instant) -> Vec<Name> {
+    /// Whether more than half of the hosts of a zone are heard, this one included; of all hosts where the
+    /// zone has none. No two hosts that do not hear each other both hear most.
+    pub fn hears_most_of(&self, zone: &str, now: Instant) -> bool {
+        let in_zone: Vec<&PeerRecord> =
+            self.peers.values().filter(|record| *record.host.zone == *zone).collect();
+        let present = in_zone.iter().filter(|record| !record.has_left).count();
+        let own = usize::from(*self.me.zone == *zone);
+        if present + own == 0 {
+            let (heard, all) = self.heard_of_all(now);
+            return heard * 2 > all;
+        }
+        let is_heard = |record: &&&PeerRecord| !record.has_left && self.is_heard(record, now);
+        (in_zone.iter().filter(is_heard).count() + own) * 2 > present + own
+    }
+
+    /// How many hosts come before this one in the order that rendezvous gives them for a key.
+    pub fn rank(&self, key: &str) -> usize {
+        let own = rendezvous_score(key, &self.me.address);
+        let others = self.peers.values().filter(|record| !record.has_left);
+        others.filter(|record| rendezvous_score(key, &record.host.address) > own).count()
+    }
+
+    /// Hosts for callers of an area: live ones of their zone; where it has fewer than `fewest`, those of
+    /// their region, then of the homes, then all. Where none is heard, those that were heard or became
+    /// known a moment ago.
+    pub fn steer(
+        &self,
+        area: &SteeringArea,
+        is_me_ready: bool,
+        fewest: usize,
+        now: Instant,
+    ) -> Vec<Name> {
         let mut live: Vec<&KnownHost> = Vec::new();
         if is_me_ready {
             live.push(&self.me);
@@ -230,17 +264,13 @@
         }
         if live.len() <= 1 {
             let unheard = self.peers.values().filter(|record| !record.has_left);
-            live.extend(unheard.filter(|record| !self.is_heard(record, now)).map(|r| &r.host));
-        }
-        let near: Vec<Name> = live
-            .iter()
-            .filter(|host| &*host.zone == zone)
-            .map(|h| h.caller_address.clone())
-            .collect();
-        if near.len() >= fewest {
-            return near;
+            let recent = unheard.filter(|record| {
+                let since = record.heard_at.unwrap_or(record.known_at);
+                !self.is_heard(record, now) && now.duration_since(since) < NAME_UNHEARD_FOR
+            });
+            live.extend(recent.map(|record| &record.host));
         }
-        live.iter().map(|host| host.caller_address.clone()).collect()
+        area.choose(&live, fewest)
     }
 }
 
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -17,7 +17,8 @@
 const WINDOW: u64 = 5;
 
 fn declarations() -> FleetDeclarations {
-    let team = TeamRule { name: "parish".into(), keys: vec![], rate: RATE, burst: BURST };
+    let team =
+        TeamRule { name: "parish".into(), keys: vec![], rate: RATE, burst: BURST, homes: vec![] };
     FleetDeclarations::new(1, CallerLimits::default(), vec![], vec![], vec![team])
 }
 
--- a/crates/cuminramp-fleet/src/quota/tests/division.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/division.rs
@@ -37,7 +37,7 @@
 }
 
 fn host(index: usize, (rate, burst): (f64, f64)) -> FleetHost {
-    let rule = TeamRule { name: team(), keys: vec![], rate, burst };
+    let rule = TeamRule { name: team(), keys: vec![], rate, burst, homes: vec![] };
     let declarations =
         FleetDeclarations::new(1, CallerLimits::default(), vec![], vec![], vec![rule]);
     let mut book = QuotaBook::new(tolerant(), Instant::now());
--- a/crates/cuminramp-fleet/src/slots.rs
+++ b/crates/cuminramp-fleet/src/slots.rs
@@ -20,7 +20,7 @@
 mod search;
 
 pub use grants::GrantNumbers;
-pub use ledger::{ItemGrant, ItemLimit, SlotLedger};
+pub use ledger::{GroupShare, ItemGrant, ItemLimit, SlotLedger};
 pub use message::{OwnerClaim, SlotAnswer, SlotAsk, SlotGroup, SlotOrder, SlotOutcome, SlotReport};
 pub use owners::OwnerBook;
 pub use reports::ReportTimes;
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -10,7 +10,7 @@
 use crate::beat::TargetLoad;
 #[cfg(test)]
 use crate::targets::WorkKind;
-use crate::targets::{GroupNeed, GroupPlace, TargetBoard};
+use crate::targets::{ColdShare, GroupNeed, GroupPlace, TargetBoard};
 
 mod account;
 mod items;
@@ -31,6 +31,18 @@
 /// As many slots stay free of items as callers took in the time before. An item in such a slot would be
 /// broken off within that time, and its prompt read again elsewhere.
 const RESERVE_FOR: Duration = Duration::from_millis(100);
+/// Time from the start of an ownership until the owner hands out the rate of cold targets.
+const WARM_AFTER: Duration = Duration::from_millis(1_100);
+
+/// A group, and what this host may hand out of the rate of its cold targets.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupShare<'a> {
+    /// The group.
+    pub group: &'a SlotGroup,
+    /// The share.
+    pub share: &'a ColdShare,
+}
+
 #[derive(Debug)]
 struct KeptAnswer {
     host: HostId,
@@ -103,6 +115,12 @@
         self.owned.keys().copied().collect()
     }
 
+    /// Whether this host has owned a group for long enough to hand out the rate of cold targets: what the
+    /// owner before handed out is over by then.
+    pub fn may_warm(&self, group: u32, now: Instant) -> bool {
+        self.owned.get(&group).is_some_and(|owned| now.duration_since(owned.since) >= WARM_AFTER)
+    }
+
     fn is_settled(&self, group: u32, now: Instant) -> bool {
         self.owned.get(&group).is_some_and(|times| now.duration_since(times.since) >= SETTLE)
     }
@@ -174,7 +192,7 @@
         &mut self,
         board: &mut TargetBoard,
         host: &HostId,
-        group: &SlotGroup,
+        owned: GroupShare<'_>,
         ask: &SlotAsk,
         random: &mut dyn RandomSource,
         now: Instant,
@@ -186,13 +204,15 @@
         if let Some(before) = before {
             return before.answer;
         }
-        let need = GroupNeed { group, avoided: &ask.avoided, may_queue: ask.may_queue };
+        let GroupShare { group, share } = owned;
+        let need = GroupNeed { group, avoided: &ask.avoided, may_queue: ask.may_queue, share };
         let outcome = match board.place_in_group(&need, random, now) {
             GroupPlace::Slot(target) => {
                 let load = TargetLoad { target, online: 1, batch: 0 };
                 if let Some(owned) = self.owned.get_mut(&ask.group) {
                     owned.callers.push_back(now);
                 }
+                board.note_sends(target, 1, now);
                 let grant = self.grant(board, host, ask.group, load, now);
                 SlotOutcome::Granted { target, grant }
             }
--- a/crates/cuminramp-fleet/src/slots/ledger/items.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/items.rs
@@ -9,7 +9,7 @@
 use crate::beat::TargetLoad;
 use crate::demand::{ItemDemand, share_room};
 use crate::slots::SlotGroup;
-use crate::targets::TargetBoard;
+use crate::targets::{ColdShare, TargetBoard};
 
 /// An item leaves a target within a few milliseconds of being asked to, and its host reports it.
 const REPEAT_LIMIT: Duration = Duration::from_millis(15);
@@ -48,6 +48,7 @@
         board: &mut TargetBoard,
         group: &SlotGroup,
         own: Vec<ItemDemand>,
+        share: &ColdShare,
         now: Instant,
     ) -> Vec<ItemGrant> {
         let hash = group.hash();
@@ -63,7 +64,7 @@
         if demands.is_empty() {
             return grants;
         }
-        let mut free = board.free_for_items(group, now);
+        let mut free = board.free_for_items(group, share, now);
         let reserve = self.owned.get_mut(&hash).map_or(0, |owned| owned.reserve(now));
         let room = free.iter().map(|(_, slots)| slots).sum::<u32>().saturating_sub(reserve);
         let mut shares = share_room(room, &demands);
@@ -85,6 +86,7 @@
         }
         for grant in &mut grants {
             let load = TargetLoad { target: grant.target, online: 0, batch: grant.items };
+            board.note_sends(grant.target, grant.items, now);
             grant.grant = self.grant(board, &grant.host, hash, load, now);
         }
         grants
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -4,13 +4,14 @@
 use tokio::time::{Instant, advance};
 
 use super::{
-    GrantNumbers, ItemGrant, ItemLimit, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOutcome,
-    SlotReport,
+    GrantNumbers, GroupShare, ItemGrant, ItemLimit, SlotAnswer, SlotAsk, SlotGroup, SlotLedger,
+    SlotOutcome, SlotReport,
 };
 use crate::beat::{TargetLoad, name_hash};
 use crate::demand::ItemDemand;
-use crate::targets::{FleetTarget, PlacementPolicy, TargetBoard, TargetPhase, WorkKind};
+use crate::targets::{ColdShare, FleetTarget, PlacementPolicy, TargetBoard, TargetPhase, WorkKind};
 
+mod cold;
 mod foreign;
 mod owners;
 mod search;
@@ -32,6 +33,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         born_ms: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -78,7 +80,9 @@
 
     fn answer(&mut self, from: &str, ask: &SlotAsk) -> SlotAnswer {
         let (board, random) = (&mut self.board, &mut self.random);
-        self.ledger.answer(board, &host(from), &group(), ask, random, Instant::now())
+        let now = Instant::now();
+        let owned = GroupShare { group: &group(), share: &ColdShare::Owner };
+        self.ledger.answer(board, &host(from), owned, ask, random, now)
     }
 
     fn ask(&mut self, from: &str, may_queue: bool) -> SlotOutcome {
@@ -100,7 +104,8 @@
     }
 
     fn grant_items(&mut self, own: Vec<ItemDemand>) -> Vec<ItemGrant> {
-        self.ledger.grant_items(&mut self.board, &group(), own, Instant::now())
+        let now = Instant::now();
+        self.ledger.grant_items(&mut self.board, &group(), own, &ColdShare::Owner, now)
     }
 
     fn online(&self, from: &str, id: &str) -> u32 {
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -8,6 +8,7 @@
 //!
 //! A host that can ask no owner places its requests by what it has in flight itself.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap};
@@ -15,12 +16,15 @@
 
 use crate::beat::{TargetLoad, name_hash};
 use crate::health::{DoubtChange, HealthBook, TargetOutcomes};
+use crate::homes::ZoneLimit;
 use crate::slots::SlotGroup;
 
+mod cold;
 mod foreign;
 mod group;
 mod placement;
 
+pub use cold::{ColdRule, ColdShare, ColdTolerance};
 use foreign::{ForeignWork, RecentPeak};
 pub(crate) use group::{GroupNeed, GroupPlace};
 
@@ -50,6 +54,8 @@
     pub phase: TargetPhase,
     /// When this run began, in milliseconds of Unix time; 0 where it does not say.
     pub born_ms: u64,
+    /// How much longer it is cold, as it said last.
+    pub cold_for: Duration,
 }
 
 impl FleetTarget {
@@ -65,6 +71,7 @@
     ///     slots: 8,
     ///     phase: TargetPhase::Serving,
     ///     born_ms: 1,
+    ///     cold_for: std::time::Duration::ZERO,
     /// };
     /// assert_eq!(&*target.group().zone, "z");
     /// ```
@@ -98,6 +105,8 @@
     /// Slots that a target in another zone must have free beyond one in the caller's zone. Bytes
     /// between zones cost and take longer, a queue costs more.
     pub zone_bonus: u32,
+    /// What operators tolerate beyond the declared rate of cold targets.
+    pub cold_tolerance: ColdTolerance,
 }
 
 impl Default for PlacementPolicy {
@@ -109,6 +118,7 @@
             wait_share: 0.6,
             first_hold: Duration::from_millis(700),
             zone_bonus: 2,
+            cold_tolerance: ColdTolerance { factor: 1.0, requests: 0.0 },
         }
     }
 }
@@ -125,6 +135,8 @@
     pub is_again: bool,
     /// Targets that it was sent to already.
     pub tried: &'a [Name],
+    /// Where it may run.
+    pub zones: &'a ZoneLimit,
 }
 
 /// Where a request goes.
@@ -156,6 +168,11 @@
     full_until: Option<Instant>,
     paused_until: Option<Instant>,
     failures: u32,
+    /// Whether its zone is drained.
+    is_drained: bool,
+    cold_until: Option<Instant>,
+    /// When it got requests lately, as far as this host handed them out.
+    sends: VecDeque<Instant>,
 }
 
 impl BoardEntry {
@@ -185,8 +202,12 @@
         self.own_online + self.own_batch
     }
 
+    fn takes_work(&self) -> bool {
+        self.target.phase == TargetPhase::Serving && !self.is_drained
+    }
+
     fn is_open(&self, now: Instant) -> bool {
-        self.target.phase == TargetPhase::Serving
+        self.takes_work()
             && self.full_until.is_none_or(|until| until <= now)
             && self.paused_until.is_none_or(|until| until <= now)
     }
@@ -203,6 +224,9 @@
     peer_loads: SortedMap<HostId, Vec<TargetLoad>>,
     health: HealthBook,
     hold: Duration,
+    /// Zones whose targets get nothing new, in the order of their names.
+    drained: Vec<AvailabilityZone>,
+    cold_rules: SortedMap<Name, ColdRule>,
 }
 
 /// How much a new sample weighs in the average time that a request holds a slot.
@@ -220,6 +244,8 @@
             peer_loads: SortedMap::new(),
             health: HealthBook::new(),
             hold: policy.first_hold,
+            drained: Vec::new(),
+            cold_rules: SortedMap::new(),
         }
     }
 
@@ -229,6 +255,7 @@
         let group = target.group();
         let group_hash = group.hash();
         self.groups.insert(group_hash, group);
+        let is_drained = self.drained.binary_search(&target.zone).is_ok();
         if let Some(entry) = self.entries.get_mut(&target.id) {
             if entry.target.born_ms > target.born_ms {
                 return;
@@ -239,14 +266,16 @@
                 entry.foreign = ForeignWork::none(now);
                 self.health.forget(name_hash(&target.id));
             }
+            entry.note_cold(target.cold_for, now);
             entry.target = target;
             entry.group = group_hash;
+            entry.is_drained = is_drained;
             return;
         }
         let hash = name_hash(&target.id);
         self.hashes.insert(hash, target.id.clone());
         let (others_online, others_batch) = self.told_of(hash);
-        let entry = BoardEntry {
+        let mut entry = BoardEntry {
             hash,
             group: group_hash,
             own_online: 0,
@@ -259,8 +288,12 @@
             full_until: None,
             paused_until: None,
             failures: 0,
+            is_drained,
+            cold_until: None,
+            sends: VecDeque::new(),
             target,
         };
+        entry.note_cold(entry.target.cold_for, now);
         self.entries.insert(entry.target.id.clone(), entry);
     }
 
@@ -272,6 +305,21 @@
         }
     }
 
+    /// Takes the zones that are drained, in the order of their names. The targets of one that was taken
+    /// back may be cold and not have said so yet.
+    pub fn set_drained(&mut self, zones: Vec<AvailabilityZone>, now: Instant) {
+        let cold_times: Vec<Duration> =
+            self.entries.values().map(|entry| self.cold_time(&entry.target.pool)).collect();
+        for ((_, entry), cold_time) in self.entries.iter_mut().zip(cold_times) {
+            let was_drained = entry.is_drained;
+            entry.is_drained = zones.binary_search(&entry.target.zone).is_ok();
+            if was_drained && !entry.is_drained {
+                entry.note_cold(cold_time, now);
+            }
+        }
+        self.drained = zones;
+    }
+
     /// Part of the objective that waiting at a target may use up.
     pub fn wait_share(&self) -> f64 {
         self.policy.wait_share
@@ -427,9 +475,8 @@
 
     /// Slots of a pool that are taken, and all, of targets that take work.
     pub fn occupancy(&self, pool: &str) -> (u32, u32) {
-        let of_pool = self.entries.values().filter(|entry| {
-            &*entry.target.pool == pool && entry.target.phase == TargetPhase::Serving
-        });
+        let of_pool =
+            self.entries.values().filter(|entry| &*entry.target.pool == pool && entry.takes_work());
         of_pool.fold((0, 0), |sum, entry| (sum.0 + entry.total(), sum.1 + entry.target.slots))
     }
 }
--- a/crates/cuminramp-fleet/src/targets/group.rs
+++ b/crates/cuminramp-fleet/src/targets/group.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::{Name, RandomSource};
 use tokio::time::Instant;
 
-use super::{BoardEntry, FleetTarget, TargetBoard, TargetPhase};
+use super::{BoardEntry, ColdShare, FleetTarget, TargetBoard};
 use crate::beat::TargetLoad;
 use crate::health::TargetOutcomes;
 use crate::slots::SlotGroup;
@@ -19,6 +19,8 @@
     pub(crate) avoided: &'a [u32],
     /// Whether a place in a queue will do.
     pub(crate) may_queue: bool,
+    /// What may be handed out of the rate of cold targets.
+    pub(crate) share: &'a ColdShare,
 }
 
 /// Where a request goes in a group.
@@ -43,8 +45,10 @@
         now: Instant,
     ) -> GroupPlace {
         let hash = need.group.hash();
-        let open =
+        let usable =
             self.usable(|entry| entry.group == hash && !need.avoided.contains(&entry.hash), now);
+        let has_rate = |entry: &&BoardEntry| self.sends_left(entry, need.share, now) > 0;
+        let open: Vec<&BoardEntry> = usable.iter().copied().filter(has_rate).collect();
         if let Some(entry) = self.with_free_slot(&open, usize::MAX, random) {
             return GroupPlace::Slot(entry.hash);
         }
@@ -52,18 +56,26 @@
             return GroupPlace::Slot(entry.hash);
         }
         match self.shortest_queue(&open, random) {
-            None => GroupPlace::Empty,
+            None => self.cold_wait(&usable, now).map_or(GroupPlace::Empty, GroupPlace::Busy),
             Some((_, entry)) if need.may_queue => GroupPlace::Slot(entry.hash),
             Some((wait, _)) => GroupPlace::Busy(wait),
         }
     }
 
     /// Targets of a group with slots that batch items may enter, and how many.
-    pub(crate) fn free_for_items(&self, group: &SlotGroup, now: Instant) -> Vec<(u32, u32)> {
+    pub(crate) fn free_for_items(
+        &self,
+        group: &SlotGroup,
+        share: &ColdShare,
+        now: Instant,
+    ) -> Vec<(u32, u32)> {
         let hash = group.hash();
         let open = self.entries.values().filter(|entry| entry.group == hash && entry.is_open(now));
-        let free =
-            open.map(|entry| (entry.hash, self.batch_slots(entry).saturating_sub(entry.total())));
+        let free = open.map(|entry| {
+            let slots = self.batch_slots(entry).saturating_sub(entry.total());
+            let rate = self.items_left(entry, share, now);
+            (entry.hash, slots.min(u32::try_from(rate).unwrap_or(u32::MAX)))
+        });
         free.filter(|(_, slots)| *slots > 0).collect()
     }
 
@@ -87,9 +99,7 @@
     /// The groups of a pool with targets that take work.
     pub fn groups(&self, pool: &str) -> Vec<SlotGroup> {
         let serving = |group: u32| {
-            self.entries
-                .values()
-                .any(|entry| entry.group == group && entry.target.phase == TargetPhase::Serving)
+            self.entries.values().any(|entry| entry.group == group && entry.takes_work())
         };
         let of_pool = self.groups.iter().filter(|(_, group)| &*group.pool == pool);
         of_pool.filter(|(hash, _)| serving(**hash)).map(|(_, group)| group.clone()).collect()
@@ -110,6 +120,12 @@
         self.hashes.get(&hash).and_then(|id| self.get(id))
     }
 
+    /// The target of a grant, if it still takes work here.
+    pub fn granted(&self, hash: u32) -> Option<&FleetTarget> {
+        let entry = self.hashes.get(&hash).and_then(|id| self.entries.get(id));
+        entry.filter(|entry| entry.takes_work()).map(|entry| &entry.target)
+    }
+
     /// Whether this host has anything in flight in a group.
     pub fn is_busy_in(&self, group: &SlotGroup) -> bool {
         let hash = group.hash();
--- a/crates/cuminramp-fleet/src/targets/placement.rs
+++ b/crates/cuminramp-fleet/src/targets/placement.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::RandomSource;
 use tokio::time::Instant;
 
-use super::{BoardEntry, OnlineNeed, PlacementDecision, TargetBoard, TargetPhase};
+use super::{BoardEntry, ColdShare, OnlineNeed, PlacementDecision, TargetBoard};
 use crate::slots::return_after;
 
 /// Targets that a request chooses among where no owner decides: enough to find one of the caller's zone
@@ -18,17 +18,28 @@
 const LEAST_HOLD_S: f64 = 0.001;
 
 impl TargetBoard {
-    /// Places a request by what this host knows itself, where no owner of slots can be asked.
+    /// Places a request by what this host knows itself, where no owner of slots can be asked. `share` is
+    /// what it may send to cold targets alone.
     pub fn place(
         &self,
         need: &OnlineNeed<'_>,
+        share: &ColdShare,
         random: &mut dyn RandomSource,
         now: Instant,
     ) -> PlacementDecision {
         let of_pool = |entry: &&BoardEntry| {
-            &*entry.target.pool == need.pool && !need.tried.contains(&entry.target.id)
+            &*entry.target.pool == need.pool
+                && !need.tried.contains(&entry.target.id)
+                && need.zones.allows(&entry.target.zone)
         };
-        let open = self.usable(of_pool, now);
+        let usable = self.usable(of_pool, now);
+        let has_rate = |entry: &&BoardEntry| self.sends_left(entry, share, now) > 0;
+        let open: Vec<&BoardEntry> = usable.iter().copied().filter(has_rate).collect();
+        if open.is_empty()
+            && let Some(wait) = self.cold_wait(&usable, now)
+        {
+            return PlacementDecision::Full(return_after(wait, random));
+        }
         if let Some(entry) = self.with_free_slot(&open, CHOICES, random) {
             return PlacementDecision::Send(entry.target.clone());
         }
@@ -65,8 +76,8 @@
         let open: Vec<&BoardEntry> =
             self.entries.values().filter(&of_pool).filter(|entry| entry.is_open(now)).collect();
         if open.is_empty() {
-            let serving = |entry: &&BoardEntry| entry.target.phase == TargetPhase::Serving;
-            return self.entries.values().filter(&of_pool).filter(serving).collect();
+            let serving = self.entries.values().filter(|entry| entry.takes_work());
+            return serving.filter(&of_pool).collect();
         }
         let sound: Vec<&BoardEntry> =
             open.iter().copied().filter(|entry| !self.is_doubtful(entry)).collect();
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -1,12 +1,17 @@
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name, SeededRandom};
 use tokio::time::Instant;
 
 use super::{
-    FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard, TargetPhase,
+    ColdShare, FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard,
+    TargetPhase,
 };
 use crate::beat::{TargetLoad, name_hash};
+use crate::homes::ZoneLimit;
+
+static ANYWHERE: OnceLock<ZoneLimit> = OnceLock::new();
 
 fn host(address: &str) -> HostId {
     HostId { address: address.into(), incarnation: 1 }
@@ -21,6 +26,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         born_ms: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -37,11 +43,17 @@
 }
 
 fn need<'a>(is_again: bool, tried: &'a [Name]) -> OnlineNeed<'a> {
-    OnlineNeed { pool: "p", objective: Duration::from_millis(300), is_again, tried }
+    let zones = ANYWHERE.get_or_init(ZoneLimit::none);
+    OnlineNeed { pool: "p", objective: Duration::from_millis(300), is_again, tried, zones }
+}
+
+fn try_place(board: &TargetBoard) -> PlacementDecision {
+    let need = need(false, &[]);
+    board.place(&need, &ColdShare::Owner, &mut SeededRandom::new(1), Instant::now())
 }
 
 fn place(board: &TargetBoard, need: &OnlineNeed<'_>) -> Option<Name> {
-    match board.place(need, &mut SeededRandom::new(1), Instant::now()) {
+    match board.place(need, &ColdShare::Owner, &mut SeededRandom::new(1), Instant::now()) {
         PlacementDecision::Send(target) => Some(target.id),
         _ => None,
     }
@@ -74,7 +86,7 @@
     let in_time = place(&board, &need(false, &[]));
     board.hear(&host("b"), vec![load("e1", 12, 0)]);
 
-    let refused = board.place(&need(false, &[]), &mut SeededRandom::new(1), Instant::now());
+    let refused = try_place(&board);
     let again = place(&board, &need(true, &[]));
 
     assert_eq!(in_time.as_deref(), Some("e1"));
@@ -105,7 +117,7 @@
 
     board.put(FleetTarget { phase: TargetPhase::Draining, ..target("e1", "z1") });
 
-    let decision = board.place(&need(false, &[]), &mut SeededRandom::new(1), Instant::now());
+    let decision = try_place(&board);
     assert_eq!(decision, PlacementDecision::Nowhere);
 }
 
--- a/crates/cuminramp-gateway/src/borders.rs
+++ b/crates/cuminramp-gateway/src/borders.rs
@@ -98,7 +98,11 @@
 /// A question for hosts to use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SteeringCall {
-    /// Where the caller stands.
+    /// The host name that the caller is going to use.
+    pub host: Name,
+    /// The region where the caller stands.
+    pub region: Name,
+    /// The zone where it stands.
     pub zone: AvailabilityZone,
 }
 
@@ -206,6 +210,9 @@
     /// Reads a target.
     fn read_target(&self, row: &Row) -> Result<FleetTarget, FormatFault>;
 
+    /// The zone that a row of the declarations' table drains, by its key alone.
+    fn drained_zone(&self, key: &str) -> Option<AvailabilityZone>;
+
     /// The target that a row is about, by its key alone.
     fn target_id(&self, key: &str) -> Option<Name>;
 }
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -178,8 +178,10 @@
         log_refusal(head, Some(&route), version, &refusal);
         return Err(refusal);
     };
+    let team_homes = team.map_or(&[][..], |team| &team.homes);
+    let zones = state.regions.limit(&route.homes, team_homes);
     let team = team.map(|team| team.name.clone());
-    Ok(AdmittedRequest { parts, head: head.clone(), body, route, team, pool })
+    Ok(AdmittedRequest { parts, head: head.clone(), body, route, team, pool, zones })
 }
 
 /// The team of a call; `None` where none is needed and no known key came.
--- a/crates/cuminramp-gateway/src/entry/service_points.rs
+++ b/crates/cuminramp-gateway/src/entry/service_points.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cuminramp_fleet::SteeringArea;
 use cuminramp_http::accept_next;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -16,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use crate::borders::SteeringCall;
 use crate::state::{GatewayState, lock};
 
 /// Until the head of a small call is whole.
@@ -62,6 +64,17 @@
     response
 }
 
+/// Where a caller stands, and where its work may run.
+fn steering_area(state: &GatewayState, call: SteeringCall) -> SteeringArea {
+    let homes = state.declared().map_or_else(Vec::new, |declared| declared.homes_of(&call.host));
+    let home_zones = homes.iter().flat_map(|home| state.regions.zones_of(home));
+    SteeringArea {
+        region_zones: state.regions.zones_of(&call.region),
+        home_zones: home_zones.collect(),
+        zone: call.zone,
+    }
+}
+
 /// Tells callers which hosts to use.
 pub(crate) async fn serve_steering(state: Arc<GatewayState>, listener: TcpListener) {
     serve_small(state, listener, |state, request| {
@@ -72,8 +85,9 @@
             return small(StatusCode::NOT_FOUND, "{}");
         };
         let is_ready = state.is_ready();
+        let area = steering_area(state, call);
         let peers = lock(&state.peers);
-        let mut hosts = peers.steer(&call.zone, is_ready, FEWEST_IN_ZONE, Instant::now());
+        let mut hosts = peers.steer(&area, is_ready, FEWEST_IN_ZONE, Instant::now());
         drop(peers);
         hosts.truncate(MOST_HOSTS);
         if hosts.is_empty() {
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 
 use cuminramp_core::{HostId, Name, SeededRandom};
 use cuminramp_fleet::{
-    JobBoard, JobPolicy, KnownHost, PeerPolicy, PeerTable, PlacementPolicy, QuotaBook,
-    QuotaTolerance, TargetBoard,
+    ColdTolerance, JobBoard, JobPolicy, KnownHost, PeerPolicy, PeerTable, PlacementPolicy,
+    QuotaBook, QuotaTolerance, RegionMap, TargetBoard,
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::CrashRegister;
@@ -125,12 +125,24 @@
         requests: settings.rate_tolerance_requests,
         window: Duration::from_secs_f64(settings.rate_window_s),
     };
+    let placement = PlacementPolicy {
+        cold_tolerance: ColdTolerance {
+            factor: settings.cold_tolerance_factor,
+            requests: settings.cold_tolerance_requests,
+        },
+        ..PlacementPolicy::default()
+    };
+    let zones = settings.zone_regions.iter();
+    let regions =
+        RegionMap::new(zones.map(|set| (set.zone.as_str().into(), set.region.as_str().into())));
     let metrics =
         GatewayMetrics::new().map_err(|error| GatewayError::Metrics(error.to_string()))?;
     Ok(GatewayState {
         declarations: Default::default(),
         quota: QuotaBook::new(tolerance, now).into(),
-        board: TargetBoard::new(me.zone.clone(), PlacementPolicy::default()).into(),
+        board: TargetBoard::new(me.zone.clone(), placement).into(),
+        drains: Default::default(),
+        regions,
         slots: SlotState::new(id),
         crashes: CrashRegister::new(MOST_CRASHES, QUARANTINE).into(),
         peers: PeerTable::new(me.clone(), PEERS).into(),
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use keeper::JobKeepers;
 pub(crate) use leave::hand_jobs_over;
 pub(crate) use read::{read_item, read_results};
-pub(crate) use run::{RunningItems, fill_slots, pool_of, run_items, waiting_pools};
+pub(crate) use run::{RunningItems, fill_slots, may_run_in, run_items, waiting_pools};
 pub(crate) use takeover::take_jobs_over;
 
 /// Who asks about a job.
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -128,6 +128,18 @@
     route.pick_pool(cuminramp_core::hash_parts(&[&spec.id])).cloned()
 }
 
+/// Whether a job's items go to a pool now, and may run in a zone.
+pub(crate) fn may_run_in(state: &GatewayState, spec: &JobSpec, pool: &str, zone: &str) -> bool {
+    if pool_of(state, spec).as_deref() != Some(pool) {
+        return false;
+    }
+    let Some(declared) = state.declared() else { return false };
+    let path = spec.items.first().map_or("", |item| &item.path);
+    let route_homes = declared.find_route(&spec.host, path).map_or(&[][..], |route| &route.homes);
+    let team_homes = declared.team(&spec.team).map_or(&[][..], |team| &team.homes);
+    state.regions.limit(route_homes, team_homes).allows(zone)
+}
+
 /// Pools for which items of this host wait.
 pub(crate) fn waiting_pools(state: &GatewayState) -> Vec<Name> {
     if state.is_draining() {
@@ -155,7 +167,7 @@
     }
     let now = Instant::now();
     for started in 0..most {
-        let accepts = |spec: &JobSpec| pool_of(state, spec).as_deref() == Some(pool);
+        let accepts = |spec: &JobSpec| may_run_in(state, spec, pool, &target.zone);
         let Some(start) = lock(&state.jobs).next(accepts, now) else { return started };
         start_item(state, start, target.clone());
     }
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
-use cuminramp_fleet::{FleetTarget, OnlineNeed, PlacementDecision, RouteKind, RouteRule, WorkKind};
+use cuminramp_fleet::{
+    FleetTarget, OnlineNeed, PlacementDecision, RouteKind, RouteRule, WorkKind, ZoneLimit,
+};
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
 use tokio::time::Instant;
@@ -36,6 +38,8 @@
     pub(crate) route: RouteRule,
     pub(crate) team: Option<Name>,
     pub(crate) pool: Name,
+    /// Where it may run.
+    pub(crate) zones: ZoneLimit,
 }
 
 /// A request on its way through targets.
@@ -142,6 +146,7 @@
             objective: self.request.route.objective,
             is_again: is_again(&self.request.head, &self.request.route) || self.runs > 0,
             tried: &self.tried,
+            zones: &self.request.zones,
         };
         let began = Instant::now();
         let (decision, placed_by) = find_slot(&self.state, &need).await;
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/beats.rs
@@ -11,7 +11,7 @@
 use super::socket::{HostSocket, send_to_host};
 use crate::jobs::notice_end;
 use crate::state::{GatewayState, lock};
-use crate::sync::ask_for_news;
+use crate::sync::{ask_for_news, take_drains};
 
 /// Hosts that a whole beat names.
 const KNOWN_IN_BEAT: usize = 2;
@@ -63,6 +63,7 @@
     // would stop the host for good.
     let declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
     let targets = lock(&state.news).targets_version();
+    let drains = lock(&state.drains).tell(is_usage_whole, now);
     let quota = lock(&state.quota);
     let (usage, is_settled) = (quota.usage(is_usage_whole, now), quota.is_settled(now));
     drop(quota);
@@ -82,6 +83,7 @@
         is_settled,
         known,
         ended: state.directory.ended_lately(TELL_ENDS_FOR, now),
+        drains,
         suspects: suspects
             .into_iter()
             .map(|(fingerprint, crashes)| SuspectCount { fingerprint, crashes })
@@ -199,6 +201,8 @@
             tokio::spawn(async move { greet_host(&state, &address).await });
         }
     }
+    // Before news of declarations are asked for: once those are in force, requests are sent.
+    take_drains(state, told.drains.clone(), &id.address);
     lock(&state.quota).hear(&told, was_silent, now);
     for ended in &told.ended {
         notice_end(state, ended, &id);
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -27,6 +27,7 @@
         known: vec![],
         suspects: vec![],
         ended: vec![],
+        drains: vec![],
     }
 }
 
--- a/crates/cuminramp-gateway/src/slots/ask.rs
+++ b/crates/cuminramp-gateway/src/slots/ask.rs
@@ -7,11 +7,12 @@
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
     HostMessage, OnlineNeed, OwnerClaim, PlacementDecision, SearchNeed, SearchStep, SlotAnswer,
-    SlotAsk, SlotGroup, SlotOutcome, SlotSearch,
+    SlotAsk, SlotGroup, SlotOutcome, SlotSearch, name_hash,
 };
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+use super::cold::lone_share;
 use super::owner::answer_ask;
 use super::owner_of;
 use crate::peers::send_to_host;
@@ -51,7 +52,8 @@
     state: &Arc<GatewayState>,
     need: &OnlineNeed<'_>,
 ) -> (PlacementDecision, PlacedBy) {
-    let groups = lock(&state.board).groups(need.pool);
+    let mut groups = lock(&state.board).groups(need.pool);
+    groups.retain(|group| need.zones.allows(&group.zone));
     let mut search = {
         let mut random = lock(&state.random);
         SlotSearch::new(groups, &state.me.zone, &mut **random)
@@ -72,8 +74,8 @@
             return (guess(state, need), PlacedBy::Guess);
         };
         if let SlotOutcome::Granted { target, .. } = outcome {
-            // A target that this host does not know yet is none to it.
-            if let Some(target) = lock(&state.board).by_hash(target).cloned() {
+            // A target that this host does not know, or knows to get nothing new, is none to it.
+            if let Some(target) = lock(&state.board).granted(target).cloned() {
                 return (PlacementDecision::Send(target), placed_by);
             }
         }
@@ -83,9 +85,15 @@
 
 /// Chooses by what this host has in flight itself.
 fn guess(state: &GatewayState, need: &OnlineNeed<'_>) -> PlacementDecision {
-    let board = lock(&state.board);
+    let now = Instant::now();
+    let share = lone_share(state, need.pool, None, now);
+    let mut board = lock(&state.board);
     let mut random = lock(&state.random);
-    board.place(need, &mut **random, Instant::now())
+    let decision = board.place(need, &share, &mut **random, now);
+    if let PlacementDecision::Send(target) = &decision {
+        board.note_sends(name_hash(&target.id), 1, now);
+    }
+    decision
 }
 
 /// Asks the owner of a group, and the next one where that is silent.
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -1,6 +1,7 @@
 //! Slots of targets: questions to their owners, reports to them, and what this host owns itself.
 
 mod ask;
+mod cold;
 mod owner;
 mod report;
 
@@ -14,7 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
-use crate::jobs::pool_of;
+use crate::jobs::may_run_in;
 use crate::state::{GatewayState, lock};
 
 pub(crate) use ask::{PlacedBy, find_slot, take_answer};
@@ -94,11 +95,11 @@
     lock(&state.slots.owners).owner(group, &peers, is_me_ready, Instant::now())
 }
 
-/// Items of this host that wait for a slot of a pool.
-fn item_demand(state: &GatewayState, pool: &str) -> Vec<ItemDemand> {
+/// Items of this host that wait for a slot of a group.
+fn item_demand(state: &GatewayState, group: &SlotGroup) -> Vec<ItemDemand> {
     if state.is_draining() {
         return vec![];
     }
     let jobs = lock(&state.jobs);
-    jobs.demand(|spec| pool_of(state, spec).as_deref() == Some(pool), Instant::now())
+    jobs.demand(|spec| may_run_in(state, spec, &group.pool, &group.zone), Instant::now())
 }
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -5,11 +5,12 @@
 
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
-    HostMessage, ItemGrant, ItemLimit, OwnerClaim, SlotAnswer, SlotAsk, SlotGroup, SlotOrder,
-    SlotReport,
+    GroupShare, HostMessage, ItemGrant, ItemLimit, OwnerClaim, SlotAnswer, SlotAsk, SlotGroup,
+    SlotOrder, SlotReport,
 };
 use tokio::time::Instant;
 
+use super::cold::group_share;
 use super::report::{keep_items, start_granted};
 use super::{item_demand, owner_of};
 use crate::peers::send_to_host;
@@ -27,11 +28,14 @@
     group: &SlotGroup,
     ask: &SlotAsk,
 ) -> SlotAnswer {
+    let now = Instant::now();
+    let share = group_share(state, group, now);
     let answer = {
         let mut board = lock(&state.board);
         let mut ledger = lock(&state.slots.ledger);
         let mut random = lock(&state.random);
-        ledger.answer(&mut board, host, group, ask, &mut **random, Instant::now())
+        let owned = GroupShare { group, share: &share };
+        ledger.answer(&mut board, host, owned, ask, &mut **random, now)
     };
     if *host != state.id() {
         send_to_host(state, HostMessage::Answer(answer), &host.address).await;
@@ -89,12 +93,14 @@
 }
 
 async fn grant_items(state: &Arc<GatewayState>, group: &SlotGroup) {
-    let own = item_demand(state, &group.pool);
+    let own = item_demand(state, group);
+    let now = Instant::now();
+    lock(&state.slots.ledger).note_owned(group.hash(), now);
+    let share = group_share(state, group, now);
     let grants = {
         let mut board = lock(&state.board);
         let mut ledger = lock(&state.slots.ledger);
-        ledger.note_owned(group.hash(), Instant::now());
-        ledger.grant_items(&mut board, group, own, Instant::now())
+        ledger.grant_items(&mut board, group, own, &share, now)
     };
     for ItemGrant { host, target, items, grant } in grants {
         if host == state.id() {
--- a/crates/cuminramp-gateway/src/slots/report.rs
+++ b/crates/cuminramp-gateway/src/slots/report.rs
@@ -54,7 +54,7 @@
 
 fn make_report(state: &GatewayState, group: &SlotGroup, owner: &HostId) -> SlotReport {
     let now = Instant::now();
-    let demand = item_demand(state, &group.pool);
+    let demand = item_demand(state, group);
     let seen_grant = state.slots.tell_grants(&owner.address);
     let mut board = lock(&state.board);
     SlotReport {
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -5,7 +5,8 @@
 
 use cuminramp_core::{HostId, RandomSource};
 use cuminramp_fleet::{
-    DeclarationStore, FleetDeclarations, JobBoard, KnownHost, PeerTable, QuotaBook, TargetBoard,
+    DeclarationStore, DrainBook, FleetDeclarations, JobBoard, KnownHost, PeerTable, QuotaBook,
+    RegionMap, TargetBoard,
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::CrashRegister;
@@ -42,6 +43,8 @@
     pub(crate) calls: Arc<dyn CallFormat>,
     pub(crate) fleet: Arc<dyn FleetFormat>,
     pub(crate) declarations: Mutex<DeclarationStore>,
+    pub(crate) drains: Mutex<DrainBook>,
+    pub(crate) regions: RegionMap,
     pub(crate) quota: Mutex<QuotaBook>,
     pub(crate) board: Mutex<TargetBoard>,
     /// Requests that broke targets.
--- /dev/null
+++ b/crates/cuminramp-gateway/src/sync/drains.rs
@@ -0,0 +1,60 @@
+//! Zones that operators drain, from the store and from other hosts.
+
+use std::sync::Arc;
+
+use cuminramp_fleet::ZoneDrain;
+use cuminramp_platform::{RowChange, TableSnapshot};
+use tokio::time::Instant;
+
+use crate::state::{GatewayState, lock};
+
+/// Takes the drains among all rows of the operators' table.
+pub(super) fn take_drain_rows(state: &Arc<GatewayState>, snapshot: &TableSnapshot) {
+    let listed = snapshot.rows.iter().filter_map(|row| {
+        let zone = state.fleet.drained_zone(&row.key)?;
+        Some(ZoneDrain { zone, version: row.version, is_drained: true })
+    });
+    let now = Instant::now();
+    let news = lock(&state.drains).take_whole(listed.collect(), snapshot.version, now);
+    enforce(state, &news, "store");
+}
+
+/// Takes the drains among changed rows of the operators' table.
+pub(super) fn take_drain_changes(state: &Arc<GatewayState>, changes: &[RowChange]) {
+    let changed = changes.iter().filter_map(|change| {
+        let zone = state.fleet.drained_zone(&change.row.key)?;
+        Some(ZoneDrain { zone, version: change.row.version, is_drained: !change.is_deleted })
+    });
+    take_drains(state, changed.collect(), "store");
+}
+
+/// Takes drains that the store or another host tells.
+pub(crate) fn take_drains(state: &Arc<GatewayState>, told: Vec<ZoneDrain>, source: &str) {
+    if told.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    let mut book = lock(&state.drains);
+    let news: Vec<ZoneDrain> =
+        told.into_iter().filter(|drain| book.offer(drain.clone(), now)).collect();
+    drop(book);
+    enforce(state, &news, source);
+}
+
+/// Puts news in force here and passes them on.
+fn enforce(state: &Arc<GatewayState>, news: &[ZoneDrain], source: &str) {
+    if news.is_empty() {
+        return;
+    }
+    let drained = lock(&state.drains).drained();
+    lock(&state.board).set_drained(drained, Instant::now());
+    for drain in news {
+        let message = if drain.is_drained { "zone-drained" } else { "zone-in-use" };
+        log::warn!(
+            zone = &*drain.zone, row_version = drain.version, source = source;
+            "{message}"
+        );
+    }
+    state.want_beat();
+    state.items_wanted.notify_one();
+}
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -1,10 +1,12 @@
 //! What the store knows, followed by watches, and by other hosts' news where the store is away.
 
+mod drains;
 mod follow;
 mod hosts;
 mod news;
 mod relay;
 
+pub(crate) use drains::take_drains;
 pub(crate) use follow::{TableFollower, follow_table};
 pub(crate) use hosts::{announce_host, learn_hosts, withdraw_host};
 pub(crate) use news::{
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -11,6 +11,7 @@
 use cuminramp_wire::fleet::{NewsReply, NewsRequest, NewsRow};
 use tokio::time::Instant;
 
+use super::drains::{take_drain_changes, take_drain_rows};
 use super::follow::TableFollower;
 use crate::state::{GatewayState, lock};
 
@@ -89,13 +90,16 @@
         DECLARATIONS_PAUSE
     }
 
+    /// Drains come first: once declarations are in force, requests are sent.
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot) {
+        take_drain_rows(state, &snapshot);
         for row in snapshot.rows {
             apply_declarations(state, row, "store");
         }
     }
 
     async fn change(&self, state: &Arc<GatewayState>, changes: Vec<RowChange>, _version: u64) {
+        take_drain_changes(state, &changes);
         for change in changes.into_iter().filter(|change| !change.is_deleted) {
             apply_declarations(state, change.row, "store");
         }
@@ -121,6 +125,7 @@
         return;
     }
     lock(&state.quota).set_limits(&declared, Instant::now());
+    lock(&state.board).set_cold_rules(declared.cold_rules());
     log::info!(
         version = declared.version(), row_version = row.version, source = source;
         "declarations-in-force"
@@ -184,6 +189,7 @@
             let phase = format!("{:?}", target.phase);
             log::info!(
                 target_id = &*target.id, phase = phase.as_str(), address = &*target.address,
+                zone = &*target.zone, cold_ms = target.cold_for.as_millis() as u64,
                 row_version = row.version, source = source;
                 "target-known"
             );
--- a/crates/cuminramp-replay/src/world.rs
+++ b/crates/cuminramp-replay/src/world.rs
@@ -101,6 +101,7 @@
             slots: plan.slots,
             phase: TargetPhase::Serving,
             born_ms: 1,
+            cold_for: Duration::ZERO,
         });
     }
     board
--- a/crates/cuminramp-replay/src/world/arrivals.rs
+++ b/crates/cuminramp-replay/src/world/arrivals.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminramp_core::{Name, RandomSource};
-use cuminramp_fleet::{ItemSpec, JobSpec, OnlineNeed, PlacementDecision};
+use cuminramp_fleet::{ItemSpec, JobSpec, OnlineNeed, PlacementDecision, ZoneLimit};
 use tokio::time::Instant;
 
 use super::{FAULT_AT, OBJECTIVE, Owner, POOL, STEP, World};
@@ -104,7 +104,9 @@
         let takes = self.vary(REQUEST_RUN);
         let mut tried: Vec<Name> = Vec::new();
         while tried.len() < MOST_UNRUN_SENDS {
+            let zones = ZoneLimit::none();
             let need = OnlineNeed {
+                zones: &zones,
                 pool: POOL,
                 objective: OBJECTIVE,
                 is_again: !may_return,
--- a/crates/cuminramp-replay/src/world/slots.rs
+++ b/crates/cuminramp-replay/src/world/slots.rs
@@ -2,8 +2,8 @@
 
 use cuminramp_core::Name;
 use cuminramp_fleet::{
-    ItemLimit, OnlineNeed, PlacementDecision, SearchNeed, SearchStep, SlotAsk, SlotOutcome,
-    SlotReport, SlotSearch,
+    ColdShare, GroupShare, ItemLimit, OnlineNeed, PlacementDecision, SearchNeed, SearchStep,
+    SlotAsk, SlotOutcome, SlotReport, SlotSearch,
 };
 use tokio::time::Instant;
 
@@ -35,7 +35,8 @@
     pub(super) fn start_items(&mut self) {
         let now = self.now;
         let owner = &mut self.owner;
-        let grants = owner.ledger.grant_items(&mut owner.board, &group(), vec![], now);
+        let grants =
+            owner.ledger.grant_items(&mut owner.board, &group(), vec![], &ColdShare::Owner, now);
         for grant in grants {
             let Some(host) = self.hosts.iter().position(|host| host.id == grant.host) else {
                 continue;
@@ -72,7 +73,8 @@
                 }
                 SearchStep::Refuse(after) => return PlacementDecision::Full(after),
                 SearchStep::Nowhere => {
-                    return self.hosts[host].board.place(need, &mut self.random, self.now);
+                    let board = &self.hosts[host].board;
+                    return board.place(need, &ColdShare::Owner, &mut self.random, self.now);
                 }
             }
         }
@@ -93,7 +95,8 @@
         };
         let owner = &mut self.owner;
         let random = &mut self.random;
-        let answer = owner.ledger.answer(&mut owner.board, &asking.id, &group, &ask, random, now);
+        let owned = GroupShare { group: &group, share: &ColdShare::Owner };
+        let answer = owner.ledger.answer(&mut owner.board, &asking.id, owned, &ask, random, now);
         self.give_way();
         answer.outcome
     }
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -43,6 +43,22 @@
     pub rate_tolerance_requests: f64,
     /// The window, in seconds.
     pub rate_window_s: f64,
+    /// The region of each availability zone. Targets in a zone that is not named run no work of routes or
+    /// teams that name home regions.
+    pub zone_regions: Vec<ZoneRegion>,
+    /// Factor by which a cold target may get more requests a second than declared.
+    pub cold_tolerance_factor: f64,
+    /// Requests in a second by which it may get more beside.
+    pub cold_tolerance_requests: f64,
+}
+
+/// The region of one availability zone.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ZoneRegion {
+    /// The zone.
+    pub zone: String,
+    /// The region.
+    pub region: String,
 }
 
 impl Default for GatewaySettings {
@@ -63,6 +79,9 @@
             rate_tolerance_share: 0.0,
             rate_tolerance_requests: 0.0,
             rate_window_s: 5.0,
+            zone_regions: vec![],
+            cold_tolerance_factor: 1.0,
+            cold_tolerance_requests: 0.0,
         }
     }
 }
@@ -128,6 +147,8 @@
     let tolerances = [
         ("rate-tolerance-share", settings.rate_tolerance_share),
         ("rate-tolerance-requests", settings.rate_tolerance_requests),
+        ("cold-tolerance-factor", settings.cold_tolerance_factor),
+        ("cold-tolerance-requests", settings.cold_tolerance_requests),
     ];
     for (place, value) in tolerances {
         if value < 0.0 {
--- a/crates/cuminramp-settings/src/lib.rs
+++ b/crates/cuminramp-settings/src/lib.rs
@@ -8,7 +8,7 @@
 mod settings;
 
 pub use check::{SettingsFault, parse_settings};
-pub use gateway::{GatewaySettings, parse_gateway_settings};
+pub use gateway::{GatewaySettings, ZoneRegion, parse_gateway_settings};
 pub use settings::{
     BatchSettings, ConfigurationSettings, DaemonSettings, LimitSettings, MarkSettings,
     PeerSettings, PlatformAccess, QuotaPolicy, QuotaSettings, RetrySettings, SteeringSettings,
