Ask other zones first after two failed sends in one

Cause: where a zone's targets are lost at one moment, its owner hears of it with the next reports. A request tried five targets of its own zone one after the other within 14 ms, each refusing the connection, and was refused although two zones had room.

Test: a_zone_in_which_two_sends_failed_is_asked_last.

--- a/crates/cuminramp-fleet/src/slots/search.rs
+++ b/crates/cuminramp-fleet/src/slots/search.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use cuminramp_core::RandomSource;
+use cuminramp_core::{AvailabilityZone, RandomSource};
 
 use super::message::{SlotGroup, SlotOutcome};
 
 /// Groups of other zones that are asked. With seven regions more would take longer than the queue of
 /// a target.
 const MOST_OTHER_GROUPS: usize = 4;
+/// Sends of one request that may fail in a zone before other zones are asked first.
+const MOST_FAILURES_IN_ZONE: usize = 2;
 /// The shortest and longest time after which a refused request is asked back.
 const RETURN_BOUNDS: (f64, f64) = (0.25, 1.6);
 
@@ -59,6 +61,18 @@
         SlotSearch { left, asked: None, shortest: None, is_queueing: false }
     }
 
+    /// Asks zones in which a request failed to reach several targets after the others.
+    ///
+    /// Where a zone loses its targets at one moment, its owner hears so with the next reports; a request
+    /// that tried target after target there would have no try left for the others.
+    pub fn after_failures(mut self, failed: &[AvailabilityZone]) -> Self {
+        let failures_in =
+            |group: &SlotGroup| failed.iter().filter(|zone| **zone == group.zone).count();
+        // Taken from the end.
+        self.left.sort_by_key(|group| failures_in(group) < MOST_FAILURES_IN_ZONE);
+        self
+    }
+
     /// What to do next.
     ///
     /// ```
--- a/crates/cuminramp-fleet/src/slots/tests/search.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/search.rs
@@ -87,3 +87,17 @@
 
     assert_eq!(step, SearchStep::Nowhere);
 }
+
+/// Guards against a request that uses up its tries in a zone whose targets were all lost at one moment.
+#[test]
+fn a_zone_in_which_two_sends_failed_is_asked_last() {
+    let waits = [("z1", 300), ("z2", 300), ("z3", 300)];
+    let once = search(&["z1", "z2", "z3"]).after_failures(&["z1".into()]);
+    let twice = search(&["z1", "z2", "z3"]).after_failures(&["z1".into(), "z1".into()]);
+
+    let (asked_after_one, _) = run(&mut { once }, need(false), &waits);
+    let (asked_after_two, _) = run(&mut { twice }, need(false), &waits);
+
+    assert_eq!(asked_after_one[0], "z1");
+    assert_eq!(asked_after_two[2], "z1");
+}
--- a/crates/cuminramp-fleet/src/targets/group.rs
+++ b/crates/cuminramp-fleet/src/targets/group.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminramp_core::{Name, RandomSource};
+use cuminramp_core::{AvailabilityZone, Name, RandomSource};
 use tokio::time::Instant;
 
 use super::{BoardEntry, ColdShare, FleetTarget, TargetBoard};
@@ -162,6 +162,11 @@
         closed.map(|entry| entry.hash).collect()
     }
 
+    /// The zones of targets.
+    pub fn zones_of(&self, ids: &[Name]) -> Vec<AvailabilityZone> {
+        ids.iter().filter_map(|id| self.get(id)).map(|target| target.zone.clone()).collect()
+    }
+
     /// The short forms of targets.
     pub fn hashes_of(&self, ids: &[Name]) -> Vec<u32> {
         ids.iter().filter_map(|id| self.entries.get(id)).map(|entry| entry.hash).collect()
--- a/crates/cuminramp-gateway/src/slots/ask.rs
+++ b/crates/cuminramp-gateway/src/slots/ask.rs
@@ -54,9 +54,10 @@
 ) -> (PlacementDecision, PlacedBy) {
     let mut groups = lock(&state.board).groups(need.pool);
     groups.retain(|group| need.zones.allows(&group.zone));
+    let failed = lock(&state.board).zones_of(need.tried);
     let mut search = {
         let mut random = lock(&state.random);
-        SlotSearch::new(groups, &state.me.zone, &mut **random)
+        SlotSearch::new(groups, &state.me.zone, &mut **random).after_failures(&failed)
     };
     let search_need = SearchNeed {
         longest_wait: need.objective.mul_f64(lock(&state.board).wait_share()),
