--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -31,8 +31,9 @@
 /// As many slots stay free of items as callers took in the time before. An item in such a slot would be
 /// broken off within that time, and its prompt read again elsewhere.
 const RESERVE_FOR: Duration = Duration::from_millis(100);
-/// Time from the start of an ownership until the owner hands out the rate of cold targets.
-const WARM_AFTER: Duration = Duration::from_millis(1_100);
+/// Time from the start of an ownership until the owner hands out the rate of cold targets: the host before
+/// it is asked for up to a second more, and what that hands out is counted for another one.
+const WARM_AFTER: Duration = Duration::from_millis(2_200);
 
 /// A group, and what this host may hand out of the rate of its cold targets.
 #[derive(Clone, Copy, Debug)]
--- a/crates/cuminramp-fleet/src/slots/tests/cold.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/cold.rs
@@ -112,6 +112,22 @@
     assert_eq!(warm, 100);
 }
 
+/// Guards against three owners in turn that all hand out their share within one second.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_waits_until_what_the_one_before_handed_out_is_over() {
+    let mut owner = owner(&[cold_target("t1")]);
+    owner.ledger.note_owned(group().hash(), Instant::now());
+
+    let mut may_warm = Vec::new();
+    for _ in 0..5 {
+        advance(Duration::from_millis(500)).await;
+        owner.ledger.note_owned(group().hash(), Instant::now());
+        may_warm.push(owner.ledger.may_warm(group().hash(), Instant::now()));
+    }
+
+    assert_eq!(may_warm, [false, false, false, false, true]);
+}
+
 /// Guards against items that use up the rate of a cold target while callers wait.
 #[tokio::test(start_paused = true)]
 async fn items_leave_callers_half_of_the_rate() {
--- a/models/check.sh
+++ b/models/check.sh
@@ -35,7 +35,7 @@
   case "$found" in "$wanted"*) ;; *) failed=1 ;; esac
 }
 
-for model in tokens chunks marks told accept keeper slots; do
+for model in tokens chunks marks told accept keeper slots cold drains; do
   expect holds "$model"
   for mutant in $(grep -oE 'MUTANT_[A-Z_]+' "$model.pml" | sort -u); do
     expect broken "$model" "-D$mutant"
