Name as many hosts of other zones to callers as of their own

Cause: callers were told hosts of their own zone only.

An answer that can't hold all hosts draws them by chance; it held the first by name before, so the others got no caller.

Tests: steering::tests.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -61,7 +61,7 @@
     SearchStep, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport,
     SlotSearch,
 };
-pub use steering::SteeringArea;
+pub use steering::{SteeringArea, SteeringBounds};
 pub use targets::{
     ColdRule, ColdShare, ColdTolerance, FleetTarget, OnlineNeed, PlacementDecision,
     PlacementPolicy, TargetBoard, TargetPhase, WorkKind,
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap, rendezvous_score};
+use cuminramp_core::{AvailabilityZone, HostId, Name, RandomSource, SortedMap, rendezvous_score};
 use tokio::time::Instant;
 
 use crate::beat::{HostBeat, KnownHost};
 use crate::rhythm::BeatRhythm;
-use crate::steering::SteeringArea;
+use crate::steering::{SteeringArea, SteeringBounds};
 
 /// How long a host that is not heard is still named to callers where hardly any other is: longer, and
 /// callers would be sent to hosts that are gone.
@@ -242,14 +242,14 @@
         others.filter(|record| rendezvous_score(key, &record.host.address) > own).count()
     }
 
-    /// Hosts for callers of an area: live ones of their zone; where it has fewer than `fewest`, those of
-    /// their region, then of the homes, then all. Where none is heard, those that were heard or became
-    /// known a moment ago.
+    /// Live hosts for callers of an area, as it chooses them. Where none is heard, those that were heard or
+    /// became known a moment ago.
     pub fn steer(
         &self,
         area: &SteeringArea,
         is_me_ready: bool,
-        fewest: usize,
+        bounds: SteeringBounds,
+        random: &mut dyn RandomSource,
         now: Instant,
     ) -> Vec<Name> {
         let mut live: Vec<&KnownHost> = Vec::new();
@@ -270,7 +270,7 @@
             });
             live.extend(recent.map(|record| &record.host));
         }
-        area.choose(&live, fewest)
+        area.choose(&live, bounds, random)
     }
 }
 
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -1,17 +1,22 @@
 use std::time::Duration;
 
-use cuminramp_core::HostId;
+use cuminramp_core::{HostId, Name, SeededRandom};
 use tokio::time::{Instant, advance};
 
 use super::{PeerPolicy, PeerTable};
 use crate::beat::HostBeat;
 use crate::fixtures::{host_beat as beat, known_host as known};
-use crate::steering::SteeringArea;
+use crate::steering::{SteeringArea, SteeringBounds};
 
 fn area(zone: &str) -> SteeringArea {
     SteeringArea { zone: zone.into(), ..SteeringArea::default() }
 }
 
+fn steer(table: &PeerTable, zone: &str, fewest_near: usize) -> Vec<Name> {
+    let bounds = SteeringBounds { fewest_near, most: 64 };
+    table.steer(&area(zone), true, bounds, &mut SeededRandom::new(1), Instant::now())
+}
+
 fn table() -> PeerTable {
     let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
     PeerTable::new(known("a", 1, "z1"), policy)
@@ -24,10 +29,10 @@
     let mut table = table();
     table.hear(beat(known("b", 1, "z1"), 1), Instant::now());
 
-    let before = table.steer(&area("z1"), true, 1, Instant::now());
+    let before = steer(&table, "z1", 1);
     advance(Duration::from_millis(400)).await;
     table.hear(beat(known("c", 1, "z1"), 1), Instant::now());
-    let after = table.steer(&area("z1"), true, 1, Instant::now());
+    let after = steer(&table, "z1", 1);
 
     assert_eq!(before.len(), 2);
     assert_eq!(after.iter().map(|name| &**name).collect::<Vec<_>>(), ["a-callers", "c-callers"]);
@@ -68,8 +73,8 @@
     let mut table = table();
     table.hear(beat(known("b", 1, "z2"), 1), Instant::now());
 
-    assert_eq!(table.steer(&area("z2"), true, 2, Instant::now()).len(), 2);
-    assert_eq!(table.steer(&area("z2"), true, 1, Instant::now()).len(), 1);
+    assert_eq!(steer(&table, "z2", 2).len(), 2);
+    assert_eq!(steer(&table, "z2", 1).len(), 1);
 }
 
 #[tokio::test(start_paused = true)]
--- /dev/null
+++ b/crates/cuminramp-fleet/src/steering/tests.rs
@@ -0,0 +1,87 @@
+use cuminramp_core::{Name, RandomSource, SeededRandom};
+
+use super::{SteeringArea, SteeringBounds};
+use crate::beat::KnownHost;
+use crate::fixtures::known_host;
+
+const BOUNDS: SteeringBounds = SteeringBounds { fewest_near: 2, most: 64 };
+/// Callers try a second host where the first does not answer.
+const TRIES: usize = 2;
+const CALLERS: usize = 2_000;
+
+/// Hosts by zone, the zone's name before the dash.
+fn hosts(zones: &[(&str, usize)]) -> Vec<KnownHost> {
+    let of_zone = |(zone, count): &(&str, usize)| {
+        let zone = (*zone).to_owned();
+        (0..*count).map(move |index| known_host(&format!("{zone}-{index:03}"), 1, &zone))
+    };
+    zones.iter().flat_map(of_zone).collect()
+}
+
+fn area(home_zones: &[&str]) -> SteeringArea {
+    SteeringArea {
+        zone: "a1".into(),
+        region_zones: vec!["a1".into(), "a2".into(), "a3".into()],
+        home_zones: home_zones.iter().map(|zone| Name::from(*zone)).collect(),
+    }
+}
+
+fn choose(area: &SteeringArea, hosts: &[KnownHost], random: &mut SeededRandom) -> Vec<Name> {
+    let live: Vec<&KnownHost> = hosts.iter().collect();
+    area.choose(&live, BOUNDS, random)
+}
+
+/// Guards against callers who are shut out of a lost zone, since they know no host of another one.
+#[test]
+fn most_callers_reach_a_host_when_their_zone_is_lost() {
+    let hosts = hosts(&[("a1", 27), ("a2", 27), ("a3", 27)]);
+    let mut random = SeededRandom::new(1);
+
+    let mut shut_out = 0;
+    for _ in 0..CALLERS {
+        let mut known = choose(&area(&[]), &hosts, &mut random);
+        let is_lost = (0..TRIES).all(|_| {
+            let host = known.swap_remove(random.below(known.len()));
+            host.starts_with("a1-")
+        });
+        shut_out += usize::from(is_lost);
+    }
+
+    assert!(shut_out * 3 < CALLERS, "{shut_out} of {CALLERS}");
+}
+
+/// Guards against hosts that no caller is sent to because an answer holds only the first by name.
+#[test]
+fn every_host_is_named_where_there_are_more_than_an_answer_holds() {
+    let hosts = hosts(&[("a1", 100), ("a2", 100)]);
+    let mut random = SeededRandom::new(1);
+
+    let mut named: Vec<Name> =
+        (0..100).flat_map(|_| choose(&area(&[]), &hosts, &mut random)).collect();
+    named.sort();
+    named.dedup();
+
+    assert_eq!(named.len(), hosts.len());
+    assert_eq!(choose(&area(&[]), &hosts, &mut random).len(), BOUNDS.most);
+}
+
+/// Guards against bodies that are sent to a host in a region which is neither the caller's nor a home.
+#[test]
+fn a_third_region_is_named_only_where_nothing_else_is_left() {
+    let mut random = SeededRandom::new(1);
+    let area = area(&["b1"]);
+    let zones_of = |hosts: Vec<KnownHost>, random: &mut SeededRandom| {
+        let named = choose(&area, &hosts, random);
+        let mut zones: Vec<String> = named.iter().map(|host| host[..2].to_owned()).collect();
+        zones.dedup();
+        zones
+    };
+
+    let near = zones_of(hosts(&[("a1", 2), ("b1", 2), ("c1", 2)]), &mut random);
+    let region = zones_of(hosts(&[("a2", 1), ("b1", 2), ("c1", 2)]), &mut random);
+    let home = zones_of(hosts(&[("b1", 1), ("c1", 2)]), &mut random);
+    let third = zones_of(hosts(&[("c1", 2)]), &mut random);
+
+    assert_eq!((near, region), (vec!["a1".to_owned()], vec!["a2".to_owned()]));
+    assert_eq!((home, third), (vec!["b1".to_owned()], vec!["c1".to_owned()]));
+}
--- a/crates/cuminramp-gateway/src/entry/service_points.rs
+++ b/crates/cuminramp-gateway/src/entry/service_points.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminramp_fleet::SteeringArea;
+use cuminramp_fleet::{SteeringArea, SteeringBounds};
 use cuminramp_http::accept_next;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -22,11 +22,8 @@
 
 /// Until the head of a small call is whole.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
-/// Hosts of a zone under which callers are sent to other zones as well: with one alone, its loss
-/// would leave them with nowhere to go until they ask again.
-const FEWEST_IN_ZONE: usize = 2;
-/// Most hosts in a steering answer.
-const MOST_HOSTS: usize = 64;
+/// How many hosts a steering answer names.
+const NAMED_HOSTS: SteeringBounds = SteeringBounds { fewest_near: 2, most: 64 };
 
 type SmallAnswer = Response<Full<Bytes>>;
 
@@ -87,9 +84,10 @@
         let is_ready = state.is_ready();
         let area = steering_area(state, call);
         let peers = lock(&state.peers);
-        let mut hosts = peers.steer(&area, is_ready, FEWEST_IN_ZONE, Instant::now());
+        let mut random = lock(&state.random);
+        let hosts = peers.steer(&area, is_ready, NAMED_HOSTS, &mut **random, Instant::now());
+        drop(random);
         drop(peers);
-        hosts.truncate(MOST_HOSTS);
         if hosts.is_empty() {
             return small(StatusCode::SERVICE_UNAVAILABLE, "{}");
         }
