Give a connection to a target up after 150 ms without confirmation

Cause: a target whose machine is dark, or whose path fell silent, was found out after 400 ms for a new connection and 900 ms for an open one; callers want their first event within 300 ms.

The kernel confirms for a target that is merely busy, so a queue is never taken for a silence.

Tests: targets::connections::tests. That bytes stay unconfirmed can't be provoked on loopback; the test asks for the limit that is set.

--- a/crates/cuminramp-gateway/src/targets/connections.rs
+++ b/crates/cuminramp-gateway/src/targets/connections.rs
@@ -8,14 +8,19 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::state::lock;
 
-/// A connection that takes longer to stand is given up; callers wait 300 ms for the first event.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// A connection that takes longer to stand is given up: half of the usual objective is left to try another
+/// target.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// A connection whose bytes the target's machine has not confirmed for so long is broken: the machine is
+/// gone or the path has fallen silent. A target that is merely busy confirms at once.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(150);
 /// How long an idle connection is used again where the target says nothing.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// A target that closes idle connections after so long may do so while a request is on its way;
@@ -24,6 +29,12 @@
 /// Idle connections that are kept for each target.
 const MOST_IDLE: usize = 4;
 
+/// Lets the kernel break a connection whose bytes stay unconfirmed.
+fn break_if_unconfirmed(stream: &TcpStream) -> std::io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, UNCONFIRMED_LIMIT.as_millis() as u32)?;
+    Ok(())
+}
+
 /// A connection that one request uses. Dropped without being put back it is closed at once, so that
 /// the target stops work that nobody waits for.
 #[derive(Debug)]
@@ -80,6 +91,7 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        break_if_unconfirmed(&stream)?;
         let (sender, connection) =
             Builder::new().handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         // Errors of the connection reach its request, which logs them.
@@ -151,3 +163,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
