Refuse jobs at once at hosts that are cut off from most hosts and from the store

Cause: in a zone that is cut off, a host that takes a job asks the store for 1.2 s, then hosts of its own zone, which believe that they reach it, for seconds more. The caller's next host could have accepted it.

A host that hears less than half of the others asks the store for 150 ms before it takes a job, and says "not run" where that brings nothing.

--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -25,6 +25,8 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(80);
 /// When a refused job should come back.
 const RETURN_PAUSE: Duration = Duration::from_millis(700);
+/// When a job should come back that another host can accept at once.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(50);
 /// Most rows of a partition that one scan reads.
 const MOST_ROWS: usize = 5_000;
 
@@ -106,7 +108,12 @@
     }
     if state.is_draining() {
         let refusal = Refusal::not_run(ResultCode::HostDraining, "the host is leaving");
-        return Err(refusal.with_retry_after(Duration::from_millis(50)));
+        return Err(refusal.with_retry_after(ELSEWHERE_PAUSE));
+    }
+    if state.is_cut_off().await {
+        let reason = "this host is cut off from most hosts and from the store";
+        let refusal = Refusal::not_run(ResultCode::StoreUnavailable, reason);
+        return Err(refusal.with_retry_after(ELSEWHERE_PAUSE));
     }
     let items = state
         .calls
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use cuminramp_core::{HostId, RandomSource};
 use cuminramp_fleet::{
@@ -23,6 +24,10 @@
 use crate::sync::{NewsRows, RelayedStore};
 use crate::targets::TargetConnections;
 
+/// How long the store is asked whether it answers a host that hears few others: callers want to know of
+/// a job's acceptance within half a second or so, and another host needs the rest of it.
+const CUT_OFF_CHECK: Duration = Duration::from_millis(150);
+
 /// Takes a lock; a holder that panicked left nothing half done that matters here.
 pub(crate) fn lock<T: ?Sized>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -95,6 +100,15 @@
         !self.is_draining() && lock(&self.declarations).current().is_some()
     }
 
+    /// Whether this host is cut off from most hosts and from the store, so that another one is likely to do
+    /// what it can't. Where most hosts are heard and the store answers none of them, waiting is better.
+    pub(crate) async fn is_cut_off(&self) -> bool {
+        if lock(&self.peers).hears_most(Instant::now()) {
+            return false;
+        }
+        !self.relay.is_reached() || !self.relay.answers_within(CUT_OFF_CHECK).await
+    }
+
     /// Whether the host is about to leave.
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/crates/cuminramp-gateway/src/sync/relay.rs
+++ b/crates/cuminramp-gateway/src/sync/relay.rs
@@ -56,6 +56,25 @@
         !self.is_lost.load(Ordering::Relaxed)
     }
 
+    /// Asks the store whether it answers this host now.
+    pub(crate) async fn answers_within(&self, limit: Duration) -> bool {
+        let Some(state) = self.state() else { return false };
+        let key = host_key(&state);
+        let asked = self.direct.read(std::slice::from_ref(&key));
+        match tokio::time::timeout(limit, asked).await {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => {
+                self.note_failure(&error);
+                false
+            }
+            Err(_) => {
+                let reason = format!("no answer within {} ms", limit.as_millis());
+                self.note_failure(&StoreError::Unknown(reason));
+                false
+            }
+        }
+    }
+
     fn state(&self) -> Option<Arc<GatewayState>> {
         self.state.get()?.upgrade()
     }
@@ -115,9 +134,14 @@
     }
 }
 
+/// This host's own row: a small one to ask for.
+fn host_key(state: &GatewayState) -> String {
+    format!("hosts//{}", state.me.address)
+}
+
 /// Tries to reach the store until it answers.
 async fn probe(state: Arc<GatewayState>) {
-    let key = format!("hosts//{}", state.me.address);
+    let key = host_key(&state);
     let began = Instant::now();
     while state.direct_store.read(std::slice::from_ref(&key)).await.is_err() {
         tokio::select! {
