Ask zones out of reach last, and refuse at once where all are

Cause: hosts of a zone that is cut off and drained at once used up five tries of 150 ms each at targets of the other zones, 1,552 connections that did not stand in four seconds, and callers heard late. The directory named hosts of the cut zone only, since the others were not heard, although callers reach them.

A zone of which no host is heard and to whose targets three connections in a row failed is asked last for a second; where all zones with targets are so and less than half of the hosts are heard, the request is refused at once. A host that hears less than half names hosts of zones that fell silent as a whole for 5 s.

Tests: a_zone_is_out_of_reach_after_failures_in_a_row_and_tried_again_later, a_zone_is_silent_only_when_all_its_hosts_are, a_host_whose_zone_is_cut_off_goes_on_naming_hosts_of_others_for_a_while.

--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -11,7 +11,7 @@
 
 /// How long a host that is not heard is still named to callers where hardly any other is: longer, and
 /// callers would be sent to hosts that are gone.
-const NAME_UNHEARD_FOR: Duration = Duration::from_secs(4);
+const NAME_UNHEARD_FOR: Duration = Duration::from_secs(5);
 
 /// When a host is no longer believed to be there.
 #[derive(Clone, Copy, Debug)]
@@ -235,6 +235,16 @@
         (in_zone.iter().filter(is_heard).count() + own) * 2 > present + own
     }
 
+    /// Whether a zone has hosts and none of them is heard: it is lost, or cut off from this one.
+    pub fn is_zone_silent(&self, zone: &str, now: Instant) -> bool {
+        if *self.me.zone == *zone {
+            return false;
+        }
+        let present = |record: &&PeerRecord| *record.host.zone == *zone && !record.has_left;
+        let mut known = self.peers.values().filter(present).peekable();
+        known.peek().is_some() && known.all(|record| !self.is_heard(record, now))
+    }
+
     /// How many hosts come before this one in the order that rendezvous gives them for a key.
     pub fn rank(&self, key: &str) -> usize {
         let own = rendezvous_score(key, &self.me.address);
@@ -242,8 +252,9 @@
         others.filter(|record| rendezvous_score(key, &record.host.address) > own).count()
     }
 
-    /// Live hosts for callers of an area, as it chooses them. Where none is heard, those that were heard or
-    /// became known a moment ago.
+    /// Live hosts for callers of an area, as it chooses them. Where hardly any other is heard, those that
+    /// were heard or became known a moment ago; a host that hears less than half of all names those of zones
+    /// that fell silent as a whole, which callers may still reach.
     pub fn steer(
         &self,
         area: &SteeringArea,
@@ -262,13 +273,17 @@
                 live.push(&record.host);
             }
         }
-        if live.len() <= 1 {
+        let is_alone = live.len() <= 1;
+        if is_alone || !self.hears_most(now) {
             let unheard = self.peers.values().filter(|record| !record.has_left);
             let recent = unheard.filter(|record| {
                 let since = record.heard_at.unwrap_or(record.known_at);
                 !self.is_heard(record, now) && now.duration_since(since) < NAME_UNHEARD_FOR
             });
-            live.extend(recent.map(|record| &record.host));
+            // A zone that is silent as a whole is more likely cut off from this host than lost.
+            let named =
+                recent.filter(|record| is_alone || self.is_zone_silent(&record.host.zone, now));
+            live.extend(named.map(|record| &record.host));
         }
         area.choose(&live, bounds, random)
     }
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -17,6 +17,13 @@
     table.steer(&area(zone), true, bounds, &mut SeededRandom::new(1), Instant::now())
 }
 
+/// Hosts named to callers of the first zone of a region with two.
+fn steer_in_region(table: &PeerTable) -> Vec<Name> {
+    let area = SteeringArea { region_zones: vec!["z1".into(), "z2".into()], ..area("z1") };
+    let bounds = SteeringBounds { fewest_near: 2, most: 64 };
+    table.steer(&area, true, bounds, &mut SeededRandom::new(1), Instant::now())
+}
+
 fn table() -> PeerTable {
     let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
     PeerTable::new(known("a", 1, "z1"), policy)
@@ -91,3 +98,55 @@
 
     assert_eq!((none, far.as_deref(), near.as_deref()), (None, Some("c"), Some("d")));
 }
+
+/// Guards against a zone that counts as lost while one of its hosts is heard, or since it has none.
+#[tokio::test(start_paused = true)]
+async fn a_zone_is_silent_only_when_all_its_hosts_are() {
+    let mut table = table();
+    table.hear(beat(known("b", 1, "z2"), 1), Instant::now());
+    table.hear(beat(known("c", 1, "z2"), 1), Instant::now());
+    advance(Duration::from_secs(5)).await;
+    let all_silent = table.is_zone_silent("z2", Instant::now());
+
+    table.hear(beat(known("c", 1, "z2"), 2), Instant::now());
+
+    let one_heard = table.is_zone_silent("z2", Instant::now());
+    let others = ["z1", "z3"].map(|zone| table.is_zone_silent(zone, Instant::now()));
+    assert_eq!((all_silent, one_heard, others), (true, false, [false, false]));
+}
+
+/// Guards against two parts of a fleet that both take themselves for the larger one.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_hears_half_of_a_zone_does_not_hear_most_of_it() {
+    let mut table = table();
+    for address in ["b", "c", "d"] {
+        table.hear(beat(known(address, 1, "z1"), 1), Instant::now());
+    }
+    let all = table.hears_most_of("z1", Instant::now());
+    advance(Duration::from_secs(5)).await;
+    table.hear(beat(known("b", 1, "z1"), 2), Instant::now());
+
+    let half = table.hears_most_of("z1", Instant::now());
+
+    assert_eq!((all, half), (true, false));
+}
+
+/// Guards against callers who are told hosts of a cut-off zone only, while they could reach all others.
+#[tokio::test(start_paused = true)]
+async fn a_host_whose_zone_is_cut_off_goes_on_naming_hosts_of_others_for_a_while() {
+    let mut table = table();
+    let near = ["b", "c"];
+    let far = ["d", "e", "f", "g"];
+    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 1), Instant::now())));
+    far.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z2"), 1), Instant::now())));
+    let before = steer_in_region(&table).len();
+
+    advance(Duration::from_secs(3)).await;
+    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 2), Instant::now())));
+    let while_cut = steer_in_region(&table).len();
+    advance(Duration::from_secs(3)).await;
+    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 3), Instant::now())));
+    let after_long = steer_in_region(&table).len();
+
+    assert_eq!((before, while_cut, after_long), (6, 6, 3));
+}
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -23,10 +23,12 @@
 mod foreign;
 mod group;
 mod placement;
+mod reach;
 
 pub use cold::{ColdRule, ColdShare, ColdTolerance};
 use foreign::{ForeignWork, RecentPeak};
 pub(crate) use group::{GroupNeed, GroupPlace};
+use reach::ReachBook;
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -227,6 +229,7 @@
     /// Zones whose targets get nothing new, in the order of their names.
     drained: Vec<AvailabilityZone>,
     cold_rules: SortedMap<Name, ColdRule>,
+    reach: ReachBook,
 }
 
 /// How much a new sample weighs in the average time that a request holds a slot.
@@ -246,6 +249,7 @@
             hold: policy.first_hold,
             drained: Vec::new(),
             cold_rules: SortedMap::new(),
+            reach: ReachBook::default(),
         }
     }
 
@@ -420,6 +424,25 @@
         }
     }
 
+    /// A connection to a target did not stand.
+    pub fn saw_unreached(&mut self, id: &str, now: Instant) {
+        if let Some(entry) = self.entries.get(id) {
+            self.reach.saw_unreached(&entry.target.zone, now);
+        }
+    }
+
+    /// A target answered, whatever it said.
+    pub fn saw_reached(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get(id) {
+            self.reach.saw_reached(&entry.target.zone);
+        }
+    }
+
+    /// Whether this host lately failed to connect to targets of a zone several times in a row.
+    pub fn is_unreached(&self, zone: &str, now: Instant) -> bool {
+        self.reach.is_unreached(zone, now)
+    }
+
     /// A target had no room.
     pub fn saw_full(&mut self, id: &str, now: Instant) {
         let pause = self.policy.full_pause;
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -130,3 +130,24 @@
 
     assert_eq!(board.occupancy("p"), (0, 8));
 }
+
+/// Guards against a zone that is given up for one connection that failed, or for good.
+#[tokio::test(start_paused = true)]
+async fn a_zone_is_out_of_reach_after_failures_in_a_row_and_tried_again_later() {
+    let mut board = board(&[("e1", "z1"), ("e2", "z2")]);
+    let mut seen = Vec::new();
+    for _ in 0..3 {
+        board.saw_unreached("e2", Instant::now());
+        seen.push(board.is_unreached("z2", Instant::now()));
+    }
+    let other = board.is_unreached("z1", Instant::now());
+
+    tokio::time::advance(Duration::from_millis(1_100)).await;
+    let later = board.is_unreached("z2", Instant::now());
+    board.saw_reached("e2");
+    board.saw_unreached("e2", Instant::now());
+    let after_success = board.is_unreached("z2", Instant::now());
+
+    assert_eq!(seen, [false, false, true]);
+    assert_eq!((other, later, after_success), (false, false, false));
+}
--- a/crates/cuminramp-gateway/src/entry/service_points.rs
+++ b/crates/cuminramp-gateway/src/entry/service_points.rs
@@ -116,6 +116,8 @@
         let (heard, _) = lock(&state.peers).heard_of_all(Instant::now());
         let held = lock(&state.jobs).jobs().count();
         state.metrics.note_state(version, heard, held);
+        let drained = lock(&state.drains).drained().len();
+        state.metrics.note_drained(drained);
         match state.metrics.render() {
             Ok(text) => {
                 let mut response = small(StatusCode::OK, text);
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     declarations: Gauge<u64>,
     heard_hosts: Gauge<u64>,
     held_jobs: Gauge<u64>,
+    drained_zones: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -59,6 +60,7 @@
             declarations: gauge("cuminramp.declarations", "Version of the declarations in force"),
             heard_hosts: gauge("cuminramp.hosts.heard", "Hosts heard lately, this one included"),
             held_jobs: gauge("cuminramp.jobs.held", "Jobs that this host works on"),
+            drained_zones: gauge("cuminramp.zones.drained", "Zones whose targets get nothing new"),
             registry,
             _provider: provider,
         })
@@ -106,6 +108,10 @@
         self.held_jobs.record(held_jobs as u64, &[]);
     }
 
+    pub(crate) fn note_drained(&self, zones: usize) {
+        self.drained_zones.record(zones as u64, &[]);
+    }
+
     /// The text for a scraper.
     pub(crate) fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/cuminramp-gateway/src/slots/ask.rs
+++ b/crates/cuminramp-gateway/src/slots/ask.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cuminramp_core::{HostId, Name};
+use cuminramp_core::{AvailabilityZone, HostId, Name};
 use cuminramp_fleet::{
     HostMessage, OnlineNeed, OwnerClaim, PlacementDecision, SearchNeed, SearchStep, SlotAnswer,
     SlotAsk, SlotGroup, SlotOutcome, SlotSearch, name_hash,
@@ -25,6 +25,10 @@
 /// Owners that are tried one after the other. A request has some hundred milliseconds for its slot.
 const MOST_OWNERS: u32 = 2;
 
+/// When a request should come back that this host can send nowhere, since it is cut off from all zones with
+/// targets: at once, at another host.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Who chose a request's target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PlacedBy {
@@ -54,7 +58,13 @@
 ) -> (PlacementDecision, PlacedBy) {
     let mut groups = lock(&state.board).groups(need.pool);
     groups.retain(|group| need.zones.allows(&group.zone));
-    let failed = lock(&state.board).zones_of(need.tried);
+    let lost = lost_zones(state, &groups);
+    if lost.len() == groups.len() && !groups.is_empty() && !hears_most(state) {
+        return (PlacementDecision::Full(ELSEWHERE_PAUSE), PlacedBy::Guess);
+    }
+    let mut failed = lock(&state.board).zones_of(need.tried);
+    // Asked last, like zones in which two sends failed.
+    failed.extend(lost.iter().chain(&lost).cloned());
     let mut search = {
         let mut random = lock(&state.random);
         SlotSearch::new(groups, &state.me.zone, &mut **random).after_failures(&failed)
@@ -84,6 +94,21 @@
     }
 }
 
+/// Zones of groups from which no host is heard and whose targets can't be connected to: lost, or cut off
+/// from this host.
+fn lost_zones(state: &GatewayState, groups: &[SlotGroup]) -> Vec<AvailabilityZone> {
+    let now = Instant::now();
+    let peers = lock(&state.peers);
+    let board = lock(&state.board);
+    let is_lost = |zone: &str| board.is_unreached(zone, now) && peers.is_zone_silent(zone, now);
+    let lost = groups.iter().filter(|group| is_lost(&group.zone));
+    lost.map(|group| group.zone.clone()).collect()
+}
+
+fn hears_most(state: &GatewayState) -> bool {
+    lock(&state.peers).hears_most(Instant::now())
+}
+
 /// Chooses by what this host has in flight itself.
 fn guess(state: &GatewayState, need: &OnlineNeed<'_>) -> PlacementDecision {
     let now = Instant::now();
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -130,7 +130,10 @@
     let state = run.state.clone();
     let outcome = exchange(&mut run, request).await;
     match &outcome {
-        Ok(_) => state.metrics.count_attempt("answered"),
+        Ok(_) => {
+            state.metrics.count_attempt("answered");
+            lock(&state.board).saw_reached(&run.target.id);
+        }
         Err(failure) => note_failure(&state, run.target.clone(), failure),
     }
     let (parts, head, body) = outcome?;
@@ -219,6 +222,10 @@
     match failure {
         SendFailure::Refused { is_misdirected: true, .. } => board.remove(&target.id),
         SendFailure::Refused { .. } => board.saw_full(&target.id, now),
+        SendFailure::NotSent(_) => {
+            board.saw_unreached(&target.id, now);
+            board.saw_failure(&target.id, now);
+        }
         _ => board.saw_failure(&target.id, now),
     }
     drop(board);
