--- a/crates/cuminramp-daemon/src/peer/rhythm.rs
+++ b/crates/cuminramp-daemon/src/peer/rhythm.rs
@@ -15,10 +15,10 @@
 
 /// Probes one host after another.
 pub(crate) async fn run_rhythm(state: Arc<DaemonState>) {
-    let mut beat = tokio::time::interval(state.settings.peers.probe_interval());
-    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut heartbeat = tokio::time::interval(state.settings.peers.probe_interval());
+    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        beat.tick().await;
+        heartbeat.tick().await;
         let actions = {
             let mut random = lock(&state.random);
             lock(&state.members).tick(random.as_mut(), Instant::now())
--- a/crates/cuminramp-fleet/src/demand.rs
+++ b/crates/cuminramp-fleet/src/demand.rs
@@ -14,12 +14,12 @@
 /// Groups of waiting items that one host tells of: one for each of its jobs in the usual case.
 pub const MOST_DEMAND_GROUPS: usize = 8;
 
-/// Items of one host that are equally urgent, as a beat tells it.
+/// Items of one host that are equally urgent, as a heartbeat tells it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ItemDemand {
     /// Whether they can't be done by when they are due any more.
     pub is_late: bool,
-    /// When they are due, in milliseconds from the beat; negative where that has passed.
+    /// When they are due, in milliseconds from the heartbeat; negative where that has passed.
     pub due_in_ms: i32,
     /// How many they are.
     pub items: u32,
--- a/crates/cuminramp-fleet/src/fixtures.rs
+++ b/crates/cuminramp-fleet/src/fixtures.rs
@@ -1,6 +1,6 @@
 //! What several test modules need.
 
-use crate::beat::{HostBeat, KnownHost};
+use crate::heartbeat::{HostHeartbeat, KnownHost};
 
 /// A host whose callers reach it at `{address}-callers`.
 pub(crate) fn known_host(address: &str, incarnation: u64, zone: &str) -> KnownHost {
@@ -12,9 +12,9 @@
     }
 }
 
-/// A beat of a ready host that has admitted nothing.
-pub(crate) fn host_beat(host: KnownHost, sequence: u64) -> HostBeat {
-    HostBeat {
+/// A heartbeat of a ready host that has admitted nothing.
+pub(crate) fn host_heartbeat(host: KnownHost, sequence: u64) -> HostHeartbeat {
+    HostHeartbeat {
         host,
         sequence,
         is_ready: true,
--- a/crates/cuminramp-fleet/src/health.rs
+++ b/crates/cuminramp-fleet/src/health.rs
@@ -31,9 +31,9 @@
 const PRIOR_SUCCESSES: f64 = 4.0;
 /// Counts travel in sixteenths.
 const SCALE: f64 = 16.0;
-/// Targets in one beat: some 400 bytes.
+/// Targets in one heartbeat: some 400 bytes.
 const MOST_TOLD: usize = 64;
-/// The set of doubtful targets is made anew at most this often: hosts hear hundreds of beats a second.
+/// The set of doubtful targets is made anew at most this often: hosts hear hundreds of heartbeats a second.
 const REVIEW_EVERY: Duration = Duration::from_millis(20);
 
 /// What came of one host's sends to a target lately.
--- a/crates/cuminramp-fleet/src/beat.rs
+++ b/crates/cuminramp-fleet/src/heartbeat.rs
@@ -5,7 +5,7 @@
 
 use crate::drains::ZoneDrain;
 
-/// The short form of a name in beats; the names themselves would make up most of a beat's bytes.
+/// The short form of a name in heartbeats; the names themselves would make up most of a heartbeat's bytes.
 ///
 /// ```
 /// assert_eq!(cuminramp_fleet::name_hash("a"), cuminramp_fleet::name_hash("a"));
@@ -78,19 +78,19 @@
     pub zone: AvailabilityZone,
 }
 
-/// The whole of what a host tells of itself. A beat replaces the one before it, so a lost, repeated
+/// The whole of what a host tells of itself. A heartbeat replaces the one before it, so a lost, repeated
 /// or late one does no harm.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HostBeat {
+pub struct HostHeartbeat {
     /// The sender.
     pub host: KnownHost,
-    /// Grows with each beat of a run; a lower one came late and is dropped.
+    /// Grows with each heartbeat of a run; a lower one came late and is dropped.
     pub sequence: u64,
     /// Whether it takes requests.
     pub is_ready: bool,
     /// Whether it has ended its last admission and will not admit again in this run.
     pub has_left: bool,
-    /// Whether the receiver should answer with a beat of its own at once, as a new host asks.
+    /// Whether the receiver should answer with a heartbeat of its own at once, as a new host asks.
     pub wants_answer: bool,
     /// Whether that answer should name hosts: the sender knows hardly any.
     pub wants_known: bool,
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -227,7 +227,7 @@
     assert_eq!(demand.iter().map(|group| group.is_late).collect::<Vec<_>>(), [false, true]);
 }
 
-/// A host that holds hundreds of jobs tells of the most urgent ones. A beat with all of them would be
+/// A host that holds hundreds of jobs tells of the most urgent ones. A heartbeat with all of them would be
 /// larger than receivers take, and its host would seem silent.
 #[tokio::test(start_paused = true)]
 async fn demand_stays_short_however_many_jobs_wait() {
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! what they decide:
 //!
 //! - [`FleetDeclarations`] says which routes, pools, teams and keys are in force;
-//! - [`HostBeat`] is what hosts tell each other many times a second, and [`PeerTable`] what a host
+//! - [`HostHeartbeat`] is what hosts tell each other many times a second, and [`PeerTable`] what a host
 //!   believes of the others by it;
 //! - [`QuotaBook`] holds teams to their rate and burst over all hosts;
 //! - [`TargetBoard`] knows what is in flight at targets, and which of them fail;
@@ -17,13 +17,13 @@
 //! - [`JobBoard`] orders the items of the jobs that this host holds.
 
 mod acceptance;
-mod beat;
 mod declarations;
 mod demand;
 mod drains;
 #[cfg(test)]
 mod fixtures;
 mod health;
+mod heartbeat;
 mod homes;
 mod jobs;
 mod message;
@@ -36,9 +36,6 @@
 mod targets;
 
 pub use acceptance::{AcceptanceStep, AcceptanceView, FoundJob};
-pub use beat::{
-    EndedJob, HostBeat, KnownHost, SuspectCount, TargetLoad, TeamUsage, ToldLoad, name_hash,
-};
 pub use declarations::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
     TeamRule,
@@ -46,6 +43,9 @@
 pub use demand::{ItemDemand, MOST_DEMAND_GROUPS, share_room};
 pub use drains::{DrainBook, ZoneDrain};
 pub use health::{DoubtChange, TargetOutcomes};
+pub use heartbeat::{
+    EndedJob, HostHeartbeat, KnownHost, SuspectCount, TargetLoad, TeamUsage, ToldLoad, name_hash,
+};
 pub use homes::{RegionMap, ZoneLimit};
 pub use jobs::{
     FinishedItem, HeldJob, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, ItemStart, JobBoard,
@@ -55,7 +55,7 @@
 pub use peers::{PeerPolicy, PeerRecord, PeerTable};
 pub use quota::{QuotaBook, QuotaDecision, QuotaTolerance};
 pub use registry::{ChangedRow, KnownRow, RegistryPolicy, RowAction, RowRegistry};
-pub use rhythm::{BeatRhythm, BeatTimes};
+pub use rhythm::{HeartbeatRhythm, HeartbeatTimes};
 pub use slots::{
     GrantNumbers, GroupShare, ItemGrant, ItemLimit, OwnerBook, OwnerClaim, ReportTimes, SearchNeed,
     SearchStep, SlotAnswer, SlotAsk, SlotGroup, SlotLedger, SlotOrder, SlotOutcome, SlotReport,
--- a/crates/cuminramp-fleet/src/message.rs
+++ b/crates/cuminramp-fleet/src/message.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::beat::HostBeat;
+use crate::heartbeat::HostHeartbeat;
 use crate::slots::{OwnerClaim, SlotAnswer, SlotAsk, SlotOrder, SlotReport};
 
 /// One datagram. Each kind may get lost, come twice or come late without harm.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum HostMessage {
     /// What a host tells of itself.
-    Beat(HostBeat),
+    Heartbeat(HostHeartbeat),
     /// What a host has in flight in a group, to the owner of its slots.
     Report(SlotReport),
     /// A request's question for a slot.
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -5,8 +5,8 @@
 use cuminramp_core::{AvailabilityZone, HostId, Name, RandomSource, SortedMap, rendezvous_score};
 use tokio::time::Instant;
 
-use crate::beat::{HostBeat, KnownHost};
-use crate::rhythm::BeatRhythm;
+use crate::heartbeat::{HostHeartbeat, KnownHost};
+use crate::rhythm::HeartbeatRhythm;
 use crate::steering::{SteeringArea, SteeringBounds};
 
 /// How long a host that is not heard is still named to callers where hardly any other is: longer, and
@@ -26,12 +26,12 @@
 pub struct PeerRecord {
     /// Where it is.
     pub host: KnownHost,
-    /// When a beat came last; `None` if none has come from this run.
+    /// When a heartbeat came last; `None` if none has come from this run.
     pub heard_at: Option<Instant>,
     /// When this run became known.
     pub known_at: Instant,
-    /// The newest beat.
-    pub beat: Option<HostBeat>,
+    /// The newest heartbeat.
+    pub heartbeat: Option<HostHeartbeat>,
     /// It has said that it admits nothing any more.
     pub has_left: bool,
 }
@@ -48,14 +48,14 @@
 pub struct PeerTable {
     me: KnownHost,
     policy: PeerPolicy,
-    rhythm: BeatRhythm,
+    rhythm: HeartbeatRhythm,
     peers: SortedMap<Name, PeerRecord>,
 }
 
 impl PeerTable {
     /// Knows nobody yet.
     pub fn new(me: KnownHost, policy: PeerPolicy) -> Self {
-        PeerTable { me, policy, rhythm: BeatRhythm::new(1, 1), peers: SortedMap::new() }
+        PeerTable { me, policy, rhythm: HeartbeatRhythm::new(1, 1), peers: SortedMap::new() }
     }
 
     /// This host.
@@ -76,7 +76,7 @@
             host: host.clone(),
             heard_at: None,
             known_at: now,
-            beat: None,
+            heartbeat: None,
             has_left: false,
         };
         self.peers.insert(host.address.clone(), record);
@@ -84,23 +84,23 @@
         true
     }
 
-    /// Takes a beat; `false` if it is older than what is known.
-    pub fn hear(&mut self, beat: HostBeat, now: Instant) -> bool {
-        if beat.host.address == self.me.address {
+    /// Takes a heartbeat; `false` if it is older than what is known.
+    pub fn hear(&mut self, heartbeat: HostHeartbeat, now: Instant) -> bool {
+        if heartbeat.host.address == self.me.address {
             return false;
         }
-        self.learn(&beat.host, now);
-        let Some(record) = self.peers.get_mut(&beat.host.address) else {
+        self.learn(&heartbeat.host, now);
+        let Some(record) = self.peers.get_mut(&heartbeat.host.address) else {
             return false;
         };
-        let is_old = record.host.incarnation > beat.host.incarnation
-            || record.beat.as_ref().is_some_and(|held| held.sequence >= beat.sequence);
+        let is_old = record.host.incarnation > heartbeat.host.incarnation
+            || record.heartbeat.as_ref().is_some_and(|held| held.sequence >= heartbeat.sequence);
         if is_old {
             return false;
         }
         record.heard_at = Some(now);
-        record.has_left = beat.has_left;
-        record.beat = Some(beat);
+        record.has_left = heartbeat.has_left;
+        record.heartbeat = Some(heartbeat);
         true
     }
 
@@ -128,17 +128,17 @@
         self.peers.get(address)
     }
 
-    /// How often hosts beat now.
-    pub fn rhythm(&self) -> BeatRhythm {
+    /// How often hosts send heartbeats now.
+    pub fn rhythm(&self) -> HeartbeatRhythm {
         self.rhythm
     }
 
-    fn count_rhythm(&self) -> BeatRhythm {
+    fn count_rhythm(&self) -> HeartbeatRhythm {
         let others = self.peers.values().filter(|record| !record.has_left);
         let (all, near) = others.fold((1, 1), |(all, near), record| {
             (all + 1, near + usize::from(record.host.zone == self.me.zone))
         });
-        BeatRhythm::new(all, near)
+        HeartbeatRhythm::new(all, near)
     }
 
     fn silence(&self, record: &PeerRecord) -> Duration {
@@ -193,7 +193,7 @@
             live.push((HostId { address, incarnation: self.me.incarnation }, &self.me.zone));
         }
         for record in self.peers.values() {
-            let is_ready = record.beat.as_ref().is_some_and(|beat| beat.is_ready);
+            let is_ready = record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_ready);
             if is_ready && !record.has_left && self.is_heard(record, now) {
                 live.push((record.id(), &record.host.zone));
             }
@@ -208,7 +208,9 @@
             .peers
             .values()
             .filter(|record| !record.has_left && self.is_heard(record, now))
-            .filter(|record| record.beat.as_ref().is_some_and(|beat| beat.reaches_store))
+            .filter(|record| {
+                record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.reaches_store)
+            })
             .collect();
         let is_near = |record: &&&PeerRecord| record.host.zone == self.me.zone;
         let near: Vec<&&PeerRecord> = able.iter().filter(is_near).collect();
@@ -268,7 +270,7 @@
             live.push(&self.me);
         }
         for record in self.peers.values() {
-            let is_ready = record.beat.as_ref().is_some_and(|beat| beat.is_ready);
+            let is_ready = record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_ready);
             if is_ready && !record.has_left && self.is_heard(record, now) {
                 live.push(&record.host);
             }
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -4,8 +4,8 @@
 use tokio::time::{Instant, advance};
 
 use super::{PeerPolicy, PeerTable};
-use crate::beat::HostBeat;
-use crate::fixtures::{host_beat as beat, known_host as known};
+use crate::fixtures::{host_heartbeat as heartbeat, known_host as known};
+use crate::heartbeat::HostHeartbeat;
 use crate::steering::{SteeringArea, SteeringBounds};
 
 fn area(zone: &str) -> SteeringArea {
@@ -17,6 +17,12 @@
     table.steer(&area(zone), true, bounds, &mut SeededRandom::new(1), Instant::now())
 }
 
+fn hear_all(table: &mut PeerTable, hosts: &[&str], zone: &str, sequence: u64) {
+    for host in hosts {
+        table.hear(heartbeat(known(host, 1, zone), sequence), Instant::now());
+    }
+}
+
 /// Hosts named to callers of the first zone of a region with two.
 fn steer_in_region(table: &PeerTable) -> Vec<Name> {
     let area = SteeringArea { region_zones: vec!["z1".into(), "z2".into()], ..area("z1") };
@@ -34,11 +40,11 @@
 #[tokio::test(start_paused = true)]
 async fn callers_are_not_sent_to_a_host_that_fell_silent() {
     let mut table = table();
-    table.hear(beat(known("b", 1, "z1"), 1), Instant::now());
+    table.hear(heartbeat(known("b", 1, "z1"), 1), Instant::now());
 
     let before = steer(&table, "z1", 1);
     advance(Duration::from_millis(400)).await;
-    table.hear(beat(known("c", 1, "z1"), 1), Instant::now());
+    table.hear(heartbeat(known("c", 1, "z1"), 1), Instant::now());
     let after = steer(&table, "z1", 1);
 
     assert_eq!(before.len(), 2);
@@ -48,15 +54,15 @@
 /// A datagram overtakes a later one, or one of an earlier run arrives late. Its load would be
 /// counted in place of the present one.
 #[tokio::test(start_paused = true)]
-async fn a_beat_that_came_late_is_dropped() {
+async fn a_heartbeat_that_came_late_is_dropped() {
     let mut table = table();
     let now = Instant::now();
 
     let heard = [
-        table.hear(beat(known("b", 2, "z1"), 5), now),
-        table.hear(beat(known("b", 2, "z1"), 4), now),
-        table.hear(beat(known("b", 1, "z1"), 9), now),
-        table.hear(beat(known("b", 3, "z1"), 1), now),
+        table.hear(heartbeat(known("b", 2, "z1"), 5), now),
+        table.hear(heartbeat(known("b", 2, "z1"), 4), now),
+        table.hear(heartbeat(known("b", 1, "z1"), 9), now),
+        table.hear(heartbeat(known("b", 3, "z1"), 1), now),
     ];
 
     assert_eq!(heard, [true, false, false, true]);
@@ -66,7 +72,7 @@
 async fn jobs_of_an_earlier_run_and_of_a_silent_host_may_be_taken_over() {
     let mut table = table();
     let id = |incarnation| HostId { address: "b".into(), incarnation };
-    table.hear(beat(known("b", 2, "z1"), 1), Instant::now());
+    table.hear(heartbeat(known("b", 2, "z1"), 1), Instant::now());
 
     assert!(table.is_lost(&id(1), Instant::now()));
     assert!(!table.is_lost(&id(2), Instant::now()));
@@ -78,7 +84,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_zone_with_too_few_hosts_gets_those_of_others() {
     let mut table = table();
-    table.hear(beat(known("b", 1, "z2"), 1), Instant::now());
+    table.hear(heartbeat(known("b", 1, "z2"), 1), Instant::now());
 
     assert_eq!(steer(&table, "z2", 2).len(), 2);
     assert_eq!(steer(&table, "z2", 1).len(), 1);
@@ -87,13 +93,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_host_cut_off_from_the_store_asks_one_that_is_not() {
     let mut table = table();
-    let cut_off = HostBeat { reaches_store: false, ..beat(known("b", 1, "z1"), 1) };
+    let cut_off = HostHeartbeat { reaches_store: false, ..heartbeat(known("b", 1, "z1"), 1) };
     table.hear(cut_off, Instant::now());
     let none = table.store_relay(0, Instant::now());
 
-    table.hear(beat(known("c", 1, "z2"), 1), Instant::now());
+    table.hear(heartbeat(known("c", 1, "z2"), 1), Instant::now());
     let far = table.store_relay(0, Instant::now());
-    table.hear(beat(known("d", 1, "z1"), 1), Instant::now());
+    table.hear(heartbeat(known("d", 1, "z1"), 1), Instant::now());
     let near = table.store_relay(0, Instant::now());
 
     assert_eq!((none, far.as_deref(), near.as_deref()), (None, Some("c"), Some("d")));
@@ -103,12 +109,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_zone_is_silent_only_when_all_its_hosts_are() {
     let mut table = table();
-    table.hear(beat(known("b", 1, "z2"), 1), Instant::now());
-    table.hear(beat(known("c", 1, "z2"), 1), Instant::now());
+    table.hear(heartbeat(known("b", 1, "z2"), 1), Instant::now());
+    table.hear(heartbeat(known("c", 1, "z2"), 1), Instant::now());
     advance(Duration::from_secs(5)).await;
     let all_silent = table.is_zone_silent("z2", Instant::now());
 
-    table.hear(beat(known("c", 1, "z2"), 2), Instant::now());
+    table.hear(heartbeat(known("c", 1, "z2"), 2), Instant::now());
 
     let one_heard = table.is_zone_silent("z2", Instant::now());
     let others = ["z1", "z3"].map(|zone| table.is_zone_silent(zone, Instant::now()));
@@ -120,11 +126,11 @@
 async fn a_host_that_hears_half_of_a_zone_does_not_hear_most_of_it() {
     let mut table = table();
     for address in ["b", "c", "d"] {
-        table.hear(beat(known(address, 1, "z1"), 1), Instant::now());
+        table.hear(heartbeat(known(address, 1, "z1"), 1), Instant::now());
     }
     let all = table.hears_most_of("z1", Instant::now());
     advance(Duration::from_secs(5)).await;
-    table.hear(beat(known("b", 1, "z1"), 2), Instant::now());
+    table.hear(heartbeat(known("b", 1, "z1"), 2), Instant::now());
 
     let half = table.hears_most_of("z1", Instant::now());
 
@@ -135,17 +141,15 @@
 #[tokio::test(start_paused = true)]
 async fn a_host_whose_zone_is_cut_off_goes_on_naming_hosts_of_others_for_a_while() {
     let mut table = table();
-    let near = ["b", "c"];
-    let far = ["d", "e", "f", "g"];
-    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 1), Instant::now())));
-    far.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z2"), 1), Instant::now())));
+    hear_all(&mut table, &["b", "c"], "z1", 1);
+    hear_all(&mut table, &["d", "e", "f", "g"], "z2", 1);
     let before = steer_in_region(&table).len();
 
     advance(Duration::from_secs(3)).await;
-    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 2), Instant::now())));
+    hear_all(&mut table, &["b", "c"], "z1", 2);
     let while_cut = steer_in_region(&table).len();
     advance(Duration::from_secs(3)).await;
-    near.iter().for_each(|host| drop(table.hear(beat(known(host, 1, "z1"), 3), Instant::now())));
+    hear_all(&mut table, &["b", "c"], "z1", 3);
     let after_long = steer_in_region(&table).len();
 
     assert_eq!((before, while_cut, after_long), (6, 6, 3));
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -1,12 +1,12 @@
 //! Rate and burst of teams over all hosts, by counts that hosts tell each other.
 //!
 //! Each host keeps, for each team, a bucket of the whole fleet: what it admits itself is taken out at
-//! once, and what others admitted when their beat says so. A beat carries the count since the
+//! once, and what others admitted when their heartbeat says so. A heartbeat carries the count since the
 //! sender's start, so a lost or repeated one changes nothing in the end.
 //!
-//! Between two beats hosts may spend the same token twice; the bucket then goes below zero, and the
+//! Between two heartbeats hosts may spend the same token twice; the bucket then goes below zero, and the
 //! debt is paid before the next request. The excess in any window is at most what arrives in the
-//! time that a beat takes.
+//! time that a heartbeat takes.
 //!
 //! A host that is not heard may be dead, or cut off and serving, and then it spends from the same
 //! bucket. So each admission costs as many tokens as there are hosts for each one heard: the parts
@@ -22,8 +22,8 @@
 use cuminramp_core::{HostId, Name, SortedMap};
 use tokio::time::Instant;
 
-use crate::beat::{HostBeat, TeamUsage, name_hash};
 use crate::declarations::FleetDeclarations;
+use crate::heartbeat::{HostHeartbeat, TeamUsage, name_hash};
 
 /// Whether a request is within its team's rate and burst.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,12 +46,12 @@
 }
 
 /// The part of the tolerance with which a new fleet begins. All hosts may be killed twice within a
-/// window, and each beat costs a little of the tolerance as well.
+/// window, and each heartbeat costs a little of the tolerance as well.
 const START_SHARE: f64 = 0.3;
 /// A debt larger than this many seconds of the rate is forgotten, so that a count which was read
 /// wrongly can't stop a team for long.
 const MOST_DEBT_SECONDS: f64 = 5.0;
-/// How long a team's count is told after it changed last; later beats leave it out.
+/// How long a team's count is told after it changed last; later heartbeats leave it out.
 const TELL_FOR: Duration = Duration::from_secs(2);
 /// How long a host that begins takes over lower levels. Others answer its greeting within
 /// milliseconds; this leaves time for greetings that got lost.
@@ -127,12 +127,12 @@
 /// What the counts of another host can be compared with.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum CountBasis {
-    /// Nothing: no whole beat of this run has come.
+    /// Nothing: no whole heartbeat of this run has come.
     #[default]
     Unknown,
-    /// The beat before. A team that was never named had a count of 0.
+    /// The heartbeat before. A team that was never named had a count of 0.
     Current,
-    /// The last beat before a silence.
+    /// The last heartbeat before a silence.
     BeforeSilence,
 }
 
@@ -260,19 +260,21 @@
         now >= self.learns_until
     }
 
-    /// Takes the counts of a beat.
+    /// Takes the counts of a heartbeat.
     ///
-    /// The first whole beat of a run is a starting point: what the run admitted before is in the
+    /// The first whole heartbeat of a run is a starting point: what the run admitted before is in the
     /// level that this host began with or took over. From then on a team that was not named had a
     /// count of 0. A host that has just begun takes over lower levels of settled ones.
     ///
-    /// After a silence the first whole beat tells all that was spent in it. That is taken out, and
+    /// After a silence the first whole heartbeat tells all that was spent in it. That is taken out, and
     /// what was kept for the host is put back. Where only one of them is done, a host that falls
     /// silent for a moment again and again spends without being counted, or the fuller part of a
     /// divided fleet spends what the other has spent already; a team then gets twice its rate.
-    pub fn hear(&mut self, beat: &HostBeat, was_silent: bool, now: Instant) {
-        let host =
-            HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
+    pub fn hear(&mut self, heartbeat: &HostHeartbeat, was_silent: bool, now: Instant) {
+        let host = HostId {
+            address: heartbeat.host.address.clone(),
+            incarnation: heartbeat.host.incarnation,
+        };
         if !self.heard.contains_key(&host) {
             self.heard.retain(|held, _| held.address != host.address);
         }
@@ -281,25 +283,25 @@
         }
         let is_settled = self.is_settled(now);
         let counts = self.heard.get_or_insert_with(host, HeardCounts::default);
-        match (counts.basis, beat.is_usage_whole) {
-            // Counts only grow, so what is told of a team is new whether or not the beat is whole.
+        match (counts.basis, heartbeat.is_usage_whole) {
+            // Counts only grow, so what is told of a team is new whether or not the heartbeat is whole.
             (CountBasis::Current, _) | (CountBasis::BeforeSilence, false) => {
-                take_counts(&mut self.teams, counts, beat, self.parts, now);
+                take_counts(&mut self.teams, counts, heartbeat, self.parts, now);
             }
             (CountBasis::BeforeSilence, true) if is_settled => {
-                settle_counts(&mut self.teams, counts, beat, now);
+                settle_counts(&mut self.teams, counts, heartbeat, now);
             }
             // A host that is not settled itself takes over what settled ones know.
-            (_, true) => counts.begin(beat),
+            (_, true) => counts.begin(heartbeat),
             (CountBasis::Unknown, false) => {}
         }
-        if beat.is_settled && !is_settled {
-            self.take_levels(beat, now);
+        if heartbeat.is_settled && !is_settled {
+            self.take_levels(heartbeat, now);
         }
     }
 
-    fn take_levels(&mut self, beat: &HostBeat, now: Instant) {
-        for told in &beat.usage {
+    fn take_levels(&mut self, heartbeat: &HostHeartbeat, now: Instant) {
+        for told in &heartbeat.usage {
             let Some(account) = self.teams.get_mut(&told.team) else { continue };
             account.advance(now);
             account.level = account.level.min(f64::from(told.level));
@@ -321,9 +323,9 @@
 }
 
 impl HeardCounts {
-    /// Takes a whole beat as what later ones are compared with.
-    fn begin(&mut self, beat: &HostBeat) {
-        self.teams = beat.usage.iter().map(|told| (told.team, told.admitted)).collect();
+    /// Takes a whole heartbeat as what later ones are compared with.
+    fn begin(&mut self, heartbeat: &HostHeartbeat) {
+        self.teams = heartbeat.usage.iter().map(|told| (told.team, told.admitted)).collect();
         self.basis = CountBasis::Current;
         self.kept_before = SortedMap::new();
     }
@@ -335,15 +337,15 @@
     }
 }
 
-/// Takes out what a host admitted since its last beat.
+/// Takes out what a host admitted since its last heartbeat.
 fn take_counts(
     teams: &mut SortedMap<u32, TeamAccount>,
     counts: &mut HeardCounts,
-    beat: &HostBeat,
+    heartbeat: &HostHeartbeat,
     parts: FleetParts,
     now: Instant,
 ) {
-    for told in &beat.usage {
+    for told in &heartbeat.usage {
         let spent = counts.spent(told);
         counts.teams.insert(told.team, told.admitted);
         let Some(account) = teams.get_mut(&told.team) else { continue };
@@ -358,16 +360,16 @@
 fn settle_counts(
     teams: &mut SortedMap<u32, TeamAccount>,
     counts: &mut HeardCounts,
-    beat: &HostBeat,
+    heartbeat: &HostHeartbeat,
     now: Instant,
 ) {
     for (team, account) in teams.iter_mut() {
-        let told = beat.usage.iter().find(|told| told.team == *team);
+        let told = heartbeat.usage.iter().find(|told| told.team == *team);
         let kept_before = counts.kept_before.get(team).copied().unwrap_or(account.kept);
         account.advance(now);
         account.settle(kept_before, told.map_or(0.0, |told| counts.spent(told)));
     }
-    counts.begin(beat);
+    counts.begin(heartbeat);
 }
 
 #[cfg(test)]
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -8,9 +8,9 @@
 use tokio::time::{Instant, advance};
 
 use super::{QuotaBook, QuotaDecision, QuotaTolerance};
-use crate::beat::HostBeat;
 use crate::declarations::{CallerLimits, FleetDeclarations, TeamRule};
-use crate::fixtures::{host_beat, known_host};
+use crate::fixtures::{host_heartbeat, known_host};
+use crate::heartbeat::HostHeartbeat;
 
 const RATE: f64 = 10.0;
 const BURST: f64 = 20.0;
@@ -41,13 +41,13 @@
 }
 
 /// What the host called `address` tells of a book.
-fn beat(address: &str, book: &QuotaBook, is_whole: bool) -> HostBeat {
+fn heartbeat(address: &str, book: &QuotaBook, is_whole: bool) -> HostHeartbeat {
     let now = Instant::now();
-    HostBeat {
+    HostHeartbeat {
         usage: book.usage(is_whole, now),
         is_usage_whole: is_whole,
         is_settled: book.is_settled(now),
-        ..host_beat(known_host(address, 1, "z"), 1)
+        ..host_heartbeat(known_host(address, 1, "z"), 1)
     }
 }
 
@@ -59,7 +59,7 @@
     count
 }
 
-/// A fleet whose hosts hear each other's beats at once.
+/// A fleet whose hosts hear each other's heartbeats at once.
 struct Fleet {
     books: Vec<QuotaBook>,
 }
@@ -75,10 +75,10 @@
     }
 
     fn tell(&mut self, host: usize, is_whole: bool) {
-        let beat = beat(&host.to_string(), &self.books[host], is_whole);
+        let heartbeat = heartbeat(&host.to_string(), &self.books[host], is_whole);
         for (index, other) in self.books.iter_mut().enumerate() {
             if index != host {
-                other.hear(&beat, false, Instant::now());
+                other.hear(&heartbeat, false, Instant::now());
             }
         }
     }
@@ -87,8 +87,8 @@
         self.books[host] = book_with(tolerance);
         for other in 0..self.books.len() {
             if other != host {
-                let beat = beat(&other.to_string(), &self.books[other], true);
-                self.books[host].hear(&beat, false, Instant::now());
+                let heartbeat = heartbeat(&other.to_string(), &self.books[other], true);
+                self.books[host].hear(&heartbeat, false, Instant::now());
             }
         }
     }
@@ -119,10 +119,10 @@
     let mut first = book();
     let mut second = book();
     advance(Duration::from_secs(10)).await;
-    second.hear(&beat("first", &first, true), false, Instant::now());
+    second.hear(&heartbeat("first", &first, true), false, Instant::now());
 
     let spent = admitted_at_once(&mut first);
-    second.hear(&beat("first", &first, false), false, Instant::now());
+    second.hear(&heartbeat("first", &first, false), false, Instant::now());
 
     assert_eq!(spent, 20);
     assert_eq!(admitted_at_once(&mut second), 0);
@@ -154,32 +154,32 @@
 #[tokio::test(start_paused = true)]
 async fn what_was_spent_in_a_division_is_owed_once_after_it() {
     let (mut here, mut there) = (book(), book());
-    here.hear(&beat("there", &there, true), false, Instant::now());
+    here.hear(&heartbeat("there", &there, true), false, Instant::now());
     advance(Duration::from_secs(10)).await;
     here.set_share(1, 2);
     there.set_share(1, 2);
     let spent_there = admitted_at_once(&mut there);
 
     here.set_share(2, 2);
-    here.hear(&beat("there", &there, true), true, Instant::now());
+    here.hear(&heartbeat("there", &there, true), true, Instant::now());
     let left_here = admitted_at_once(&mut here);
 
     assert_eq!((spent_there, left_here), (10, 10));
 }
 
-/// Hosts on a busy machine fall silent for a moment, and the whole beat that one asks the other for
+/// Hosts on a busy machine fall silent for a moment, and the whole heartbeat that one asks the other for
 /// afterwards comes late. Admissions told meanwhile would not be counted, and each host would spend
 /// the whole rate until it comes.
 #[tokio::test(start_paused = true)]
-async fn admissions_told_after_a_silence_count_before_a_whole_beat_comes() {
+async fn admissions_told_after_a_silence_count_before_a_whole_heartbeat_comes() {
     let (mut here, mut there) = (book(), book());
-    here.hear(&beat("there", &there, true), false, Instant::now());
+    here.hear(&heartbeat("there", &there, true), false, Instant::now());
     advance(Duration::from_secs(10)).await;
     let spent_there = admitted_at_once(&mut there);
 
-    here.hear(&beat("there", &there, false), true, Instant::now());
+    here.hear(&heartbeat("there", &there, false), true, Instant::now());
     let left_here = admitted_at_once(&mut here);
-    here.hear(&beat("there", &there, true), false, Instant::now());
+    here.hear(&heartbeat("there", &there, true), false, Instant::now());
     advance(Duration::from_secs(1)).await;
     let next_second = admitted_at_once(&mut here);
 
@@ -187,9 +187,9 @@
 }
 
 /// A team sends many times its rate through all hosts at once, and each learns of the others'
-/// admissions only with the next beat. The callers of other teams would feel the excess.
+/// admissions only with the next heartbeat. The callers of other teams would feel the excess.
 #[tokio::test(start_paused = true)]
-async fn a_flood_through_all_hosts_exceeds_the_rate_by_less_than_a_beat_brings() {
+async fn a_flood_through_all_hosts_exceeds_the_rate_by_less_than_a_heartbeat_brings() {
     let mut fleet = Fleet::new(11, QuotaTolerance::default());
     advance(Duration::from_secs(10)).await;
 
--- a/crates/cuminramp-fleet/src/quota/tests/division.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/division.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::{Instant, advance};
 
-use super::{beat, team, tolerant};
-use crate::beat::{HostBeat, KnownHost};
+use super::{heartbeat, team, tolerant};
 use crate::declarations::{CallerLimits, FleetDeclarations, TeamRule};
+use crate::heartbeat::{HostHeartbeat, KnownHost};
 use crate::peers::{PeerPolicy, PeerRecord, PeerTable};
 use crate::quota::{QuotaBook, QuotaDecision};
 
@@ -17,7 +17,7 @@
 const BURSTY: (f64, f64) = (10.0, 100.0);
 const WINDOW: Duration = Duration::from_secs(5);
 const STEP: Duration = Duration::from_millis(5);
-/// Steps between two beats of a host that admitted nothing.
+/// Steps between two heartbeats of a host that admitted nothing.
 const QUIET_STEPS: usize = 20;
 
 struct FleetHost {
@@ -48,14 +48,14 @@
 }
 
 impl FleetHost {
-    fn make_beat(&mut self, index: usize) -> HostBeat {
+    fn make_heartbeat(&mut self, index: usize) -> HostHeartbeat {
         self.sequence += 1;
-        // Hosts that hear one again after a silence ask it for a whole beat; here all are whole.
-        let told = beat(&index.to_string(), &self.book, true);
-        HostBeat { host: known(index), sequence: self.sequence, ..told }
+        // Hosts that hear one again after a silence ask it for a whole heartbeat; here all are whole.
+        let told = heartbeat(&index.to_string(), &self.book, true);
+        HostHeartbeat { host: known(index), sequence: self.sequence, ..told }
     }
 
-    fn hear(&mut self, told: &HostBeat) {
+    fn hear(&mut self, told: &HostHeartbeat) {
         let now = Instant::now();
         let was_heard =
             self.peers.get(&told.host.address).is_some_and(|host| self.peers.is_heard(host, now));
@@ -85,7 +85,7 @@
 }
 
 /// Fills the bucket in ten quiet seconds, and then lets each host that is asked admit in each step, and
-/// beat to the hosts of its part. Returns the most that was admitted in a window.
+/// send a heartbeat to the hosts of its part. Returns the most that was admitted in a window.
 async fn flood(
     hosts: &mut [FleetHost],
     part_of: impl Fn(usize, Duration) -> usize,
@@ -106,7 +106,7 @@
             if !is_due {
                 continue;
             }
-            let told = hosts[index].make_beat(index);
+            let told = hosts[index].make_heartbeat(index);
             let part = part_of(index, passed);
             for (other, host) in hosts.iter_mut().enumerate() {
                 if other != index && part_of(other, passed) == part {
@@ -134,7 +134,7 @@
 fn fleet(size: usize, limits: (f64, f64)) -> Vec<FleetHost> {
     let mut hosts: Vec<FleetHost> = (0..size).map(|index| host(index, limits)).collect();
     for index in 0..size {
-        let told = hosts[index].make_beat(index);
+        let told = hosts[index].make_heartbeat(index);
         for (other, host) in hosts.iter_mut().enumerate() {
             if other != index {
                 host.hear(&told);
@@ -193,7 +193,7 @@
     assert!(most as f64 >= 0.9 * paid_for(BURSTY), "{most} of {}", paid_for(BURSTY));
 }
 
-/// All hosts of a busy machine fall silent for 0.4 s again and again: beats wait behind other work.
+/// All hosts of a busy machine fall silent for 0.4 s again and again: heartbeats wait behind other work.
 /// What each spends before the others notice would be forgiven each time, and add up to far more
 /// than is tolerated.
 #[tokio::test(start_paused = true)]
--- a/crates/cuminramp-fleet/src/rhythm/tests.rs
+++ b/crates/cuminramp-fleet/src/rhythm/tests.rs
@@ -3,10 +3,10 @@
 use test_case::test_case;
 use tokio::time::{Instant, advance};
 
-use super::{BeatRhythm, BeatTimes};
+use super::{HeartbeatRhythm, HeartbeatTimes};
 
-/// In a large fleet beats to other zones come seldom. With a fixed limit every host would take the
-/// hosts of other zones for silent between two beats, keep their share of each rate for them, and
+/// In a large fleet heartbeats to other zones come seldom. With a fixed limit every host would take the
+/// hosts of other zones for silent between two heartbeats, keep their share of each rate for them, and
 /// refuse callers who are within it.
 #[test_case(11, 4)]
 #[test_case(85, 29)]
@@ -15,9 +15,9 @@
 #[test_case(300, 60)]
 #[test_case(360, 16)]
 #[tokio::test(start_paused = true)]
-async fn a_host_that_beats_in_time_is_never_silent(hosts: usize, near: usize) {
-    let rhythm = BeatRhythm::new(hosts, near);
-    let mut times = BeatTimes::new(Instant::now());
+async fn a_host_that_heartbeats_in_time_is_never_silent(hosts: usize, near: usize) {
+    let rhythm = HeartbeatRhythm::new(hosts, near);
+    let mut times = HeartbeatTimes::new(Instant::now());
     let mut heard = [Instant::now(); 2];
 
     for _ in 0..200 {
@@ -43,8 +43,8 @@
     near: usize,
     most_a_second: usize,
 ) {
-    let rhythm = BeatRhythm::new(hosts, near);
-    let mut times = BeatTimes::new(Instant::now());
+    let rhythm = HeartbeatRhythm::new(hosts, near);
+    let mut times = HeartbeatTimes::new(Instant::now());
     times.take_due(&rhythm, Instant::now());
     let (until, mut sent) = (Instant::now() + Duration::from_secs(4), 0);
 
@@ -57,18 +57,18 @@
     assert!(sent / 4 <= most_a_second, "{}", sent / 4);
 }
 
-/// Under full load something changes all the time. Beats for each change would take up the host.
+/// Under full load something changes all the time. Heartbeats for each change would take up the host.
 #[test_case(11, 4, 2_500)]
 #[test_case(85, 29, 1_300)]
 #[test_case(360, 16, 1_300)]
 #[tokio::test(start_paused = true)]
-async fn changes_all_the_time_cost_a_bounded_number_of_beats(
+async fn changes_all_the_time_cost_a_bounded_number_of_heartbeats(
     hosts: usize,
     near: usize,
     most_a_second: usize,
 ) {
-    let rhythm = BeatRhythm::new(hosts, near);
-    let mut times = BeatTimes::new(Instant::now());
+    let rhythm = HeartbeatRhythm::new(hosts, near);
+    let mut times = HeartbeatTimes::new(Instant::now());
     let mut sent = 0;
 
     for _ in 0..20_000 {
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::message::{SlotAnswer, SlotAsk, SlotGroup, SlotOutcome, SlotReport};
-use crate::beat::TargetLoad;
+use crate::heartbeat::TargetLoad;
 #[cfg(test)]
 use crate::targets::WorkKind;
 use crate::targets::{ColdShare, GroupNeed, GroupPlace, TargetBoard};
--- a/crates/cuminramp-fleet/src/slots/ledger/account.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/account.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-use crate::beat::TargetLoad;
 use crate::demand::ItemDemand;
+use crate::heartbeat::TargetLoad;
 use crate::slots::SlotReport;
 
 /// A host whose reports stay away for so long has nothing in flight any more, or reports to another
--- a/crates/cuminramp-fleet/src/slots/ledger/items.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/items.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use super::SlotLedger;
-use crate::beat::TargetLoad;
 use crate::demand::{ItemDemand, share_room};
+use crate::heartbeat::TargetLoad;
 use crate::slots::SlotGroup;
 use crate::targets::{ColdShare, TargetBoard};
 
--- a/crates/cuminramp-fleet/src/slots/message.rs
+++ b/crates/cuminramp-fleet/src/slots/message.rs
@@ -3,9 +3,9 @@
 use cuminramp_core::{AvailabilityZone, HostId, Incarnation, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::beat::{TargetLoad, ToldLoad, name_hash};
 use crate::demand::ItemDemand;
 use crate::health::TargetOutcomes;
+use crate::heartbeat::{TargetLoad, ToldLoad, name_hash};
 
 /// The targets of one pool in one availability zone.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -7,8 +7,8 @@
     GrantNumbers, GroupShare, ItemGrant, ItemLimit, SlotAnswer, SlotAsk, SlotGroup, SlotLedger,
     SlotOutcome, SlotReport,
 };
-use crate::beat::{TargetLoad, name_hash};
 use crate::demand::ItemDemand;
+use crate::heartbeat::{TargetLoad, name_hash};
 use crate::targets::{ColdShare, FleetTarget, PlacementPolicy, TargetBoard, TargetPhase, WorkKind};
 
 mod cold;
--- a/crates/cuminramp-fleet/src/slots/tests/cold.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/cold.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{Owner, group, host, make_ask, report, target, waiting};
-use crate::beat::name_hash;
+use crate::heartbeat::name_hash;
 use crate::slots::{GroupShare, SlotOutcome, SlotReport};
 use crate::targets::{
     ColdRule, ColdShare, ColdTolerance, FleetTarget, PlacementPolicy, TargetBoard,
--- a/crates/cuminramp-fleet/src/slots/tests/foreign.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/foreign.rs
@@ -4,7 +4,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{Owner, load, report};
-use crate::beat::{ToldLoad, name_hash};
+use crate::heartbeat::{ToldLoad, name_hash};
 use crate::slots::{SlotOutcome, SlotReport};
 
 fn told(id: &str, busy: u16) -> Vec<ToldLoad> {
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -4,7 +4,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{group, host};
-use crate::fixtures::{host_beat, known_host};
+use crate::fixtures::{host_heartbeat, known_host};
 use crate::peers::{PeerPolicy, PeerTable};
 use crate::slots::OwnerBook;
 
@@ -12,7 +12,7 @@
     let policy = PeerPolicy { lost: Duration::from_millis(1_500) };
     let mut table = PeerTable::new(known_host(me, 1, "z1"), policy);
     for (address, zone) in others {
-        table.hear(host_beat(known_host(address, 1, zone), 1), Instant::now());
+        table.hear(host_heartbeat(known_host(address, 1, zone), 1), Instant::now());
     }
     table
 }
@@ -38,7 +38,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_host_of_another_zone_owns_a_group_only_where_its_zone_has_none() {
     let mut peers = table("d", &[("b", "z2")]);
-    peers.hear(host_beat(known_host("a", 1, "z1"), 1), Instant::now());
+    peers.hear(host_heartbeat(known_host("a", 1, "z1"), 1), Instant::now());
     let near = owner(&mut OwnerBook::default(), &peers);
 
     let far = table("e", &[]);
--- a/crates/cuminramp-fleet/src/steering.rs
+++ b/crates/cuminramp-fleet/src/steering.rs
@@ -2,7 +2,7 @@
 
 use cuminramp_core::{AvailabilityZone, Name, RandomSource};
 
-use crate::beat::KnownHost;
+use crate::heartbeat::KnownHost;
 
 /// Hosts of other zones for each one of the caller's own: where a zone is lost, callers who know no host
 /// of another one are shut out for as long as they keep the answer.
--- a/crates/cuminramp-fleet/src/steering/tests.rs
+++ b/crates/cuminramp-fleet/src/steering/tests.rs
@@ -1,8 +1,8 @@
 use cuminramp_core::{Name, RandomSource, SeededRandom};
 
 use super::{SteeringArea, SteeringBounds};
-use crate::beat::KnownHost;
 use crate::fixtures::known_host;
+use crate::heartbeat::KnownHost;
 
 const BOUNDS: SteeringBounds = SteeringBounds { fewest_near: 2, most: 64 };
 /// Callers try a second host where the first does not answer.
--- a/crates/cuminramp-fleet/src/targets.rs
+++ b/crates/cuminramp-fleet/src/targets.rs
@@ -14,8 +14,8 @@
 use cuminramp_core::{AvailabilityZone, HostId, Name, SortedMap};
 use tokio::time::Instant;
 
-use crate::beat::{TargetLoad, name_hash};
 use crate::health::{DoubtChange, HealthBook, TargetOutcomes};
+use crate::heartbeat::{TargetLoad, name_hash};
 use crate::homes::ZoneLimit;
 use crate::slots::SlotGroup;
 
--- a/crates/cuminramp-fleet/src/targets/foreign.rs
+++ b/crates/cuminramp-fleet/src/targets/foreign.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::{BoardEntry, TargetBoard};
-use crate::beat::ToldLoad;
+use crate::heartbeat::ToldLoad;
 use crate::slots::SlotGroup;
 
 /// Foreign work is forgotten at a slot for each such time, unless the target tells of it anew: the items
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -8,7 +8,7 @@
     ColdShare, FleetTarget, OnlineNeed, PlacementDecision, PlacementPolicy, TargetBoard,
     TargetPhase,
 };
-use crate::beat::{TargetLoad, name_hash};
+use crate::heartbeat::{TargetLoad, name_hash};
 use crate::homes::ZoneLimit;
 
 static ANYWHERE: OnceLock<ZoneLimit> = OnceLock::new();
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -141,7 +141,7 @@
         let now = Instant::now();
         let decision = lock(&state.quota).admit(&team.name, is_again, now);
         let QuotaDecision::Exceeded(after) = decision else {
-            state.want_beat();
+            state.want_heartbeat();
             return Ok(());
         };
         if now + after < until {
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -25,8 +25,8 @@
 use crate::jobs::{JobsFollower, hand_jobs_over, run_items, save_progress, take_jobs_over};
 use crate::metrics::GatewayMetrics;
 use crate::peers::{
-    HostSocket, PeerClients, forget_silent, greet_host, receive_datagrams, send_beats, serve_calls,
-    tell_all, watch_pauses,
+    HostSocket, PeerClients, forget_silent, greet_host, receive_datagrams, send_heartbeats,
+    serve_calls, tell_all, watch_pauses,
 };
 use crate::slots::{SlotState, send_reports, tend_slots};
 use crate::state::{GatewayState, lock};
@@ -50,7 +50,7 @@
 /// Time that callers need to learn that this host leaves: they keep answers for two seconds, some
 /// three times as long; those still on an open connection are told on it.
 const LEAVE_SHARE: f64 = 0.55;
-/// What is kept back of the grace for the last answers and beats.
+/// What is kept back of the grace for the last answers and heartbeats.
 const LEAVE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Why a gateway did not start.
@@ -155,10 +155,10 @@
         random: std::sync::Mutex::new(Box::new(SeededRandom::new(rand::rng().next_u64()))),
         metrics,
         socket: OnceLock::new(),
-        beat_sequence: AtomicU64::new(1),
+        heartbeat_sequence: AtomicU64::new(1),
         has_read_hosts: AtomicBool::new(false),
         asks_for_news: Semaphore::new(1),
-        beat_wanted: Notify::new(),
+        heartbeat_wanted: Notify::new(),
         items_wanted: Notify::new(),
         started: now,
         is_draining: AtomicBool::new(false),
@@ -267,7 +267,7 @@
     spawn_loop(state, follow_table(state.clone(), JobsFollower));
     spawn_loop(state, announce_host(state.clone()));
     spawn_loop(state, follow_hosts(state.clone()));
-    spawn_loop(state, send_beats(state.clone()));
+    spawn_loop(state, send_heartbeats(state.clone()));
     spawn_loop(state, receive_datagrams(state.clone()));
     spawn_loop(state, send_reports(state.clone()));
     spawn_loop(state, tend_slots(state.clone()));
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use cuminramp_core::{HostId, Name, SortedMap};
-use cuminramp_fleet::{BeatRhythm, EndedJob};
+use cuminramp_fleet::{EndedJob, HeartbeatRhythm};
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::decode_row;
 use cuminramp_wire::fleet::{JobPhase, JobRow};
@@ -25,7 +25,7 @@
 /// store would be these.
 const LONGEST_WATCH_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Ends of jobs that one beat tells. A beat that grew over what receivers read, 60 KiB, would make
+/// Ends of jobs that one heartbeat tells. A heartbeat that grew over what receivers read, 60 KiB, would make
 /// its host seem silent; this many are some 2 KB.
 const MOST_ENDS: usize = 64;
 
@@ -166,7 +166,7 @@
         JOBS
     }
 
-    fn pause(&self, rhythm: &BeatRhythm) -> Duration {
+    fn pause(&self, rhythm: &HeartbeatRhythm) -> Duration {
         rhythm.stretch(WATCH_PAUSE, LONGEST_WATCH_PAUSE)
     }
 
--- a/crates/cuminramp-gateway/src/jobs/directory/tests.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory/tests.rs
@@ -6,10 +6,10 @@
 
 const LATELY: Duration = Duration::from_secs(3);
 
-/// A caller ends the same job over and over, and others end thousands. Were each told, beats would
+/// A caller ends the same job over and over, and others end thousands. Were each told, heartbeats would
 /// grow over what receivers read, and the host would seem silent to all others.
 #[tokio::test(start_paused = true)]
-async fn ends_in_a_beat_are_told_once_and_are_bounded() {
+async fn ends_in_a_heartbeat_are_told_once_and_are_bounded() {
     let directory = JobDirectory::default();
     let now = Instant::now();
     for _ in 0..1_000 {
--- a/crates/cuminramp-gateway/src/jobs/end.rs
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -80,7 +80,7 @@
             state.directory.put(row, version);
             state.directory.note_end(&known.row.id, version, Instant::now());
             stop_job(state, &known.row.id);
-            state.want_beat();
+            state.want_heartbeat();
             Ok(true)
         }
         CommitOutcome::Conflict(_) => Ok(false),
--- a/crates/cuminramp-gateway/src/jobs/keeper.rs
+++ b/crates/cuminramp-gateway/src/jobs/keeper.rs
@@ -78,7 +78,7 @@
         }
     });
     state.items_wanted.notify_one();
-    state.want_beat();
+    state.want_heartbeat();
 }
 
 struct JobKeeper {
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -95,7 +95,7 @@
     lock(&state.jobs).drop_job(job);
     state.running.stop_job(job);
     state.keepers.remove(job);
-    state.want_beat();
+    state.want_heartbeat();
 }
 
 /// Asks for slots for items until the host leaves.
@@ -249,7 +249,7 @@
         state.keepers.ask(&start.job, KeeperOrder::List(finished));
     }
     state.items_wanted.notify_one();
-    state.want_beat();
+    state.want_heartbeat();
 }
 
 fn broken(reason: impl Into<String>) -> RunEnd {
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -100,7 +100,7 @@
         return false;
     }
     let heard = peers.iter().filter(|record| {
-        let is_ready = record.beat.as_ref().is_some_and(|beat| beat.is_ready);
+        let is_ready = record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_ready);
         is_ready && peers.is_heard(record, now)
     });
     let mut hosts: Vec<Name> = heard.map(|record| record.host.address.clone()).collect();
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -108,7 +108,7 @@
     pub(crate) fn note_crash(&self) {
         let crashes = lock(&self.state.crashes).on_crash(self.fingerprint(), Instant::now());
         self.record.note_crash(self.fingerprint(), crashes);
-        self.state.want_beat();
+        self.state.want_heartbeat();
     }
 
     /// It ran to its end.
--- a/crates/cuminramp-gateway/src/peers/clock.rs
+++ b/crates/cuminramp-gateway/src/peers/clock.rs
@@ -10,7 +10,7 @@
 
 /// Between two looks at the clocks.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// A host that was away for longer doubts what it believes. Beats come every 100 ms, so less is
+/// A host that was away for longer doubts what it believes. Heartbeats come every 100 ms, so less is
 /// ordinary lateness.
 const PAUSE_LIMIT: Duration = Duration::from_millis(400);
 
@@ -45,6 +45,6 @@
         quota.set_share(heard, all);
         drop(quota);
         state.slots.begin_anew(&state);
-        state.want_beat();
+        state.want_heartbeat();
     }
 }
--- a/crates/cuminramp-gateway/src/peers/beats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -1,11 +1,11 @@
-//! Sends and takes beats.
+//! Sends and takes heartbeats.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name};
-use cuminramp_fleet::{BeatTimes, HostBeat, HostMessage, KnownHost, SuspectCount};
+use cuminramp_fleet::{HeartbeatTimes, HostHeartbeat, HostMessage, KnownHost, SuspectCount};
 use tokio::time::Instant;
 
 use super::socket::{HostSocket, send_to_host};
@@ -13,29 +13,29 @@
 use crate::state::{GatewayState, lock};
 use crate::sync::{ask_for_news, take_drains};
 
-/// Hosts that a whole beat names.
-const KNOWN_IN_BEAT: usize = 2;
-/// Hosts that a beat names to one that knows hardly any. Named to each host that greets, they would be
+/// Hosts that a whole heartbeat names.
+const KNOWN_IN_HEARTBEAT: usize = 2;
+/// Hosts that a heartbeat names to one that knows hardly any. Named to each host that greets, they would be
 /// most of the bytes of a start of hundreds of hosts.
 const KNOWN_IN_ANSWER: usize = 40;
-/// Every so many beats tell the counts of all teams and name some hosts.
+/// Every so many heartbeats tell the counts of all teams and name some hosts.
 const WHOLE_EVERY: u64 = 16;
 
-/// How long a request that broke targets is told to others; beats that get lost are followed by
+/// How long a request that broke targets is told to others; heartbeats that get lost are followed by
 /// some twenty more.
 const TELL_SUSPECTS_FOR: Duration = Duration::from_secs(2);
 
-/// Such requests in one beat: some 800 bytes, where all of a mass failure would be more than
+/// Such requests in one heartbeat: some 800 bytes, where all of a mass failure would be more than
 /// receivers read.
 const MOST_SUSPECTS: usize = 64;
 
-/// How long the end of a job is told: a job has to stop within three seconds of its end, and beats
+/// How long the end of a job is told: a job has to stop within three seconds of its end, and heartbeats
 /// that get lost are followed by others.
 const TELL_ENDS_FOR: Duration = Duration::from_secs(3);
 
-/// Why a beat goes out.
+/// Why a heartbeat goes out.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum BeatKind {
+enum HeartbeatKind {
     /// It is time, or something changed.
     Usual,
     /// The receiver may not know this host.
@@ -50,13 +50,13 @@
     },
 }
 
-fn make_beat(state: &GatewayState, kind: BeatKind) -> HostBeat {
+fn make_heartbeat(state: &GatewayState, kind: HeartbeatKind) -> HostHeartbeat {
     let now = Instant::now();
-    let sequence = state.beat_sequence.fetch_add(1, Ordering::Relaxed);
-    let is_usage_whole = kind != BeatKind::Usual || sequence.is_multiple_of(WHOLE_EVERY);
+    let sequence = state.heartbeat_sequence.fetch_add(1, Ordering::Relaxed);
+    let is_usage_whole = kind != HeartbeatKind::Usual || sequence.is_multiple_of(WHOLE_EVERY);
     let known = match kind {
-        BeatKind::Answer { names_hosts: true } => some_known(state, sequence, KNOWN_IN_ANSWER),
-        BeatKind::Usual if is_usage_whole => some_known(state, sequence, KNOWN_IN_BEAT),
+        HeartbeatKind::Answer { names_hosts: true } => some_known(state, sequence, KNOWN_IN_ANSWER),
+        HeartbeatKind::Usual if is_usage_whole => some_known(state, sequence, KNOWN_IN_HEARTBEAT),
         _ => vec![],
     };
     // Each lock is taken and released in a statement of its own: two of one lock in one expression
@@ -68,13 +68,13 @@
     let (usage, is_settled) = (quota.usage(is_usage_whole, now), quota.is_settled(now));
     drop(quota);
     let suspects = lock(&state.crashes).seen_lately(TELL_SUSPECTS_FOR, MOST_SUSPECTS, now);
-    HostBeat {
+    HostHeartbeat {
         host: state.me.clone(),
         sequence,
         is_ready: state.is_ready(),
         has_left: state.has_left.load(Ordering::Relaxed),
-        wants_answer: matches!(kind, BeatKind::Greeting { .. }),
-        wants_known: kind == BeatKind::Greeting { wants_known: true },
+        wants_answer: matches!(kind, HeartbeatKind::Greeting { .. }),
+        wants_known: kind == HeartbeatKind::Greeting { wants_known: true },
         reaches_store: state.relay.is_reached(),
         declarations,
         targets,
@@ -111,19 +111,19 @@
 /// Greets a host that may not know this one.
 pub(crate) async fn greet_host(state: &Arc<GatewayState>, address: &Name) {
     let wants_known = !state.has_read_hosts.load(Ordering::Relaxed);
-    let beat = make_beat(state, BeatKind::Greeting { wants_known });
-    send_to_host(state, HostMessage::Beat(beat), address).await;
+    let heartbeat = make_heartbeat(state, HeartbeatKind::Greeting { wants_known });
+    send_to_host(state, HostMessage::Heartbeat(heartbeat), address).await;
 }
 
-/// Sends beats until the gateway stops: soon after changes, and at intervals.
-pub(crate) async fn send_beats(state: Arc<GatewayState>) {
+/// Sends heartbeats until the gateway stops: soon after changes, and at intervals.
+pub(crate) async fn send_heartbeats(state: Arc<GatewayState>) {
     let Some(socket) = state.socket.get() else { return };
-    let mut times = BeatTimes::new(Instant::now());
+    let mut times = HeartbeatTimes::new(Instant::now());
     loop {
         let rhythm = lock(&state.peers).rhythm();
         tokio::select! {
             () = tokio::time::sleep_until(times.next()) => {}
-            () = state.beat_wanted.notified() => {
+            () = state.heartbeat_wanted.notified() => {
                 times.hasten(&rhythm, Instant::now());
                 continue;
             }
@@ -136,7 +136,7 @@
         if is_far_due {
             receivers.extend(addresses(&state, false));
         }
-        send_beat(&state, socket, &receivers).await;
+        send_heartbeat(&state, socket, &receivers).await;
         renew_share(&state);
     }
 }
@@ -145,14 +145,14 @@
 pub(crate) async fn tell_all(state: &Arc<GatewayState>) {
     let Some(socket) = state.socket.get() else { return };
     for _ in 0..2 {
-        send_beat(state, socket, &addresses(state, true)).await;
-        send_beat(state, socket, &addresses(state, false)).await;
+        send_heartbeat(state, socket, &addresses(state, true)).await;
+        send_heartbeat(state, socket, &addresses(state, false)).await;
     }
 }
 
-async fn send_beat(state: &GatewayState, socket: &HostSocket, to: &[Name]) {
-    let beat = make_beat(state, BeatKind::Usual);
-    socket.send(&HostMessage::Beat(beat), to).await;
+async fn send_heartbeat(state: &GatewayState, socket: &HostSocket, to: &[Name]) {
+    let heartbeat = make_heartbeat(state, HeartbeatKind::Usual);
+    socket.send(&HostMessage::Heartbeat(heartbeat), to).await;
 }
 
 fn renew_share(state: &GatewayState) {
@@ -161,16 +161,20 @@
     lock(&state.quota).set_share(heard, all);
 }
 
-/// Takes a beat that came from an address.
-pub(super) async fn take_beat(state: &Arc<GatewayState>, beat: HostBeat, from: Name) {
+/// Takes a heartbeat that came from an address.
+pub(super) async fn take_heartbeat(
+    state: &Arc<GatewayState>,
+    heartbeat: HostHeartbeat,
+    from: Name,
+) {
     let now = Instant::now();
-    let (wants_answer, names_hosts) = (beat.wants_answer, beat.wants_known);
-    let address = beat.host.address.clone();
-    let known = beat.known.clone();
-    let is_taken = merge_beat(state, beat, now);
+    let (wants_answer, names_hosts) = (heartbeat.wants_answer, heartbeat.wants_known);
+    let address = heartbeat.host.address.clone();
+    let known = heartbeat.known.clone();
+    let is_taken = merge_heartbeat(state, heartbeat, now);
     if is_taken && wants_answer {
-        let answer = make_beat(state, BeatKind::Answer { names_hosts });
-        send_to_host(state, HostMessage::Beat(answer), &from).await;
+        let answer = make_heartbeat(state, HeartbeatKind::Answer { names_hosts });
+        send_to_host(state, HostMessage::Heartbeat(answer), &from).await;
     }
     for host in known {
         let is_new = lock(&state.peers).learn(&host, now);
@@ -181,13 +185,14 @@
     }
 }
 
-/// Lets everything know what a beat says; `false` if it was an old one.
-fn merge_beat(state: &Arc<GatewayState>, beat: HostBeat, now: Instant) -> bool {
-    let id = HostId { address: beat.host.address.clone(), incarnation: beat.host.incarnation };
-    let told = beat.clone();
+/// Lets everything know what a heartbeat says; `false` if it was an old one.
+fn merge_heartbeat(state: &Arc<GatewayState>, heartbeat: HostHeartbeat, now: Instant) -> bool {
+    let id =
+        HostId { address: heartbeat.host.address.clone(), incarnation: heartbeat.host.incarnation };
+    let told = heartbeat.clone();
     let mut peers = lock(&state.peers);
     let before = peers.get(&id.address).map(|record| peers.is_heard(record, now));
-    if !peers.hear(beat, now) {
+    if !peers.hear(heartbeat, now) {
         return false;
     }
     drop(peers);
@@ -196,7 +201,7 @@
         log::info!(peer = &*id.address, incarnation = id.incarnation; "host-heard");
         renew_share(state);
         if !told.is_usage_whole {
-            // Its counts have a starting point only with its next whole beat.
+            // Its counts have a starting point only with its next whole heartbeat.
             let (state, address) = (state.clone(), id.address.clone());
             tokio::spawn(async move { greet_host(&state, &address).await });
         }
@@ -232,7 +237,7 @@
     let peers = lock(&state.peers);
     let unheard: Vec<HostId> = peers
         .iter()
-        .filter(|record| record.beat.is_some() && !peers.is_heard(record, now))
+        .filter(|record| record.heartbeat.is_some() && !peers.is_heard(record, now))
         .map(|record| record.id())
         .collect();
     drop(peers);
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -7,7 +7,7 @@
 use cuminramp_fleet::HostMessage;
 use tokio::net::UdpSocket;
 
-use super::beats::take_beat;
+use super::heartbeats::take_heartbeat;
 use crate::slots::{take_answer, take_ask, take_claim, take_order, take_report};
 use crate::state::GatewayState;
 
@@ -76,7 +76,7 @@
 async fn take_message(state: &Arc<GatewayState>, message: HostMessage, from: SocketAddr) {
     let address: Name = from.to_string().into();
     match message {
-        HostMessage::Beat(beat) => take_beat(state, beat, address).await,
+        HostMessage::Heartbeat(heartbeat) => take_heartbeat(state, heartbeat, address).await,
         HostMessage::Report(report) => take_report(state, &address, report).await,
         HostMessage::Ask(ask) => take_ask(state, &address, ask).await,
         HostMessage::Answer(answer) => take_answer(state, &address, answer),
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,12 +1,12 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
-    HostBeat, HostMessage, ItemDemand, KnownHost, OwnerClaim, SlotAnswer, SlotAsk, SlotOrder,
+    HostHeartbeat, HostMessage, ItemDemand, KnownHost, OwnerClaim, SlotAnswer, SlotAsk, SlotOrder,
     SlotOutcome, SlotReport, TargetLoad, TeamUsage, ToldLoad,
 };
 use proptest::prelude::*;
 
-fn beat() -> HostBeat {
-    HostBeat {
+fn heartbeat() -> HostHeartbeat {
+    HostHeartbeat {
         host: KnownHost {
             address: "10.1.0.21:7360".into(),
             incarnation: 7,
@@ -50,7 +50,7 @@
     let silent_address = Name::from("10.1.0.22:7360");
     let ask = SlotAsk { incarnation: 7, ask: 1, group: 1, avoided: vec![1], may_queue: true };
     vec![
-        HostMessage::Beat(beat()),
+        HostMessage::Heartbeat(heartbeat()),
         HostMessage::Report(report()),
         HostMessage::Ask(ask),
         HostMessage::Answer(SlotAnswer { ask: 1, outcome }),
@@ -66,7 +66,7 @@
         let _ = postcard::from_bytes::<HostMessage>(&bytes);
     }
 
-    /// A message that was cut short on its way is none: taken in part, a beat or report would say that
+    /// A message that was cut short on its way is none: taken in part, a heartbeat or report would say that
     /// its host has nothing in flight.
     #[test]
     fn a_message_that_was_cut_is_not_taken(kept in 0_usize..10_000, which in 0_usize..6) {
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -65,12 +65,12 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) slots: SlotState,
     pub(crate) socket: OnceLock<HostSocket>,
-    pub(crate) beat_sequence: AtomicU64,
+    pub(crate) heartbeat_sequence: AtomicU64,
     /// Whether the table of hosts was read since the start; until then others are asked for hosts.
     pub(crate) has_read_hosts: AtomicBool,
     /// One question for news at a time.
     pub(crate) asks_for_news: Semaphore,
-    pub(crate) beat_wanted: Notify,
+    pub(crate) heartbeat_wanted: Notify,
     pub(crate) items_wanted: Notify,
     pub(crate) started: Instant,
     pub(crate) is_draining: AtomicBool,
@@ -115,8 +115,8 @@
     }
 
     /// Tells other hosts soon that something changed.
-    pub(crate) fn want_beat(&self) {
-        self.beat_wanted.notify_one();
+    pub(crate) fn want_heartbeat(&self) {
+        self.heartbeat_wanted.notify_one();
     }
 
     /// A number to spread work by.
--- a/crates/cuminramp-gateway/src/sync/drains.rs
+++ b/crates/cuminramp-gateway/src/sync/drains.rs
@@ -55,6 +55,6 @@
             "{message}"
         );
     }
-    state.want_beat();
+    state.want_heartbeat();
     state.items_wanted.notify_one();
 }
--- a/crates/cuminramp-gateway/src/sync/follow.rs
+++ b/crates/cuminramp-gateway/src/sync/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use cuminramp_fleet::BeatRhythm;
+use cuminramp_fleet::HeartbeatRhythm;
 use cuminramp_platform::{RowChange, StoreError, TableSnapshot, WatchAnswer};
 use tokio::time::Instant;
 
@@ -25,7 +25,7 @@
     fn table(&self) -> &'static str;
 
     /// Pause between two watches, so that a table that changes all the time costs few calls.
-    fn pause(&self, rhythm: &BeatRhythm) -> Duration;
+    fn pause(&self, rhythm: &HeartbeatRhythm) -> Duration;
 
     /// Takes the whole table.
     async fn reset(&self, state: &Arc<GatewayState>, snapshot: TableSnapshot);
--- a/crates/cuminramp-gateway/src/sync/news.rs
+++ b/crates/cuminramp-gateway/src/sync/news.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use cuminramp_core::{Name, SortedMap};
-use cuminramp_fleet::{BeatRhythm, ChangedRow, KnownRow, RowAction, RowRegistry};
+use cuminramp_fleet::{ChangedRow, HeartbeatRhythm, KnownRow, RowAction, RowRegistry};
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::fleet::{NewsReply, NewsRequest, NewsRow};
 use tokio::time::Instant;
@@ -86,7 +86,7 @@
         self.table
     }
 
-    fn pause(&self, _: &BeatRhythm) -> Duration {
+    fn pause(&self, _: &HeartbeatRhythm) -> Duration {
         DECLARATIONS_PAUSE
     }
 
@@ -131,7 +131,7 @@
         "declarations-in-force"
     );
     lock(&state.news).declarations.insert(row.key.clone(), row);
-    state.want_beat();
+    state.want_heartbeat();
     state.items_wanted.notify_one();
 }
 
@@ -141,7 +141,7 @@
         self.table
     }
 
-    fn pause(&self, rhythm: &BeatRhythm) -> Duration {
+    fn pause(&self, rhythm: &HeartbeatRhythm) -> Duration {
         rhythm.stretch(TARGETS_PAUSE, LONGEST_TARGETS_PAUSE)
     }
 
@@ -242,7 +242,7 @@
     }
 }
 
-/// Asks another host whose beats show a later version, when the store did not bring it first.
+/// Asks another host whose heartbeats show a later version, when the store did not bring it first.
 ///
 /// A host that can't reach the store would go on with keys that were taken away and send work to
 /// targets that leave; one would see it in answers that other hosts no longer give.
@@ -250,10 +250,10 @@
     tokio::time::sleep(STORE_FIRST).await;
     let declarations = lock(&state.declarations).current().map_or(0, |held| held.version());
     let targets = lock(&state.news).targets_version();
-    let is_behind = lock(&state.peers)
-        .get(&address)
-        .and_then(|peer| peer.beat.as_ref())
-        .is_some_and(|beat| beat.declarations > declarations || beat.targets > targets);
+    let is_behind =
+        lock(&state.peers).get(&address).and_then(|peer| peer.heartbeat.as_ref()).is_some_and(
+            |heartbeat| heartbeat.declarations > declarations || heartbeat.targets > targets,
+        );
     if !is_behind {
         return;
     }
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -22,7 +22,7 @@
     pub readiness_address: String,
     /// Where callers ask which hosts to use, `ip:port`.
     pub steering_address: String,
-    /// Where other hosts reach it, over UDP for beats and TCP for calls, `ip:port`.
+    /// Where other hosts reach it, over UDP for heartbeats and TCP for calls, `ip:port`.
     pub peer_address: String,
     /// Where metrics are served, `ip:port`.
     pub metrics_address: String,
--- a/crates/cuminramp-targets/src/crashes/tests.rs
+++ b/crates/cuminramp-targets/src/crashes/tests.rs
@@ -61,7 +61,7 @@
     assert!(here.seen_lately(Duration::from_secs(2), 64, Instant::now()).is_empty());
 }
 
-/// A third of the targets goes down under hundreds of requests. All of them in one beat would be more
+/// A third of the targets goes down under hundreds of requests. All of them in one heartbeat would be more
 /// than receivers read; those nearest to being held back matter most.
 #[tokio::test(start_paused = true)]
 async fn what_is_told_is_bounded_and_the_worst_goes_first() {
--- a/crates/cuminramp-wire/src/fleet_service.rs
+++ b/crates/cuminramp-wire/src/fleet_service.rs
@@ -3,7 +3,7 @@
 use crate::Encoded;
 use crate::fleet::{NewsReply, NewsRequest, StoreCall, StoreReply};
 
-/// What a host answers to another host. Everything else travels in beats.
+/// What a host answers to another host. Everything else travels in heartbeats.
 #[tarpc::service]
 pub trait FleetService {
     /// Which declarations and targets do you know that I lack? It only reads, so it may be repeated.
