--- a/crates/cuminramp-cli/src/bench/record.rs
+++ b/crates/cuminramp-cli/src/bench/record.rs
@@ -9,7 +9,7 @@
 
 use crate::connection::CommandError;
 
-/// Longest time that is told apart, in microseconds.
+/// Longest time that is distinguished, in microseconds.
 const MOST_MICROS: u64 = 120_000_000;
 /// Digits that are kept of each time.
 const DIGITS: u8 = 3;
--- a/crates/cuminramp-daemon/src/dispatch/relay.rs
+++ b/crates/cuminramp-daemon/src/dispatch/relay.rs
@@ -144,7 +144,7 @@
     response
 }
 
-/// What a caller is told whose key is withdrawn while its answer is on the way.
+/// The error for a caller whose key is withdrawn while its answer is on the way.
 pub(crate) fn withdrawn_refusal() -> Refusal {
     let refusal = Refusal::not_run(ResultCode::KeyUnknown, "the key was withdrawn");
     refusal.with_execution(Execution::Ran)
--- a/crates/cuminramp-daemon/src/entry/files.rs
+++ b/crates/cuminramp-daemon/src/entry/files.rs
@@ -46,7 +46,7 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_secs())
 }
 
-/// What a caller is told when the platform can't be reached.
+/// The error for a caller when the platform can't be reached.
 pub(crate) fn store_refusal(error: StoreError) -> Refusal {
     let refusal = Refusal::not_run(ResultCode::StoreUnavailable, error.to_string());
     refusal.with_retry_after(std::time::Duration::from_secs(2))
--- a/crates/cuminramp-daemon/src/logging.rs
+++ b/crates/cuminramp-daemon/src/logging.rs
@@ -59,7 +59,7 @@
                 match order {
                     OutputOrder::Write(mut line) => {
                         held_back = gather(&mut line, &waiting);
-                        // Nobody can be told that standard output is gone.
+                        // Nobody can learn that standard output is gone.
                         let _ = output.write_all(&line);
                         let _ = output.flush();
                     }
--- a/crates/cuminramp-daemon/src/logging/tests.rs
+++ b/crates/cuminramp-daemon/src/logging/tests.rs
@@ -31,8 +31,8 @@
 }
 
 fn dropped_in(text: &str) -> usize {
-    let told = text.lines().filter_map(|line| line.split("lines_dropped=").nth(1));
-    told.map(|count| count.trim().parse::<usize>().unwrap()).sum()
+    let dropped = text.lines().filter_map(|line| line.split("lines_dropped=").nth(1));
+    dropped.map(|count| count.trim().parse::<usize>().unwrap()).sum()
 }
 
 /// Whoever collects the logs stops reading, and the pipe fills up. A host that waited for it would
--- a/crates/cuminramp-daemon/src/marks.rs
+++ b/crates/cuminramp-daemon/src/marks.rs
@@ -284,7 +284,7 @@
 }
 
 /// Reads back what stands in the table: a mark holds its writer's own word, so that a write whose
-/// answer was lost is told from one by another host.
+/// answer was lost is distinguished from one by another host.
 async fn settle_marks(state: &DaemonState, group: Vec<PendingMark>) {
     let keys: Vec<String> = group.iter().map(|mark| mark.key.clone()).collect();
     for _ in 0..SETTLE_TRIES {
--- a/crates/cuminramp-daemon/src/state.rs
+++ b/crates/cuminramp-daemon/src/state.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// When the table was last heard from, by this host or by one that told it so.
+/// When the table was last heard from, by this host or by one that said so.
 #[derive(Debug)]
 pub(crate) struct TableContact {
     started: Instant,
--- a/crates/cuminramp-fleet/src/drains.rs
+++ b/crates/cuminramp-fleet/src/drains.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// How long the end of a drain is told with every heartbeat; those that are whole always tell it.
+/// How long every heartbeat carries the end of a drain; whole ones always do.
 const TELL_ENDS_FOR: Duration = Duration::from_secs(10);
 
 /// What an operator ordered for one zone.
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -137,7 +137,7 @@
     assert_eq!((all, half), (true, false));
 }
 
-/// Guards against callers who are told hosts of a cut-off zone only, while they could reach all others.
+/// Guards against callers who learn of hosts in a cut-off zone only, while they could reach all others.
 #[tokio::test(start_paused = true)]
 async fn a_host_whose_zone_is_cut_off_goes_on_naming_hosts_of_others_for_a_while() {
     let mut table = table();
--- a/crates/cuminramp-fleet/src/registry.rs
+++ b/crates/cuminramp-fleet/src/registry.rs
@@ -1,6 +1,6 @@
 //! Rows of a watched table, from the store and from other hosts, never going back.
 //!
-//! The same row may be told by a watch, by a whole read that was answered late, and by another host
+//! The same row may come from a watch, from a whole read that was answered late, and from another host
 //! that knew less. Only versions tell which is newer, and a row that was deleted must not come back
 //! because somebody had not heard of it yet.
 
--- a/crates/cuminramp-fleet/src/rhythm.rs
+++ b/crates/cuminramp-fleet/src/rhythm.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::Instant;
 
-/// A change is told to hosts of the zone after so long, with what else changes meanwhile.
+/// Hosts of the zone learn of a change after so long, with what else changes meanwhile.
 const NEAR_DELAY: Duration = Duration::from_millis(3);
 /// The least time between two heartbeats to hosts of the zone for each of them: with 29 in a zone a
 /// host sends them some 250 heartbeats a second under full load.
--- a/crates/cuminramp-fleet/src/slots/tests/cold.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/cold.rs
@@ -7,9 +7,11 @@
 
 use super::{Owner, group, host, make_ask, report, target, waiting};
 use crate::heartbeat::name_hash;
+use crate::homes::ZoneLimit;
 use crate::slots::{GroupShare, SlotOutcome, SlotReport};
 use crate::targets::{
-    ColdRule, ColdShare, ColdTolerance, FleetTarget, PlacementPolicy, TargetBoard,
+    ColdRule, ColdShare, ColdTolerance, FleetTarget, OnlineNeed, PlacementDecision,
+    PlacementPolicy, TargetBoard,
 };
 
 /// Requests a second that a cold target of the test's pool bears.
@@ -170,8 +172,8 @@
     advance(Duration::from_millis(200)).await;
 
     let items = owner.grant_items(waiting(500, 8));
-    let zones = crate::homes::ZoneLimit::none();
-    let need = crate::targets::OnlineNeed {
+    let zones = ZoneLimit::none();
+    let need = OnlineNeed {
         pool: "p",
         objective: Duration::from_millis(300),
         is_again: true,
@@ -182,7 +184,7 @@
     let alone = owner.board.place(&need, &ColdShare::Owner, random, Instant::now());
 
     assert_eq!(items, []);
-    assert_eq!(alone, crate::targets::PlacementDecision::Nowhere);
+    assert_eq!(alone, PlacementDecision::Nowhere);
     assert!(owner.board.groups("p").is_empty());
     assert!(owner.board.granted(name_hash("t1")).is_none());
 }
--- a/crates/cuminramp-fleet/src/slots/tests/search.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/search.rs
@@ -53,7 +53,7 @@
     assert_eq!(step, SearchStep::Ask { group: group("z2"), may_queue: true });
 }
 
-/// More callers come than all slots can serve in time. One that would wait too long is told so at once
+/// More callers come than all slots can serve in time. One that would wait too long learns so at once
 /// and when to come back; one that has come back is served.
 #[test]
 fn a_request_that_would_be_late_is_turned_away_at_once_but_only_once() {
--- a/crates/cuminramp-fleet/src/targets/cold.rs
+++ b/crates/cuminramp-fleet/src/targets/cold.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use cuminramp_core::SortedMap;
+use cuminramp_core::{Name, SortedMap};
 use tokio::time::Instant;
 
 use super::{BoardEntry, TargetBoard};
@@ -92,7 +92,7 @@
 
 impl TargetBoard {
     /// Takes what cold targets of each pool bear, as declared.
-    pub fn set_cold_rules(&mut self, rules: SortedMap<cuminramp_core::Name, ColdRule>) {
+    pub fn set_cold_rules(&mut self, rules: SortedMap<Name, ColdRule>) {
         self.cold_rules = rules;
     }
 
--- a/crates/cuminramp-fleet/src/targets/tests.rs
+++ b/crates/cuminramp-fleet/src/targets/tests.rs
@@ -77,7 +77,7 @@
     assert_eq!(place(&board, &need(false, &[])).as_deref(), Some("e2"));
 }
 
-/// More callers come than all slots can serve in time. One that would wait too long is told so at
+/// More callers come than all slots can serve in time. One that would wait too long learns so at
 /// once and when to come back; one that has come back is served.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_would_be_late_is_turned_away_at_once_but_only_once() {
--- a/crates/cuminramp-gateway/src/borders.rs
+++ b/crates/cuminramp-gateway/src/borders.rs
@@ -29,7 +29,7 @@
     Missing,
     /// One came.
     Given(Name),
-    /// More than one came, or one that can't be read: whose call it is can't be told.
+    /// More than one came, or one that can't be read: whose call it is can't be known.
     Ambiguous,
 }
 
@@ -106,7 +106,7 @@
     pub zone: AvailabilityZone,
 }
 
-/// What a target is told beside the caller's own head.
+/// What a target learns beside the caller's own head.
 #[derive(Clone, Debug)]
 pub struct TargetHead<'a> {
     /// Time that is left.
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -88,7 +88,7 @@
         true
     }
 
-    /// A job was ended through this host: others are told of it.
+    /// A job was ended through this host: others learn of it.
     pub(crate) fn note_end(&self, job: &str, version: u64, now: Instant) {
         let mut rows = lock(&self.rows);
         if rows.ended.iter().any(|(ended, _)| *ended.job == *job) {
--- a/crates/cuminramp-gateway/src/jobs/directory/tests.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory/tests.rs
@@ -6,7 +6,7 @@
 
 const LATELY: Duration = Duration::from_secs(3);
 
-/// A caller ends the same job over and over, and others end thousands. Were each told, heartbeats would
+/// A caller ends the same job over and over, and others end thousands. Did heartbeats carry each, heartbeats would
 /// grow over what receivers read, and the host would seem silent to all others.
 #[tokio::test(start_paused = true)]
 async fn ends_in_a_heartbeat_are_told_once_and_are_bounded() {
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -75,7 +75,7 @@
         self.report_wanted.notify_one();
     }
 
-    /// Takes a grant; `false` where a report has told its owner already that it came to nothing.
+    /// Takes a grant; `false` where a report has shown its owner already that it came to nothing.
     fn take_grant(&self, owner: &Name, grant: u64) -> bool {
         let mut grants = lock(&self.grants);
         grants.get_or_insert_with(owner.clone(), GrantNumbers::default).take(grant)
--- a/crates/cuminramp-gateway/src/slots/report.rs
+++ b/crates/cuminramp-gateway/src/slots/report.rs
@@ -71,7 +71,7 @@
 }
 
 /// Tells owners that items wait: that of the own zone at once, those of others with the next report.
-/// Were all told at once, each would hand out slots for the same items.
+/// Did all learn it at once, each would hand out slots for the same items.
 pub(crate) fn ask_for_item_slots(state: &GatewayState) {
     for pool in waiting_pools(state) {
         let groups = lock(&state.board).groups(&pool);
--- a/crates/cuminramp-gateway/src/sync/drains.rs
+++ b/crates/cuminramp-gateway/src/sync/drains.rs
@@ -28,15 +28,15 @@
     take_drains(state, changed.collect(), "store");
 }
 
-/// Takes drains that the store or another host tells.
-pub(crate) fn take_drains(state: &Arc<GatewayState>, told: Vec<ZoneDrain>, source: &str) {
-    if told.is_empty() {
+/// Takes drains from the store or another host.
+pub(crate) fn take_drains(state: &Arc<GatewayState>, offered: Vec<ZoneDrain>, source: &str) {
+    if offered.is_empty() {
         return;
     }
     let now = Instant::now();
     let mut book = lock(&state.drains);
     let news: Vec<ZoneDrain> =
-        told.into_iter().filter(|drain| book.offer(drain.clone(), now)).collect();
+        offered.into_iter().filter(|drain| book.offer(drain.clone(), now)).collect();
     drop(book);
     enforce(state, &news, source);
 }
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -182,7 +182,7 @@
 }
 
 /// Whether an answer is one to this request. A late answer to an earlier request may come where this
-/// one's is due; taken for it, a caller would get another's answer, or be told "not run" wrongly.
+/// one's is due; taken for it, a caller would get another's answer, or read "not run" wrongly.
 fn check_answer(
     request: &TargetRequest,
     parts: &response::Parts,
--- a/crates/cuminramp-http/src/client.rs
+++ b/crates/cuminramp-http/src/client.rs
@@ -28,7 +28,7 @@
     pub first_byte: Duration,
 }
 
-/// Why a call gave no answer, told apart by whether the other end may have acted on it.
+/// Why a call gave no answer, distinguished by whether the other end may have acted on it.
 #[derive(Clone, Debug)]
 pub enum CallError {
     /// No byte of the request left: it surely had no effect.
--- a/crates/cuminramp-membership/src/steering.rs
+++ b/crates/cuminramp-membership/src/steering.rs
@@ -4,7 +4,7 @@
 
 use cuminramp_core::{Host, HostId, rank_by_score};
 
-/// What a caller is told.
+/// What a caller learns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SteeringAnswer {
     /// Hosts to use, best first.
--- a/crates/cuminramp-membership/src/table/tests.rs
+++ b/crates/cuminramp-membership/src/table/tests.rs
@@ -103,7 +103,7 @@
     tables[to].on_heard(&state, now);
 }
 
-// A host is killed. Callers who are told to use it hang until they give up.
+// A host is killed. Callers who are sent to it hang until they give up.
 #[test]
 fn a_silent_host_leaves_the_answers_of_all_within_two_seconds() {
     let start = Instant::now();
@@ -216,7 +216,7 @@
     assert_eq!(tables[1].usable_peers().len(), 2);
 }
 
-// The platform is about to take a host away, and the host does not know. Callers who are told to use
+// The platform is about to take a host away, and the host does not know. Callers who are sent to
 // it would be cut off.
 #[test]
 fn a_host_that_the_platform_takes_away_is_used_no_more() {
--- a/crates/cuminramp-quota/src/handover.rs
+++ b/crates/cuminramp-quota/src/handover.rs
@@ -18,7 +18,7 @@
     /// to whom it is sent to, and to nobody if that is lost.
     ///
     /// Nothing is passed on while tokens that an owner before this one lent may still be spent and this
-    /// run was not told of them: the next owner would not wait for them either.
+    /// run does not know of them: the next owner would not wait for them either.
     pub fn collect_handover(&mut self, change: &ShardMove, now: Instant) -> Option<Handover> {
         let record = self.shards.record(change.shard);
         let waited = record.since.is_some_and(|at| at + self.policy().borrow_valid <= now);
--- a/crates/cuminramp-quota/src/handover/tests.rs
+++ b/crates/cuminramp-quota/src/handover/tests.rs
@@ -98,7 +98,7 @@
 }
 
 // A host lends tokens and gives its shard away, the message is lost, and the next owner gives the
-// shard back at once. Told of an empty bucket only, the first would fill it while its loans are
+// shard back at once. Knowing of an empty bucket only, the first would fill it while its loans are
 // still being spent: a trace that the model check found.
 #[test]
 fn loans_are_waited_for_over_two_moves() {
--- a/crates/cuminramp-quota/src/ledger.rs
+++ b/crates/cuminramp-quota/src/ledger.rs
@@ -12,9 +12,9 @@
 pub(crate) const LEAST_VALID: Duration = Duration::from_millis(20);
 /// Of a slice's burst, at most this part may be out on loans at full rate.
 const LOAN_SHARE: u64 = 4;
-/// The shortest wait a caller is told.
+/// The shortest wait that a caller is given.
 pub(crate) const LEAST_WAIT: Duration = Duration::from_millis(10);
-/// The longest wait a caller is told.
+/// The longest wait that a caller is given.
 pub(crate) const MOST_WAIT: Duration = Duration::from_secs(60);
 
 /// How the ledger works; the same on every host.
--- a/crates/cuminramp-standin/src/engine_core.rs
+++ b/crates/cuminramp-standin/src/engine_core.rs
@@ -119,7 +119,7 @@
         receiver
     }
 
-    /// Counts a run of work that is told apart by `key`.
+    /// Counts a run of work that is identified by `key`.
     pub(crate) fn count_run(&self, key: &str) -> u32 {
         let mut state = self.lock();
         let runs = state.runs.get_or_insert_with(key.to_owned(), || 0);
--- a/crates/cuminramp-targets/src/retry/tests.rs
+++ b/crates/cuminramp-targets/src/retry/tests.rs
@@ -68,7 +68,7 @@
     assert_eq!(decision, RetryDecision::GiveUp { code: expected, execution: Execution::NotRun });
 }
 
-// The first target takes a request and falls silent; the second can't be reached. Told "not run", the
+// The first target takes a request and falls silent; the second can't be reached. Answered "not run", the
 // caller would send anew what the first may have run.
 #[test]
 fn a_second_attempt_does_not_hide_what_the_first_may_have_done() {
--- a/tests/testsuite/tests/testsuite/configuration.rs
+++ b/tests/testsuite/tests/testsuite/configuration.rs
@@ -77,7 +77,7 @@
     assert_eq!(answer.code(), 1501);
 }
 
-// The table takes a change and its answer is lost. Told that it failed, the operator would apply it
+// The table takes a change and its answer is lost. Informed that it failed, the operator would apply it
 // again or believe the old one in force.
 #[test]
 fn a_change_whose_answer_was_lost_is_accepted_once() {
--- a/tests/testsuite/tests/testsuite/connections.rs
+++ b/tests/testsuite/tests/testsuite/connections.rs
@@ -49,7 +49,7 @@
     assert!(fleet.chat(host, "hall", 4, true).streamed().1);
 }
 
-// A host hears others and nobody hears it. It must vanish from what callers are told, and come back
+// A host hears others and nobody hears it. It must vanish from what callers learn, and come back
 // once the link is mended, without a restart.
 #[test]
 fn a_host_that_nobody_reaches_leaves_the_answers_until_the_link_is_mended() {
@@ -59,7 +59,7 @@
     fleet.wait("all know each other", |fleet| (0..3).all(|host| fleet.live_hosts(host) == 3));
 
     link.set_mode(LinkMode::SilentForward);
-    fleet.wait("it is told of no more", |fleet| (0..2).all(|host| fleet.live_hosts(host) == 2));
+    fleet.wait("it is named no more", |fleet| (0..2).all(|host| fleet.live_hosts(host) == 2));
     link.set_mode(LinkMode::Open);
 
     fleet.wait("it is back", |fleet| (0..3).all(|host| fleet.live_hosts(host) == 3));
--- a/tests/testsuite/tests/testsuite/membership.rs
+++ b/tests/testsuite/tests/testsuite/membership.rs
@@ -25,7 +25,7 @@
     assert!(named.iter().all(|first| in_zone.contains(first)), "{named:?}");
 }
 
-// A host is killed. Callers who are told to use it would hang until they give up.
+// A host is killed. Callers who are sent to it would hang until they give up.
 #[test]
 fn a_dead_host_leaves_the_answers_and_its_shards_find_an_owner() {
     let mut fleet = Fleet::start(4);
--- a/tests/testsuite/tests/testsuite/quota.rs
+++ b/tests/testsuite/tests/testsuite/quota.rs
@@ -96,7 +96,7 @@
 }
 
 // All hosts start at once, as after a power cut, and callers are back before the hosts have shared out
-// the rate. Told that they are above their rate, they would look for a fault of their own.
+// the rate. Informed that they are above their rate, they would look for a fault of their own.
 #[test]
 fn callers_who_come_before_the_rate_is_shared_out_are_told_so() {
     let fleet = Fleet::start_unready();
