--- a/crates/cuminramp-fleet/src/homes.rs
+++ b/crates/cuminramp-fleet/src/homes.rs
@@ -27,11 +27,6 @@
         let Some(allowed) = &self.allowed else { return true };
         allowed.binary_search_by(|held| (**held).cmp(zone)).is_ok()
     }
-
-    /// Whether it leaves any zone out.
-    pub fn is_limited(&self) -> bool {
-        self.allowed.is_some()
-    }
 }
 
 /// The region of each zone, as operators set it.
@@ -59,11 +54,6 @@
         zones.map(|(zone, _)| zone.clone()).collect()
     }
 
-    /// The region of a zone.
-    pub fn region_of(&self, zone: &str) -> Option<&Name> {
-        self.regions.get(zone)
-    }
-
     /// Where work of a route and a team with these homes may run. A zone whose region nobody set is in
     /// no home.
     pub fn limit(&self, route_homes: &[Name], team_homes: &[Name]) -> ZoneLimit {
