Give each test run loopback addresses of its own

Two runs of the soak whose process ids agreed modulo 200 used the same loopback network: callers of one reached hosts of the other, which then reported requests that ran although refused, or twice, and runs that never ended (127.175.54, 127.185.54, 127.214.208, 127.167.208 in the users' 340 runs).

A run now holds its network by a bound socket (LoopbackNetwork) and skips one that is held; without any it ends with an error. No check changed.

--- a/crates/cuminramp-daemon/tests/signals.rs
+++ b/crates/cuminramp-daemon/tests/signals.rs
@@ -5,22 +5,21 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use cuminramp_standin::LoopbackNetwork;
 use rustix::process::{Pid, Signal, kill_process};
 use test_case::test_case;
 
 /// Writes settings for a process on a loopback address whose platform is not running.
-fn write_settings(subcommand: &str) -> PathBuf {
-    let (network, fields) = match subcommand {
-        "run" => (
-            31,
-            r#""caller-address": "IP:7001", "operator-address": "IP:7002", "peer-address": "IP:7003", "platform": {"address": "IP:7009"}"#,
-        ),
-        _ => (
-            32,
-            r#""caller-address": "IP:7001", "readiness-address": "IP:7002", "steering-address": "IP:7003", "peer-address": "IP:7004", "metrics-address": "IP:7005", "store-address": "IP:7009", "grace-s": 2"#,
-        ),
+fn write_settings(subcommand: &str, network: &LoopbackNetwork) -> PathBuf {
+    let fields = match subcommand {
+        "run" => {
+            r#""caller-address": "IP:7001", "operator-address": "IP:7002", "peer-address": "IP:7003", "platform": {"address": "IP:7009"}"#
+        }
+        _ => {
+            r#""caller-address": "IP:7001", "readiness-address": "IP:7002", "steering-address": "IP:7003", "peer-address": "IP:7004", "metrics-address": "IP:7005", "store-address": "IP:7009", "grace-s": 2"#
+        }
     };
-    let ip = format!("127.{network}.{}.1", std::process::id() % 250 + 1);
+    let ip = network.host_ip(0).unwrap();
     let path =
         std::env::temp_dir().join(format!("cuminramp-{subcommand}-{}.jsonc", std::process::id()));
     std::fs::write(&path, format!("{{ {} }}", fields.replace("IP", &ip))).unwrap();
@@ -48,7 +47,8 @@
 #[test_case("run")]
 #[test_case("gateway")]
 fn sighup_keeps_the_process_running_and_sigterm_ends_it_cleanly(subcommand: &str) {
-    let settings = write_settings(subcommand);
+    let network = LoopbackNetwork::take(u64::from(std::process::id())).unwrap();
+    let settings = write_settings(subcommand, &network);
     let child = Command::new(env!("CARGO_BIN_EXE_cuminrampd"))
         .args([subcommand, "--settings", settings.to_str().unwrap()])
         .stdout(Stdio::piped())
