Read the table of hosts after the own row is written

Callers saw nothing wrong; the team did, and those who share targets with it: hosts that started at the same time each admitted a team's whole rate for up to 5 s (30 s in large fleets).

Cause: each host wrote its row and read the table of hosts concurrently. If all read before the first write took effect, none found another, none sent a join request, and each took itself for the only host until the next read.

Fix: the table is read once the own row is written, so of two hosts the later writer finds the other. Until a read after that, or a heartbeat of another host, requests of limited teams are not admitted.

--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -28,6 +28,8 @@
 /// Share of the route's objective that a request may wait for its team's rate. A caller should receive a
 /// refusal within a quarter of the objective.
 const RATE_WAIT_SHARE: f64 = 0.2;
+/// Wait of a request for a host that has just started to learn of the other hosts.
+const FLEET_UNKNOWN_WAIT: Duration = Duration::from_millis(20);
 /// Minimum wait before the quota is asked again to admit a request.
 const MIN_RATE_WAIT: Duration = Duration::from_millis(2);
 /// Share of the route's timeout. A call with less time left until its deadline counts as a retry.
@@ -140,7 +142,10 @@
     let until = Instant::now() + route.objective.mul_f64(RATE_WAIT_SHARE);
     loop {
         let now = Instant::now();
-        let decision = lock(&state.quota).admit(&team.name, is_retry, now);
+        let decision = match state.knows_fleet() {
+            true => lock(&state.quota).admit(&team.name, is_retry, now),
+            false => QuotaDecision::Exceeded(FLEET_UNKNOWN_WAIT),
+        };
         let QuotaDecision::Exceeded(wait) = decision else {
             state.request_heartbeat();
             return Ok(());
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use cuminramp_targets::CrashTable;
 use rand::Rng;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -47,6 +47,8 @@
 const HOST_READ_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum of [`HOST_READ_INTERVAL`], which grows with the fleet since each read returns a row of every host.
 const MAX_HOST_READ_INTERVAL: Duration = Duration::from_secs(30);
+/// Maximum wait for the write of this host's row before the rows of all hosts are read for the first time.
+const MAX_ANNOUNCE_WAIT: Duration = Duration::from_millis(300);
 /// Delay after a failed read of the hosts' rows.
 const HOST_READ_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Share of the grace period after which callers' connections are closed as soon as they are idle. By then
@@ -161,6 +163,7 @@
         metrics,
         socket: OnceLock::new(),
         heartbeat_sequence: AtomicU64::new(1),
+        is_announced: watch::Sender::new(false),
         has_read_host_table: AtomicBool::new(false),
         update_request_permit: Semaphore::new(1),
         heartbeat_requested: Notify::new(),
@@ -287,14 +290,22 @@
 }
 
 /// Sends join requests to the seeds, then reads the rows of all hosts at intervals.
+///
+/// The rows are read once this host's own row is written. Of two hosts that start at the same time, the
+/// later writer then reads the other's row. If each read before the other wrote, they would not know each
+/// other until the next read, and a team would get its rate from both.
 async fn follow_hosts(state: Arc<GatewayState>) {
     for seed in seed_addresses(&state) {
         send_join_request(&state, &seed).await;
     }
+    let mut announcement = state.is_announced.subscribe();
+    // On timeout, the rows are read all the same: the store may reject writes only.
+    let _ = tokio::time::timeout(MAX_ANNOUNCE_WAIT, announcement.wait_for(|is| *is)).await;
     loop {
+        let was_announced = *state.is_announced.borrow();
         let pause = match discover_hosts(&state).await {
             Ok(()) => {
-                state.has_read_host_table.store(true, Ordering::Relaxed);
+                state.has_read_host_table.fetch_or(was_announced, Ordering::Relaxed);
                 lock(&state.peers).schedule().scale(HOST_READ_INTERVAL, MAX_HOST_READ_INTERVAL)
             }
             Err(error) => {
@@ -303,7 +314,10 @@
                 HOST_READ_RETRY_DELAY
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            Ok(_) = announcement.wait_for(|is| *is), if !was_announced => {}
+        }
     }
 }
 
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -11,7 +11,7 @@
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::CrashTable;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -66,7 +66,10 @@
     pub(crate) slots: SlotState,
     pub(crate) socket: OnceLock<HostSocket>,
     pub(crate) heartbeat_sequence: AtomicU64,
-    /// Whether the table of hosts was read since the start. Until then, join requests ask for known hosts.
+    /// Whether this host's row has been written since the start.
+    pub(crate) is_announced: watch::Sender<bool>,
+    /// Whether the table of hosts was read after this host's row was written. Until then, join requests ask
+    /// for known hosts, and there may be hosts that neither know this one nor are known to it.
     pub(crate) has_read_host_table: AtomicBool,
     /// Limits requests for updates to one at a time.
     pub(crate) update_request_permit: Semaphore,
@@ -107,6 +110,13 @@
         !self.is_draining() && lock(&self.declarations).current().is_some()
     }
 
+    /// Returns whether this host knows which hosts there are. After a start it doesn't: each host that has just
+    /// started would take itself for the only one, and a team would get its rate from each of them.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        self.has_read_host_table.load(Ordering::Relaxed)
+            || lock(&self.peers).count_alive(Instant::now()).0 > 1
+    }
+
     /// Returns whether this host is cut off from most hosts and from the store, so that another host probably
     /// can do what this one can't.
     ///
--- a/crates/cuminramp-gateway/src/sync/hosts.rs
+++ b/crates/cuminramp-gateway/src/sync/hosts.rs
@@ -38,6 +38,7 @@
         tokio::time::sleep(RETRY_DELAY).await;
     }
     log::info!(address = &*local_host.address, incarnation = local_host.incarnation; "host-announced");
+    state.is_announced.send_replace(true);
 }
 
 /// Reads the rows of all hosts and sends a join request to each new one.
--- a/crates/cuminramp-standin/src/memory_platform.rs
+++ b/crates/cuminramp-standin/src/memory_platform.rs
@@ -61,6 +61,8 @@
     pub slow_ms: u64,
     /// Number of commits per thousand that take effect but whose response is lost.
     pub lost_answers_permille: u32,
+    /// Delay of each commit before it takes effect, in milliseconds.
+    pub slow_commits_ms: u64,
     /// Delay of the response to each commit, in milliseconds; the commit itself takes effect at once.
     pub late_answers_ms: u64,
 }
@@ -291,7 +293,14 @@
 
     async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, StoreError> {
         self.inject_delay().await;
-        let response_delay = Duration::from_millis(self.lock().faults.late_answers_ms);
+        let (delay_ms, response_delay_ms) = {
+            let faults = &self.lock().faults;
+            (faults.slow_commits_ms, faults.late_answers_ms)
+        };
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let response_delay = Duration::from_millis(response_delay_ms);
         let outcome = self.commit_now(transaction);
         if !response_delay.is_zero() {
             tokio::time::sleep(response_delay).await;
