One owner decides on a team's rate for the whole fleet

Cause: each host spent the shared bucket by its own copy, which lacks what others admitted until heartbeats arrive, up to 1.5 s between zones at this size; the debt for retries was bounded for each host, not for the fleet. Evidence: the new team-rate lines. One second into the flood all hosts together had admitted 236 and the middle host knew of 80; in the next second 79 were admitted on the debt for retries; then all copies were 110 to 440 tokens in debt. heard_hosts=195 and settled=true throughout: starts and silent hosts had no part.

Fix: the first ready host in the rendezvous order of the team's name owns its bucket, and the others request a token for each request. The debt for retries and the queue of expected retries are the owner's. Heartbeats go on to report counts, which an owner deducts unless it granted the tokens; so every host can become the owner. For 2 s a new owner grants at most three tenths of the tolerance, and no more than the earlier owner had left as far as requesting hosts know. Hosts that no owner answers spend what a host cut off from all may. A settled host now counts the requests of a restarted one from its start.

Tests: quota::tests::flood replays floods of 4, 195 and 360 hosts, changes of owners, total losses, hosts without owners, and a team within its limits, of which nothing is refused. Open: floods while all hosts are killed twice within a window, at 195 hosts.

--- a/crates/cuminramp-fleet/src/homes.rs
+++ b/crates/cuminramp-fleet/src/homes.rs
@@ -55,6 +55,20 @@
         zones.map(|(zone, _)| zone.clone()).collect()
     }
 
+    /// Returns whether two zones are in the same region. A zone without a configured region shares its region
+    /// with no other.
+    ///
+    /// ```
+    /// use cuminramp_fleet::RegionMap;
+    /// let map = RegionMap::new([("z1".into(), "east".into()), ("z2".into(), "east".into())]);
+    /// assert!(map.is_same_region("z1", "z2"));
+    /// assert!(!map.is_same_region("z1", "z3"));
+    /// ```
+    pub fn is_same_region(&self, one: &str, other: &str) -> bool {
+        let region = self.regions.get(one);
+        one == other || (region.is_some() && region == self.regions.get(other))
+    }
+
     /// Returns the zones in which work of a route and a team with these home regions may run. A zone
     /// without a configured region is in no home region.
     pub fn limit(&self, route_homes: &[Name], team_homes: &[Name]) -> ZoneLimit {
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`FleetDeclarations`] contains the routes, pools, teams and keys in force;
 //! - [`HostHeartbeat`] is the state that hosts report to each other many times a second, and [`PeerTable`]
 //!   records the state of the other hosts;
-//! - [`QuotaTable`] enforces the rate and burst of teams over all hosts;
+//! - [`QuotaTable`] enforces the rate and burst of teams over all hosts, with the tokens that the owner of
+//!   each team grants;
 //! - [`PlacementTable`] tracks the work in flight at targets, and which targets fail;
 //! - [`DrainTable`] contains the availability zones that operators have drained, and [`RegionMap`] the
 //!   zones in which the work of a route or team may run;
@@ -55,12 +56,15 @@
 };
 pub use message::HostMessage;
 pub use outliers::{OutlierChange, TargetOutcomes};
-pub use peers::{PeerPolicy, PeerRecord, PeerTable};
+pub use peers::{LocalReadiness, PeerPolicy, PeerRecord, PeerTable};
 pub use placement::{
     ColdRule, ColdShare, ColdTolerance, FleetTarget, PlacementDecision, PlacementPolicy,
     PlacementRequest, PlacementTable, TargetPhase, WorkKind,
 };
-pub use quota::{QuotaDecision, QuotaTable, QuotaTolerance};
+pub use quota::{
+    QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome, TokenRequest,
+    TokenResponse,
+};
 pub use row_cache::{ChangedRow, KnownRow, RowAction, RowCache, RowCachePolicy};
 pub use schedule::{HeartbeatSchedule, HeartbeatTimer};
 pub use slots::{
--- a/crates/cuminramp-fleet/src/message.rs
+++ b/crates/cuminramp-fleet/src/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::heartbeat::HostHeartbeat;
+use crate::quota::{TokenRequest, TokenResponse};
 use crate::slots::{OwnerFailure, SlotCommand, SlotReport, SlotRequest, SlotResponse};
 
 /// Content of one datagram. A lost, repeated or late datagram of any kind does no harm.
@@ -20,4 +21,8 @@
     Command(SlotCommand),
     /// Report that the owner of a group is silent.
     OwnerFailure(OwnerFailure),
+    /// Request for a token of a team, sent to the owner of the team.
+    TokenRequest(TokenRequest),
+    /// Response of the owner to a token request.
+    TokenResponse(TokenResponse),
 }
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -16,6 +16,10 @@
 /// host is alive. A longer time would steer callers to hosts that are gone.
 const SILENT_HOST_STEERING_TTL: Duration = Duration::from_secs(5);
 
+/// Time after a change of a team's owner, or a start of hosts, by which heartbeats of all hosts have reported
+/// what was granted before.
+const OWNER_CHANGE_WINDOW: Duration = Duration::from_secs(2);
+
 /// Settings that determine when a host is lost.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerPolicy {
@@ -38,6 +42,8 @@
     pub heartbeat: Option<HostHeartbeat>,
     /// Whether the host has reported that it no longer admits requests.
     pub has_left: bool,
+    /// Time of the last heartbeat from the host's address that allowed it to own teams.
+    pub owner_candidate_at: Option<Instant>,
 }
 
 impl PeerRecord {
@@ -47,6 +53,16 @@
     }
 }
 
+/// Whether the local host accepts requests and has been up for long enough to know the token levels of
+/// teams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LocalReadiness {
+    /// Whether it accepts requests.
+    pub is_ready: bool,
+    /// Whether others can adopt its token levels.
+    pub is_settled: bool,
+}
+
 /// All other hosts that the local host knows.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -77,12 +93,14 @@
         if held.is_some_and(|record| record.host.incarnation >= host.incarnation) {
             return false;
         }
+        let owner_candidate_at = held.and_then(|record| record.owner_candidate_at);
         let record = PeerRecord {
             host: host.clone(),
             last_heartbeat_at: None,
             discovered_at: now,
             heartbeat: None,
             has_left: false,
+            owner_candidate_at,
         };
         self.peers.insert(host.address.clone(), record);
         self.schedule = self.compute_schedule();
@@ -105,6 +123,9 @@
         }
         record.last_heartbeat_at = Some(now);
         record.has_left = heartbeat.has_left;
+        if heartbeat.is_ready && heartbeat.is_settled && !heartbeat.has_left {
+            record.owner_candidate_at = Some(now);
+        }
         record.heartbeat = Some(heartbeat);
         true
     }
@@ -213,6 +234,44 @@
         ready
     }
 
+    /// Returns the hosts that may own teams, each with whether it has been up for long enough to know their
+    /// token levels. Includes the local host if it accepts requests.
+    ///
+    /// These are the alive hosts that accept requests, and those that became known a moment ago. When all
+    /// hosts start at once, heartbeats of the others arrive in a different order at each host. If only hosts
+    /// with a heartbeat were owners, hosts would turn to many different ones at first.
+    pub(crate) fn owner_candidates(
+        &self,
+        local: LocalReadiness,
+        now: Instant,
+    ) -> impl Iterator<Item = (HostId, bool)> {
+        let local_id =
+            HostId { address: self.local.address.clone(), incarnation: self.local.incarnation };
+        let own = local.is_ready.then_some((local_id, local.is_settled));
+        let others = self.peers.values().filter_map(move |record| {
+            let Some(heartbeat) = &record.heartbeat else {
+                let is_new = now.duration_since(record.discovered_at) < OWNER_CHANGE_WINDOW;
+                return is_new.then(|| (record.id(), false));
+            };
+            let is_ready = heartbeat.is_ready && !record.has_left && self.is_alive(record, now);
+            is_ready.then(|| (record.id(), heartbeat.is_settled))
+        });
+        own.into_iter().chain(others)
+    }
+
+    /// Returns whether another host precedes the local one in the order of a team's owners and can own teams
+    /// now, or could until recently. While it does, that host may have granted tokens of the team that no
+    /// heartbeat has reported yet.
+    pub fn has_recent_owner_before_local(&self, team: &str, now: Instant) -> bool {
+        let own = rendezvous_score(team, &self.local.address);
+        self.peers.values().any(|record| {
+            let window = self.timeout(record) + OWNER_CHANGE_WINDOW;
+            let is_recent =
+                record.owner_candidate_at.is_some_and(|at| now.duration_since(at) < window);
+            is_recent && rendezvous_score(team, &record.host.address) > own
+        })
+    }
+
     /// Returns an alive host that can reach the store, for use by a local host that can't. A host of the
     /// local zone is preferred; different values of `spread` select different hosts, which spreads the load.
     pub fn store_relay(&self, spread: usize, now: Instant) -> Option<Name> {
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cuminramp_core::{HostId, Name, SeededRandom};
+use cuminramp_core::{HostId, Name, SeededRandom, rendezvous_score};
 use tokio::time::{Instant, advance};
 
 use super::{PeerPolicy, PeerTable};
@@ -157,3 +157,29 @@
 
     assert_eq!((before, during_partition, after_ttl), (6, 6, 3));
 }
+
+/// Returns a team whose owners the host at `address` precedes the local one among.
+fn team_owned_by(table: &PeerTable, address: &str) -> String {
+    let teams = (0..100).map(|number| format!("team-{number}"));
+    let own = &table.local_host().address;
+    let precedes = |team: &String| rendezvous_score(team, address) > rendezvous_score(team, own);
+    teams.into_iter().find(precedes).unwrap()
+}
+
+/// Guards against a new owner that takes itself for established while heartbeats have not reported yet what
+/// the killed owner granted, also if that one is back at once as a new incarnation that owns nothing yet.
+#[tokio::test(start_paused = true)]
+async fn the_earlier_owner_of_a_team_is_remembered_after_it_was_killed() {
+    let mut table = table();
+    receive_all(&mut table, &["b"], "z1", 1);
+    let team = team_owned_by(&table, "b");
+    let before = table.has_recent_owner_before_local(&team, Instant::now());
+
+    let restarted = HostHeartbeat { is_settled: false, ..heartbeat(known("b", 2, "z1"), 1) };
+    table.receive_heartbeat(restarted, Instant::now());
+    let after_restart = table.has_recent_owner_before_local(&team, Instant::now());
+    advance(Duration::from_secs(3)).await;
+    let later = table.has_recent_owner_before_local(&team, Instant::now());
+
+    assert_eq!((before, after_restart, later), (true, true, false));
+}
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -1,13 +1,17 @@
-//! Fleet-wide rate and burst limits of teams, enforced with admission counts from heartbeats.
+//! Fleet-wide rate and burst limits of teams.
 //!
-//! Each host maintains one token bucket per team that stands for the whole fleet. It deducts its own
-//! admissions at once, and those of other hosts when it receives their heartbeats. A heartbeat carries
-//! the number of admissions since the sender's start, so a later heartbeat makes up for a lost one and a
-//! repeated one changes nothing.
+//! Each team has an owner: the host that [`OwnerTable`](crate::OwnerTable) selects by its name. The owner
+//! maintains the token bucket of the team for the whole fleet, and the other hosts request a token from it
+//! for each request. Thus the excess over a team's limits does not grow with the number of hosts. Hosts
+//! that decided by their own copies of the bucket would each spend the same tokens until heartbeats
+//! arrive, which takes longer the larger the fleet is.
 //!
-//! Between two heartbeats, hosts may spend the same token twice. The bucket then goes below zero, and the
-//! debt must be refilled before the next admission. The excess in any window is at most the number of
-//! requests that arrive before a heartbeat does.
+//! Every host may become the owner of a team, so each maintains a bucket too. It deducts its own
+//! admissions at once, and those of other hosts when it receives their heartbeats. A heartbeat carries the
+//! number of admissions since the sender's start, so a later heartbeat makes up for a lost one and a
+//! repeated one changes nothing. A new owner does not know the latest grants of the one before. Until
+//! heartbeats have reported them, it grants no more than a process that has just started, and no more than the
+//! earlier owner had left as far as the requesting hosts know.
 //!
 //! A silent host may be down, or cut off from this one and still serving; in the latter case it spends
 //! the same tokens. So each admission costs `all / alive` tokens, where `alive` is the number of alive
@@ -26,6 +30,15 @@
 use crate::declarations::FleetDeclarations;
 use crate::heartbeat::{HostHeartbeat, TeamUsage, name_hash};
 
+mod account;
+mod counts;
+mod message;
+
+use account::{AliveShare, TeamAccount};
+use counts::{CountBaseline, ReceivedCounts, deduct_usage, reconcile_usage};
+
+pub use message::{TokenOutcome, TokenRequest, TokenResponse};
+
 /// Result of checking a request against its team's rate and burst.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuotaDecision {
@@ -47,112 +60,28 @@
     pub window: Duration,
 }
 
-/// Fraction of the tolerance that a bucket holds at the start of a process. It is low because all hosts
-/// may be killed twice within a window, and requests admitted before a heartbeat arrives use up some of
-/// the tolerance as well.
-const START_SHARE: f64 = 0.3;
-/// Maximum debt of a bucket, in seconds of the team's rate. Without it, one wrong count could block a
-/// team for a long time.
-const MAX_DEBT_SECONDS: f64 = 5.0;
 /// Time after the last change of a team's count during which heartbeats include it. Later heartbeats
 /// leave it out, unless they are full.
 const USAGE_REPORT_WINDOW: Duration = Duration::from_secs(2);
 /// Time after a start or reset during which a host adopts lower levels from settled hosts. Other hosts
 /// answer its join request within milliseconds; the rest of the window covers lost join requests.
 const SETTLING_WINDOW: Duration = Duration::from_secs(2);
-/// Debt that retried requests may cause: a fraction of the burst, and the maximum number of tokens.
-/// These requests return after the delay that they were given, and a second refusal would make them fail
-/// for their callers.
-const MAX_RETRY_DEBT: (f64, f64) = (0.06, 4.0);
 
-/// Token bucket of one team, and this host's admissions of the team.
-#[derive(Debug)]
-struct TeamAccount {
-    rate: f64,
-    burst: f64,
-    /// Tokens left at the time `at`; negative if the bucket is in debt.
-    level: f64,
-    at: Instant,
+/// State of one team's bucket, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamStatus {
+    /// The team.
+    pub team: Name,
+    /// Tokens left in the bucket of the whole fleet, as this host computes them.
+    pub level: f64,
     /// Requests that this host has admitted since its start.
-    admitted: u32,
-    /// Time of the last change of `admitted`.
-    changed_at: Instant,
-    /// Refused requests that will be retried and that the rate has not yet produced tokens for.
-    expected: f64,
-    /// Tokens reserved for each silent host since this table was created. It only grows.
-    reserved: f64,
-}
-
-impl TeamAccount {
-    fn advance(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.at = now;
-        self.level = (self.level + elapsed * self.rate).min(self.burst);
-        self.expected = (self.expected - elapsed * self.rate).max(0.0);
-    }
-
-    /// Deducts admitted requests, together with the tokens reserved for silent hosts.
-    fn charge(&mut self, requests: f64, alive_share: AliveShare) {
-        self.level = (self.level - requests * alive_share.cost()).max(self.floor());
-        self.reserved += requests * alive_share.reserved_per_silent_host();
-    }
-
-    /// Releases the tokens reserved for a host during its silence and deducts those that it spent.
-    fn reconcile(&mut self, reserved_before: f64, spent: f64) {
-        let level = self.level + (self.reserved - reserved_before) - spent;
-        self.level = level.min(self.burst).max(self.floor());
-    }
-
-    fn floor(&self) -> f64 {
-        -self.rate * MAX_DEBT_SECONDS
-    }
-
-    fn start_level(&self, tolerance: &QuotaTolerance) -> f64 {
-        let allowed = self.rate * tolerance.window.as_secs_f64() + self.burst;
-        let tolerated = tolerance.share * allowed + tolerance.extra_requests;
-        (START_SHARE * tolerated).min(self.burst)
-    }
-}
-
-/// Number of alive hosts and of all hosts, this one included.
-#[derive(Clone, Copy, Debug)]
-struct AliveShare {
-    alive: f64,
-    all: f64,
-}
-
-impl AliveShare {
-    /// Returns the number of tokens that one admission costs.
-    fn cost(&self) -> f64 {
-        self.all / self.alive
-    }
-
-    /// Returns the part of that cost which is reserved for each silent host.
-    fn reserved_per_silent_host(&self) -> f64 {
-        if self.all > self.alive { 1.0 / self.alive } else { 0.0 }
-    }
-}
-
-/// Baseline that new counts of another host are compared with.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum CountBaseline {
-    /// None: no full heartbeat of this incarnation has arrived.
-    #[default]
-    Unknown,
-    /// The previous heartbeat. The count of a team that was never listed is 0.
-    Current,
-    /// The last heartbeat before the host fell silent.
-    BeforeSilence,
-}
-
-/// Admission counts received from one incarnation of another host.
-#[derive(Debug, Default)]
-struct ReceivedCounts {
-    /// Last received count of each team, by the hash of its name.
-    teams: SortedMap<u32, u32>,
-    baseline: CountBaseline,
-    /// By team, the value of [`TeamAccount::reserved`] when the host fell silent.
-    reserved_before: SortedMap<u32, f64>,
+    pub admitted: u32,
+    /// Those of them that this host admitted although no owner responded.
+    pub admitted_alone: u32,
+    /// Tokens that this host, as the owner, granted to other hosts.
+    pub granted: u32,
+    /// Requests that other hosts reported and that this host deducted.
+    pub deducted: u32,
 }
 
 /// Token buckets of all teams, as this host computes them.
@@ -182,23 +111,9 @@
         let tolerance = self.tolerance;
         for team in declarations.teams() {
             let account = self.teams.get_or_insert_with(name_hash(&team.name), || {
-                let mut account = TeamAccount {
-                    rate: team.rate,
-                    burst: team.burst,
-                    level: 0.0,
-                    at: now,
-                    admitted: 0,
-                    changed_at: now,
-                    expected: 0.0,
-                    reserved: 0.0,
-                };
-                account.level = account.start_level(&tolerance);
-                account
+                TeamAccount::new(team.name.clone(), team.rate, team.burst, &tolerance, now)
             });
-            account.advance(now);
-            account.rate = team.rate;
-            account.burst = team.burst;
-            account.level = account.level.min(team.burst);
+            account.set_limits(team.rate, team.burst, now);
         }
     }
 
@@ -210,12 +125,8 @@
 
     /// Records that a host fell silent: tokens are reserved for it from now on.
     pub fn mark_silent(&mut self, host: &HostId) {
-        let Some(counts) = self.received.get_mut(host) else { return };
-        if counts.baseline == CountBaseline::Current {
-            counts.baseline = CountBaseline::BeforeSilence;
-            let teams = self.teams.iter();
-            counts.reserved_before =
-                teams.map(|(team, account)| (*team, account.reserved)).collect();
+        if let Some(counts) = self.received.get_mut(host) {
+            counts.mark_silent(&self.teams);
         }
     }
 
@@ -225,16 +136,47 @@
         self.settled_at = now + SETTLING_WINDOW;
         let tolerance = self.tolerance;
         for (_, account) in self.teams.iter_mut() {
-            account.advance(now);
-            account.level = account.level.min(account.start_level(&tolerance));
+            account.reset(&tolerance, now);
         }
     }
 
-    /// Decides on one request of `team`, and counts it if it is admitted. `is_retry` is set if the request
-    /// was refused before and returns after the delay that it was given.
+    /// Returns whether requests of the team are limited.
+    pub fn is_limited(&self, team: &Name) -> bool {
+        self.teams.get(&name_hash(team)).is_some_and(|account| account.rate > 0.0)
+    }
+
+    /// Decides on one request of `team` as the owner of the team, and counts it if it is admitted.
+    /// `is_retry` is set if the request was refused before and returns after the delay that it was given.
     pub fn admit(&mut self, team: &Name, is_retry: bool, now: Instant) -> QuotaDecision {
-        let alive_share = self.alive_share;
-        let cost = alive_share.cost();
+        self.admit_at(team, self.alive_share, is_retry, true, now)
+    }
+
+    /// Limits the decisions of this host as a new owner of the team with this hash to the level of a process
+    /// that has just started, until heartbeats have reported what the earlier owner granted. To be called
+    /// before each decision in this time.
+    pub fn limit_new_owner(&mut self, team: u32, now: Instant) {
+        let tolerance = self.tolerance;
+        if let Some(account) = self.teams.get_mut(&team) {
+            account.advance(now);
+            account.limit_new_owner(&tolerance, now);
+        }
+    }
+
+    /// Decides on one request of `team` while no owner responds, and counts it if it is admitted. This host
+    /// spends the part of the rate that it would have if it were cut off from all others, because any
+    /// number of them may decide in this way at the same time.
+    pub fn admit_alone(&mut self, team: &Name, now: Instant) -> QuotaDecision {
+        self.admit_at(team, self.alive_share.alone(), false, false, now)
+    }
+
+    fn admit_at(
+        &mut self,
+        team: &Name,
+        alive_share: AliveShare,
+        is_retry: bool,
+        is_owner: bool,
+        now: Instant,
+    ) -> QuotaDecision {
         let Some(account) = self.teams.get_mut(&name_hash(team)) else {
             return QuotaDecision::Admitted;
         };
@@ -242,31 +184,93 @@
             return QuotaDecision::Admitted;
         }
         account.advance(now);
-        let debt =
-            if is_retry { (account.burst * MAX_RETRY_DEBT.0).min(MAX_RETRY_DEBT.1) } else { 0.0 };
-        if account.level + debt >= cost {
-            account.charge(1.0, alive_share);
-            account.admitted += 1;
-            account.changed_at = now;
+        if account.spend(alive_share, is_retry) {
+            account.count_admission(is_owner, now);
             return QuotaDecision::Admitted;
         }
-        let missing = cost - account.level;
-        QuotaDecision::Exceeded(Duration::from_secs_f64((missing / account.rate).min(60.0)))
+        QuotaDecision::Exceeded(account.time_until(alive_share.cost()))
+    }
+
+    /// Returns the level that another owner of `team` than `owner` reported to this host recently, for a
+    /// token request to `owner`.
+    pub fn other_owner_level(&mut self, team: &Name, owner: &HostId, now: Instant) -> Option<i32> {
+        let account = self.teams.get_mut(&name_hash(team))?;
+        account.other_owner_level(owner, now).map(|level| level.floor() as i32)
     }
 
-    /// Returns the delay after which a request that is refused now should be retried. Delays grow with the
-    /// number of requests refused before it; otherwise all would return at the same moment, and most would
-    /// be refused again.
+    /// Decides as the owner of a team on a token request of another host. Returns `None` if this host does
+    /// not know the team yet; without a response the requesting host turns to the next owner.
+    pub fn grant_token(
+        &mut self,
+        host: &HostId,
+        request: &TokenRequest,
+        now: Instant,
+    ) -> Option<TokenResponse> {
+        let is_settled = self.is_settled(now);
+        let account = self.teams.get_mut(&request.team)?;
+        account.advance(now);
+        if let Some(level) = request.other_owner_level {
+            account.limit_by_other_owner(f64::from(level), now);
+        }
+        let outcome = if account.rate <= 0.0 || account.spend(self.alive_share, request.is_retry) {
+            account.count_grant(now);
+            TokenOutcome::Granted
+        } else {
+            TokenOutcome::Exceeded { wait_ms: account.schedule_retry().as_millis() as u32 }
+        };
+        let level = account.available().floor() as i32;
+        if outcome == TokenOutcome::Granted {
+            self.replace_incarnation(host, is_settled);
+            let counts = self.received.get_or_insert_with(host.clone(), ReceivedCounts::default);
+            counts.record_grant(request.team, now);
+        }
+        Some(TokenResponse { request_id: request.request_id, outcome, level })
+    }
+
+    /// Records the response of a team's owner, and counts the request if it is admitted.
+    pub fn receive_token(
+        &mut self,
+        team: &Name,
+        owner: &HostId,
+        response: &TokenResponse,
+        now: Instant,
+    ) -> QuotaDecision {
+        if let Some(account) = self.teams.get_mut(&name_hash(team)) {
+            account.advance(now);
+            account.record_owner_level(owner, f64::from(response.level), now);
+            if response.outcome == TokenOutcome::Granted {
+                account.charge(1.0, self.alive_share);
+                account.count_admission(true, now);
+            }
+        }
+        match response.outcome {
+            TokenOutcome::Granted => QuotaDecision::Admitted,
+            TokenOutcome::Exceeded { wait_ms } => {
+                QuotaDecision::Exceeded(Duration::from_millis(u64::from(wait_ms)))
+            }
+        }
+    }
+
+    /// Returns the delay after which a request that this host refuses now should be retried. Delays grow
+    /// with the number of requests refused before it; otherwise all would return at the same moment, and
+    /// most would be refused again.
     pub fn retry_after(&mut self, team: &Name, now: Instant) -> Duration {
-        let hosts = self.received.len() as f64 + 1.0;
         let Some(account) = self.teams.get_mut(&name_hash(team)) else {
             return Duration::ZERO;
         };
         account.advance(now);
-        let missing = (1.0 - account.level).max(0.0) + account.expected;
-        // Assumes that every other host refuses as many requests as this one.
-        account.expected += hosts;
-        Duration::from_secs_f64((missing / account.rate.max(f64::MIN_POSITIVE)).min(60.0))
+        account.schedule_retry()
+    }
+
+    /// Returns the name of a team by its hash.
+    pub fn team_name(&self, team: u32) -> Option<Name> {
+        self.teams.get(&team).map(|account| account.name.clone())
+    }
+
+    /// Returns whether this host has been settled for long enough that heartbeats have reported all that was
+    /// admitted before.
+    pub fn has_recent_counts(&self, now: Instant) -> bool {
+        now >= self.settled_at + SETTLING_WINDOW
     }
 
     /// Returns whether the window after the start or the last reset, in which this host adopts the levels
@@ -291,13 +295,11 @@
             address: heartbeat.host.address.clone(),
             incarnation: heartbeat.host.incarnation,
         };
-        if !self.received.contains_key(&host) {
-            self.received.retain(|held, _| held.address != host.address);
-        }
+        let is_settled = self.is_settled(now);
+        self.replace_incarnation(&host, is_settled);
         if was_silent {
             self.mark_silent(&host);
         }
-        let is_settled = self.is_settled(now);
         let counts = self.received.get_or_insert_with(host, ReceivedCounts::default);
         match (counts.baseline, heartbeat.is_full) {
             // Counts only grow, so a reported count is current in full and partial heartbeats alike.
@@ -317,14 +319,53 @@
         }
     }
 
+    /// Replaces the counts of an earlier incarnation at the address of `host`. Only a settled host knows
+    /// that the new one's requests are not in its levels yet.
+    fn replace_incarnation(&mut self, host: &HostId, is_settled: bool) {
+        if self.received.contains_key(host) {
+            return;
+        }
+        let is_earlier =
+            |held: &&HostId| held.address == host.address && held.incarnation < host.incarnation;
+        let earlier = self.received.keys().find(is_earlier).cloned();
+        let Some(counts) = earlier.and_then(|earlier| self.received.remove(&earlier)) else {
+            return;
+        };
+        if is_settled {
+            self.received.insert(host.clone(), counts.next_incarnation());
+        }
+    }
+
     fn adopt_lower_levels(&mut self, heartbeat: &HostHeartbeat, now: Instant) {
         for reported in &heartbeat.usage {
-            let Some(account) = self.teams.get_mut(&reported.team) else { continue };
-            account.advance(now);
-            account.level = account.level.min(f64::from(reported.level));
+            if let Some(account) = self.teams.get_mut(&reported.team) {
+                account.adopt_lower_level(f64::from(reported.level), now);
+            }
         }
     }
 
+    /// Returns the state of the teams for which this host spent or granted tokens in the last `window`, at most
+    /// `max` of them, those with the lowest levels first.
+    pub fn active_teams(&mut self, window: Duration, max: usize, now: Instant) -> Vec<TeamStatus> {
+        let mut active = Vec::new();
+        for (_, account) in self.teams.iter_mut() {
+            if account.active_at.is_some_and(|at| now.duration_since(at) <= window) {
+                account.advance(now);
+                active.push(account.status());
+            }
+        }
+        active.sort_by(|one, other| one.level.total_cmp(&other.level));
+        active.truncate(max);
+        active
+    }
+
+    /// Returns the number of other hosts whose counts are compared with a baseline.
+    pub fn count_baselines(&self) -> usize {
+        let known =
+            self.received.values().filter(|counts| counts.baseline != CountBaseline::Unknown);
+        known.count()
+    }
+
     /// Returns the usage for a heartbeat: all nonzero counts if `is_full`, else only those that changed
     /// recently.
     pub fn usage(&self, is_full: bool, now: Instant) -> Vec<TeamUsage> {
@@ -336,62 +377,11 @@
             .map(|(team, account)| TeamUsage {
                 team: *team,
                 admitted: account.admitted,
-                level: account.level.floor() as i32,
+                level: account.available().floor() as i32,
             })
             .collect()
     }
 }
 
-impl ReceivedCounts {
-    /// Makes a full heartbeat the baseline for later ones.
-    fn set_baseline(&mut self, heartbeat: &HostHeartbeat) {
-        self.teams =
-            heartbeat.usage.iter().map(|reported| (reported.team, reported.admitted)).collect();
-        self.baseline = CountBaseline::Current;
-        self.reserved_before = SortedMap::new();
-    }
-
-    /// Returns the number of admissions since the baseline.
-    fn spent(&self, reported: &TeamUsage) -> f64 {
-        let before = self.teams.get(&reported.team).copied().unwrap_or(0);
-        f64::from(reported.admitted.saturating_sub(before))
-    }
-}
-
-/// Deducts the requests that a host admitted since its last heartbeat.
-fn deduct_usage(
-    teams: &mut SortedMap<u32, TeamAccount>,
-    counts: &mut ReceivedCounts,
-    heartbeat: &HostHeartbeat,
-    alive_share: AliveShare,
-    now: Instant,
-) {
-    for reported in &heartbeat.usage {
-        let spent = counts.spent(reported);
-        counts.teams.insert(reported.team, reported.admitted);
-        let Some(account) = teams.get_mut(&reported.team) else { continue };
-        account.advance(now);
-        if spent > 0.0 {
-            account.charge(spent, alive_share);
-        }
-    }
-}
-
-/// Reconciles every team's bucket with the full heartbeat of a host that was silent.
-fn reconcile_usage(
-    teams: &mut SortedMap<u32, TeamAccount>,
-    counts: &mut ReceivedCounts,
-    heartbeat: &HostHeartbeat,
-    now: Instant,
-) {
-    for (team, account) in teams.iter_mut() {
-        let reported = heartbeat.usage.iter().find(|reported| reported.team == *team);
-        let reserved_before = counts.reserved_before.get(team).copied().unwrap_or(account.reserved);
-        account.advance(now);
-        account.reconcile(reserved_before, reported.map_or(0.0, |reported| counts.spent(reported)));
-    }
-    counts.set_baseline(heartbeat);
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of quota tables without simulated links: all hosts are alive, or the test sets the share of alive
 //! hosts. `partition` simulates fleets with failing links.
 
+mod flood;
+mod owners;
 mod partition;
 
 use std::time::Duration;
@@ -18,13 +20,11 @@
 const WINDOW: u64 = 5;
 
 fn declarations() -> FleetDeclarations {
-    let team = TeamRule {
-        name: "team-a".into(),
-        keys: vec![],
-        rate: RATE,
-        burst: BURST,
-        home_regions: vec![],
-    };
+    declarations_with((RATE, BURST))
+}
+
+fn declarations_with((rate, burst): (f64, f64)) -> FleetDeclarations {
+    let team = TeamRule { name: team(), keys: vec![], rate, burst, home_regions: vec![] };
     FleetDeclarations::new(1, CallerLimits::default(), vec![], vec![], vec![team])
 }
 
@@ -42,6 +42,18 @@
     table
 }
 
+/// Returns the table of a host of a fleet of `hosts`, all of which are alive.
+fn table_of(
+    hosts: usize,
+    declarations: &FleetDeclarations,
+    tolerance: QuotaTolerance,
+) -> QuotaTable {
+    let mut table = QuotaTable::new(tolerance, Instant::now());
+    table.set_limits(declarations, Instant::now());
+    table.set_alive_share(hosts, hosts);
+    table
+}
+
 fn table() -> QuotaTable {
     table_with(QuotaTolerance::default())
 }
--- a/crates/cuminramp-fleet/src/slots/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/owners.rs
@@ -1,4 +1,4 @@
-//! Selection of the host that owns a group of targets.
+//! Selection of the hosts that own groups of targets and the tokens of teams.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::message::SlotGroup;
-use crate::peers::PeerTable;
+use crate::peers::{LocalReadiness, PeerTable};
 
 /// Time for which an owner that did not respond is excluded at first. It doubles with each further
 /// exclusion: a host that is slow again and again would otherwise delay requests twice a second.
@@ -29,7 +29,7 @@
     count: u32,
 }
 
-/// Selects the owner of each group, and excludes owners that this host or others found silent recently.
+/// Selects the owner of each group and each team, and excludes owners that this host or others found silent recently.
 #[derive(Debug, Default)]
 pub struct OwnerTable {
     exclusions: SortedMap<HostId, Exclusion>,
@@ -95,6 +95,23 @@
         owner
     }
 
+    /// Returns the owner of a team's tokens, selected by rendezvous hashing among the hosts that may own teams
+    /// and are not excluded. Hosts that have just started come last: they don't know yet which tokens
+    /// are spent. Returns `None` if no host may own the team, not even the local one.
+    pub fn team_owner(
+        &self,
+        team: &Name,
+        peers: &PeerTable,
+        local: LocalReadiness,
+        now: Instant,
+    ) -> Option<HostId> {
+        let all = peers.owner_candidates(local, now);
+        let candidates = all.filter(|(id, _)| !self.is_excluded(id, now));
+        let ranked = candidates
+            .map(|(id, is_settled)| ((is_settled, rendezvous_score(team, &id.address)), id));
+        ranked.max_by_key(|(rank, _)| *rank).map(|(_, id)| id)
+    }
+
     fn select(
         &self,
         group: &SlotGroup,
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -5,7 +5,8 @@
 
 use super::{group, host};
 use crate::fixtures::{host_heartbeat, known_host};
-use crate::peers::{PeerPolicy, PeerTable};
+use crate::heartbeat::HostHeartbeat;
+use crate::peers::{LocalReadiness, PeerPolicy, PeerTable};
 use crate::slots::OwnerTable;
 
 fn table(me: &str, others: &[(&str, &str)]) -> PeerTable {
@@ -80,3 +81,69 @@
 
     assert_eq!(excluded, [false, false, true]);
 }
+
+fn team_owner(owners: &OwnerTable, peers: &PeerTable, is_settled: bool) -> Option<HostId> {
+    let local = LocalReadiness { is_ready: true, is_settled };
+    owners.team_owner(&"team-a".into(), peers, local, Instant::now())
+}
+
+/// Guards against hosts that disagree on the owner of a team: each owner would grant the team's whole rate.
+#[tokio::test(start_paused = true)]
+async fn hosts_of_all_zones_agree_on_the_owner_of_a_team() {
+    let seen_by_a = table("a", &[("b", "z1"), ("c", "z2")]);
+    let seen_by_c = table("c", &[("a", "z1"), ("b", "z1")]);
+
+    let owners =
+        [&seen_by_a, &seen_by_c].map(|peers| team_owner(&OwnerTable::default(), peers, true));
+
+    assert!(owners[0].is_some());
+    assert_eq!(owners[0], owners[1]);
+}
+
+/// Guards against an owner that has just started: it does not know which tokens are spent, and would refuse
+/// requests of teams within their rates.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_has_just_started_owns_no_team_while_others_can() {
+    let peers = table("a", &[("b", "z1"), ("c", "z1")]);
+    let alone = table("a", &[]);
+
+    let owner = team_owner(&OwnerTable::default(), &peers, false);
+    let without_others = team_owner(&OwnerTable::default(), &alone, false);
+
+    assert!(owner.is_some_and(|owner| &*owner.address != "a"));
+    assert!(without_others.is_some_and(|owner| &*owner.address == "a"));
+}
+
+/// Guards against requests that wait for an owner which was killed until its heartbeats are missed.
+#[tokio::test(start_paused = true)]
+async fn the_next_host_owns_a_team_while_its_owner_is_excluded() {
+    let peers = table("a", &[("b", "z1"), ("c", "z1")]);
+    let mut owners = OwnerTable::default();
+    let first = team_owner(&owners, &peers, true).unwrap();
+
+    owners.exclude(&first, Instant::now());
+    let second = team_owner(&owners, &peers, true).unwrap();
+
+    assert_ne!(first, second);
+}
+
+/// Guards against as many owners of a team as hosts, when all start at once and each has heartbeats of others
+/// only: every owner grants a part of the tolerance.
+#[tokio::test(start_paused = true)]
+async fn hosts_that_start_at_once_agree_on_the_owner_before_heartbeats_arrive() {
+    let mut without_heartbeats = table("a", &[]);
+    for address in ["b", "c"] {
+        without_heartbeats.discover(&known_host(address, 1, "z1"), Instant::now());
+    }
+    let mut with_heartbeat = table("c", &[]);
+    with_heartbeat.discover(&known_host("a", 1, "z1"), Instant::now());
+    let heartbeat =
+        HostHeartbeat { is_settled: false, ..host_heartbeat(known_host("b", 1, "z1"), 1) };
+    with_heartbeat.receive_heartbeat(heartbeat, Instant::now());
+
+    let owners = [&without_heartbeats, &with_heartbeat]
+        .map(|peers| team_owner(&OwnerTable::default(), peers, false));
+
+    assert!(owners[0].is_some());
+    assert_eq!(owners[0], owners[1]);
+}
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -15,7 +15,8 @@
 use crate::interfaces::{CallHead, CallerKey, CallerOperation};
 use crate::jobs::{JobCaller, accept_job, end_job, read_item, read_results};
 use crate::online::{AdmittedRequest, RequestRecord, serve_request};
-use crate::state::{GatewayState, lock};
+use crate::state::GatewayState;
+use crate::tokens::acquire_token;
 
 /// Timeout for receiving the complete body of a request. Callers send it right after the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -28,8 +29,6 @@
 /// Share of the route's objective that a request may wait for its team's rate. A caller should receive a
 /// refusal within a quarter of the objective.
 const RATE_WAIT_SHARE: f64 = 0.2;
-/// Wait of a request for a host that has just started to learn of the other hosts.
-const FLEET_UNKNOWN_WAIT: Duration = Duration::from_millis(20);
 /// Minimum wait before the quota is asked again to admit a request.
 const MIN_RATE_WAIT: Duration = Duration::from_millis(2);
 /// Share of the route's timeout. A call with less time left until its deadline counts as a retry.
@@ -142,10 +141,7 @@
     let until = Instant::now() + route.objective.mul_f64(RATE_WAIT_SHARE);
     loop {
         let now = Instant::now();
-        let decision = match state.knows_fleet() {
-            true => lock(&state.quota).admit(&team.name, is_retry, now),
-            false => QuotaDecision::Exceeded(FLEET_UNKNOWN_WAIT),
-        };
+        let decision = acquire_token(state, &team.name, is_retry).await;
         let QuotaDecision::Exceeded(wait) = decision else {
             state.request_heartbeat();
             return Ok(());
@@ -154,11 +150,10 @@
             tokio::time::sleep(wait.max(MIN_RATE_WAIT)).await;
             continue;
         }
-        let retry_after = lock(&state.quota).retry_after(&team.name, now).min(MAX_RATE_RETRY_AFTER);
         let reason =
             format!("team {} is above its rate for another {} ms", team.name, wait.as_millis());
-        let refusal =
-            Refusal::not_run(ResultCode::RateExceeded, reason).with_retry_after(retry_after);
+        let refusal = Refusal::not_run(ResultCode::RateExceeded, reason)
+            .with_retry_after(wait.min(MAX_RATE_RETRY_AFTER));
         log_refusal(head, Some(route), version, &refusal);
         return Err(refusal);
     }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -42,6 +42,10 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of upkeep intervals between two log lines with the load: one line every two seconds.
 const LOAD_LOG_TURNS: u32 = 20;
+/// Number of upkeep intervals between two log lines with the token buckets of active teams.
+const RATE_LOG_TURNS: u32 = 10;
+/// Maximum number of teams that are logged each time; those with the lowest levels come first.
+const MAX_LOGGED_TEAMS: usize = 8;
 /// Interval between two reads of the rows of all hosts. New hosts send join requests by themselves; the read
 /// finds hosts whose join requests were lost.
 const HOST_READ_INTERVAL: Duration = Duration::from_secs(5);
@@ -151,6 +155,7 @@
         drains: Default::default(),
         regions,
         slots: SlotState::new(id),
+        tokens: Default::default(),
         crashes: CrashTable::new(MAX_REQUEST_CRASHES, QUARANTINE_TTL).into(),
         peers: PeerTable::new(local_host.clone(), PEER_POLICY).into(),
         jobs: JobTable::new(JobPolicy::default()).into(),
@@ -341,6 +346,28 @@
         if turn.is_multiple_of(LOAD_LOG_TURNS) {
             log_load(&state);
         }
+        if turn.is_multiple_of(RATE_LOG_TURNS) {
+            log_rates(&state);
+        }
+    }
+}
+
+/// Logs the token buckets of active teams, which shows which host spent tokens that others do not count.
+fn log_rates(state: &GatewayState) {
+    let now = Instant::now();
+    let (alive_hosts, known_hosts) = lock(&state.peers).count_alive(now);
+    let mut quota = lock(&state.quota);
+    let active = quota.active_teams(UPKEEP_INTERVAL * RATE_LOG_TURNS, MAX_LOGGED_TEAMS, now);
+    let (counted_hosts, is_settled) = (quota.count_baselines(), quota.is_settled(now));
+    drop(quota);
+    for status in active {
+        log::info!(
+            team = &*status.team, level = status.level, admitted = status.admitted,
+            alone = status.admitted_alone, granted = status.granted, deducted = status.deducted,
+            heard_hosts = alive_hosts, known_hosts = known_hosts, counted_hosts = counted_hosts,
+            settled = is_settled;
+            "team-rate"
+        );
     }
 }
 
--- a/crates/cuminramp-gateway/src/lib.rs
+++ b/crates/cuminramp-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod state;
 mod sync;
 mod targets;
+mod tokens;
 
 pub use gateway::{Gateway, GatewayError};
 pub use interfaces::{
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     attempts: Counter<u64>,
     items: Counter<u64>,
     store_failures: Counter<u64>,
+    tokens: Counter<u64>,
     first_event: Histogram<f64>,
     answer: Histogram<f64>,
     acceptance: Histogram<f64>,
@@ -55,6 +56,7 @@
             attempts: counter("cuminramp.attempts", "Sends to targets by outcome"),
             items: counter("cuminramp.items", "Runs of batch items by outcome"),
             store_failures: counter("cuminramp.store.failures", "Calls to the store that failed"),
+            tokens: counter("cuminramp.tokens", "Decisions on teams' rates, by who made them"),
             first_event: histogram("cuminramp.first.event", "From a request to its first event"),
             answer: histogram("cuminramp.answer", "From a request to the end of its answer"),
             acceptance: histogram("cuminramp.acceptance", "From a job to its acceptance"),
@@ -92,6 +94,10 @@
         self.store_failures.add(1, &[KeyValue::new("call", call)]);
     }
 
+    pub(crate) fn count_token(&self, decided_by: &'static str) {
+        self.tokens.add(1, &[KeyValue::new("decided_by", decided_by)]);
+    }
+
     pub(crate) fn record_first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -12,6 +12,7 @@
     handle_command, handle_owner_failure, handle_report, handle_request, handle_response,
 };
 use crate::state::GatewayState;
+use crate::tokens::{handle_token_request, handle_token_response};
 
 /// Size of the receive buffer in bytes. A longer datagram is truncated and rejected as unreadable.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -84,6 +85,8 @@
         HostMessage::Request(slot_request) => handle_request(state, &address, slot_request).await,
         HostMessage::Response(response) => handle_response(state, &address, response),
         HostMessage::Command(command) => handle_command(state, &address, command),
+        HostMessage::TokenRequest(request) => handle_token_request(state, &address, request).await,
+        HostMessage::TokenResponse(response) => handle_token_response(state, response),
         HostMessage::OwnerFailure(failure) => handle_owner_failure(state, &address, &failure),
     }
 }
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,7 +1,8 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
     HostHeartbeat, HostMessage, ItemDemand, KnownHost, OwnerFailure, ReportedLoad, SlotCommand,
-    SlotOutcome, SlotReport, SlotRequest, SlotResponse, TargetLoad, TeamUsage,
+    SlotOutcome, SlotReport, SlotRequest, SlotResponse, TargetLoad, TeamUsage, TokenOutcome,
+    TokenRequest, TokenResponse,
 };
 use proptest::prelude::*;
 
@@ -57,6 +58,18 @@
         HostMessage::Response(SlotResponse { request_id: 1, outcome }),
         HostMessage::Command(SlotCommand::Limit { target: 1, items: 2 }),
         HostMessage::OwnerFailure(OwnerFailure { group: 1, failed_address, failed_incarnation: 4 }),
+        HostMessage::TokenRequest(TokenRequest {
+            incarnation: 7,
+            request_id: 1,
+            team: 1,
+            other_owner_level: Some(-2),
+            is_retry: false,
+        }),
+        HostMessage::TokenResponse(TokenResponse {
+            request_id: 1,
+            outcome: TokenOutcome::Exceeded { wait_ms: 300 },
+            level: -2,
+        }),
     ]
 }
 
@@ -71,7 +84,7 @@
     /// Guards against accepting a part of a truncated message: a truncated heartbeat or report would state
     /// that its host has nothing in flight.
     #[test]
-    fn a_truncated_message_is_rejected(length in 0_usize..10_000, which in 0_usize..6) {
+    fn a_truncated_message_is_rejected(length in 0_usize..10_000, which in 0_usize..8) {
         let bytes = postcard::to_allocvec(&messages()[which]).unwrap();
 
         let read = postcard::from_bytes::<HostMessage>(&bytes[..length % bytes.len()]);
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -13,7 +13,8 @@
 
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
-    GrantSequence, ItemDemand, OwnerTable, ReportTimer, SlotGroup, SlotLedger, SlotResponse,
+    GrantSequence, ItemDemand, LocalReadiness, OwnerTable, PeerTable, ReportTimer, SlotGroup,
+    SlotLedger, SlotResponse,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
@@ -55,6 +56,22 @@
         }
     }
 
+    /// Returns the owner of a team's tokens as seen by this host.
+    pub(crate) fn team_owner(
+        &self,
+        team: &Name,
+        peers: &PeerTable,
+        local: LocalReadiness,
+        now: Instant,
+    ) -> Option<HostId> {
+        lock(&self.owners).team_owner(team, peers, local, now)
+    }
+
+    /// Excludes a silent host from owning groups and teams. Returns `false` if it is excluded already.
+    pub(crate) fn exclude_owner(&self, owner: &HostId, now: Instant) -> bool {
+        lock(&self.owners).exclude(owner, now)
+    }
+
     /// Drops the state of owned groups. Called after this host was paused: other hosts may have owned its
     /// groups in the meantime.
     pub(crate) fn reset(&self, state: &GatewayState) {
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use crate::slots::SlotState;
 use crate::sync::{RelayedStore, UpdateRows};
 use crate::targets::TargetConnections;
+use crate::tokens::TokenState;
 
 /// Timeout for checking whether the store answers a host that receives heartbeats from few others. Callers
 /// expect the acceptance of a job within about half a second, and another host needs the rest of that time.
@@ -64,6 +65,7 @@
     pub(crate) random: Mutex<Box<dyn RandomSource>>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) slots: SlotState,
+    pub(crate) tokens: TokenState,
     pub(crate) socket: OnceLock<HostSocket>,
     pub(crate) heartbeat_sequence: AtomicU64,
     /// Whether this host's row has been written since the start.
