Wait until other hosts have a crash count before answering

Cause: crash counts were reported in tasks that the answer did not wait for, and not at all to hosts that had missed a probe.

Fix: the request is answered or retried only when every host that is not dead has the count or did not answer within the call timeout; crash-not-reported says so. A majority would not do, since the next call may reach one of the rest; a deciding host would cost every request a call.

--- a/crates/cuminramp-daemon/src/dispatch/forward.rs
+++ b/crates/cuminramp-daemon/src/dispatch/forward.rs
@@ -196,7 +196,7 @@
                 StreamEnd::KeyWithdrawn => return self.send_error(key_withdrawn_refusal()).await,
                 StreamEnd::Failed(failure) => failure,
             };
-            let next = match handle_failure(&self.state, &mut self.active, failure) {
+            let next = match handle_failure(&self.state, &mut self.active, failure).await {
                 Ok(()) => next_response(&self.state, &mut self.active).await,
                 Err(refusal) => Err(refusal),
             };
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -12,10 +12,12 @@
     TargetSpec, WorkKind, decide_retry, execution_after,
 };
 use cuminramp_wire::peer::{CrashCount, CrashReport};
+use futures_util::future::join_all;
 use http::HeaderMap;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::dispatch::attempt::{AttemptResult, TargetLease, start_attempt};
@@ -104,17 +106,31 @@
         Err(Refusal::not_run(ResultCode::RequestQuarantined, message))
     }
 
-    /// Records that the target crashed while it ran the request, and reports the crash count to other
-    /// hosts.
-    pub(crate) fn record_crash(&self) {
+    /// Records that the target crashed while it ran the request, reports the crash count to other hosts,
+    /// and waits until they have it or don't answer.
+    ///
+    /// The request is answered or retried only after that. Its caller may send it again through any host
+    /// at once, and a host without the count would let it crash one more target.
+    async fn record_crash(&self) {
         let crashes = lock(&self.state.crashes).record_crash(self.fingerprint, Instant::now());
         log::info!(fingerprint = self.fingerprint, crashes = crashes; "crash");
         let report =
             CrashReport { counts: vec![CrashCount { fingerprint: self.fingerprint, crashes }] };
-        for address in lock(&self.state.members).answering_peers() {
+        let peers = lock(&self.state.members).surviving_peers();
+        // Tasks of their own: the reports are sent even if the caller closes its connection meanwhile.
+        let reports = peers.into_iter().map(|address| {
             let (state, report) = (self.state.clone(), report.clone());
             self.state.metrics.count_peer_call("report-crash");
-            tokio::spawn(async move { state.peers.report_crash(&address, report).await });
+            tokio::spawn(async move { state.peers.report_crash(&address, report).await.is_some() })
+        });
+        let reports: Vec<JoinHandle<bool>> = reports.collect();
+        let (all, results) = (reports.len(), join_all(reports).await);
+        let received = results.into_iter().filter(|result| matches!(result, Ok(true))).count();
+        if received < all {
+            log::warn!(
+                fingerprint = self.fingerprint, hosts = all, received = received;
+                "crash-not-reported"
+            );
         }
     }
 
@@ -181,7 +197,7 @@
             Err(BodyError::KeyWithdrawn) => return Err(key_withdrawn_refusal()),
             Err(BodyError::Failed(failure)) => {
                 drop(lease);
-                handle_failure(state, &mut active, failure)?;
+                handle_failure(state, &mut active, failure).await?;
             }
         }
     }
@@ -205,7 +221,7 @@
             AttemptResult::Answered(target_response) => return Ok((lease, target_response)),
             AttemptResult::Failed(failure) => {
                 drop(lease);
-                handle_failure(state, active, failure)?;
+                handle_failure(state, active, failure).await?;
             }
         }
     }
@@ -213,13 +229,13 @@
 
 /// Applies the retry policy to a failed attempt. Returns `Ok` if another attempt follows, otherwise the
 /// refusal for the caller.
-pub(crate) fn handle_failure(
+pub(crate) async fn handle_failure(
     state: &DaemonState,
     active: &mut ActiveRequest,
     failure: AttemptFailure,
 ) -> Result<(), Refusal> {
     if failure.is_crash {
-        active.crash_tracker.record_crash();
+        active.crash_tracker.record_crash().await;
     }
     let traits = active.online.traits(state, active.earlier_execution);
     let failure = active.with_progress(failure);
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -275,6 +275,14 @@
         answering.map(|(address, _)| address.clone()).collect()
     }
 
+    /// Returns the addresses of the other hosts that are not dead: those that answer, and those that did not
+    /// answer the last probe but may still serve callers.
+    pub fn surviving_peers(&self) -> Vec<Name> {
+        let surviving =
+            self.members.iter().filter(|(_, member)| member.status != MemberStatus::Dead);
+        surviving.map(|(address, _)| address.clone()).collect()
+    }
+
     /// Returns whether more than half of all known hosts answer, this host included. Known are the hosts
     /// in the table and in the platform's list.
     ///
