Count running items when a host runs batch items on engines of others

A caller's job never ended: after kill -9 of all three hosts before three engines and their restart, one chunk of 62 items stayed leased by a live host that is the batch owner of no engine (4 of 4 trials, up to 130 s waited).

Cause: such a host runs its items one at a time on engines of others, but only while items wait there. Once the last one started none waited, and 20 ms later the window was closed and the item preempted, queued and started again. Evidence: the new debug line item-preempted shows one item of the chunk preempted 2,362 times in 60 s, the job's other items at most twice.

Fix: items that run there count like those that wait, so the windows stay open until the last one ends.

--- a/crates/cuminramp-daemon/src/batch/runner.rs
+++ b/crates/cuminramp-daemon/src/batch/runner.rs
@@ -60,13 +60,16 @@
     pools.filter(|pool| pool.kind == PoolKind::Engines).cloned().collect()
 }
 
-/// Returns whether items wait here for a pool although this host is the batch owner of none of its engines.
+/// Returns whether items wait or run here for a pool although this host is the batch owner of none of its
+/// engines.
 ///
 /// This happens if the batch owner changed after the items were leased, or if a job has items for
 /// several models. These items would wait forever, so this host runs them beside the batch owners'
-/// items, at most [`MAX_UNOWNED_ITEMS`] at once on each engine.
+/// items, at most [`MAX_UNOWNED_ITEMS`] at once on each engine. If running items didn't count, the last
+/// ones would be preempted as soon as none waits, and started again, without end.
 fn needs_unowned_engines(state: &DaemonState, pool: &Pool) -> bool {
-    let has_items = lock(&state.batch.waiting).has_items_for(&pool.name);
+    let is_waiting = lock(&state.batch.waiting).has_items_for(&pool.name);
+    let has_items = is_waiting || state.batch.runs_items_on(&pool.targets);
     has_items && !owns_any_batch(state, pool)
 }
 
@@ -276,7 +279,13 @@
     match end {
         ItemEnd::Dropped => {}
         ItemEnd::Answered(outcome) => finish_item(state, &item, outcome),
-        ItemEnd::Preempted => queue_item(state, item),
+        ItemEnd::Preempted => {
+            log::debug!(
+                job = &*item.chunk.job.id, chunk = item.chunk.index, item = item.index as u64;
+                "item-preempted"
+            );
+            queue_item(state, item);
+        }
         ItemEnd::NotRun => {
             tokio::time::sleep(REQUEUE_DELAY).await;
             queue_item(state, item);
--- a/crates/cuminramp-daemon/src/batch/windows.rs
+++ b/crates/cuminramp-daemon/src/batch/windows.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Returns whether this host runs batch items on any of the targets.
+    pub(crate) fn runs_items_on(&self, targets: &[Target]) -> bool {
+        let engines = lock(&self.engines);
+        let runs_items = |target: &Target| {
+            engines.get(&*target.name).is_some_and(|engine| !engine.running.is_empty())
+        };
+        targets.iter().any(runs_items)
+    }
+
     /// Returns whether any job is open or any batch item waits or runs on this host.
     pub(crate) fn has_work(&self) -> bool {
         self.has_open_jobs.load(Ordering::Relaxed)
--- a/tests/testsuite/tests/testsuite/batch.rs
+++ b/tests/testsuite/tests/testsuite/batch.rs
@@ -1,5 +1,6 @@
 //! Batch jobs.
 
+use cuminramp_core::rendezvous_score;
 use cuminramp_standin::{EngineSettings, PlatformFaults, expected_answer};
 use http::{Method, StatusCode};
 use serde_json::Value;
@@ -158,3 +159,29 @@
 
     assert_complete(&fleet, 0, &job, 200);
 }
+
+/// Returns the index of the host that is the batch owner of the engine with this name.
+fn batch_owner(fleet: &Fleet, engine: &str) -> usize {
+    let score =
+        |host: &usize| rendezvous_score(engine, &fleet.hosts[*host].addresses.peer.to_string());
+    (0..fleet.hosts.len()).max_by_key(score).unwrap()
+}
+
+/// Guards against a job that never ends: its last items are leased by a host that is the batch owner of no
+/// engine any more, start there and are preempted again before they can complete.
+#[test]
+fn a_job_completes_although_its_chunks_are_leased_by_a_host_that_owns_no_engine() {
+    // Each item takes seven times as long as the interval at which windows are updated.
+    let engine = EngineSettings { step_base_us: 20_000, ..FleetPlan::default().engine };
+    let mut fleet =
+        Fleet::start_plan(FleetPlan { hosts: 1, engines: 1, engine, ..FleetPlan::default() });
+    let id = fleet.create_job(0, &item_lines(40));
+    fleet.wait("some items run", |fleet| fleet.engines[0].stats().requests > 0);
+
+    while batch_owner(&fleet, "engine-0") == 0 {
+        fleet.add_host();
+    }
+    let job = fleet.finished_job(0, &id);
+
+    assert_complete(&fleet, 0, &job, 40);
+}
