Bound crash records that other hosts report

Callers saw nothing yet; a host's memory grew with every crash count that others reported, since only crashes observed by the host itself respected the bound, and that one dropped nothing when all records had two crashes. Cause: CrashTable::merge never looked at MAX_RECORDS. Change: both make room before they add a record: expired records and those with a single crash go first, then the oldest tenth. Test: the_table_is_bounded_whoever_observed_the_crashes, before: 20,000 records of 10,000.

--- a/crates/cuminramp-targets/src/crashes.rs
+++ b/crates/cuminramp-targets/src/crashes.rs
@@ -5,8 +5,12 @@
 use cuminramp_core::{Name, SortedMap};
 use tokio::time::Instant;
 
-/// Number of records at which expired records and those with a single crash are dropped.
+/// Maximum number of records. When it is reached, expired records and those with a single crash are dropped,
+/// then the oldest.
 const MAX_RECORDS: usize = 10_000;
+/// Part of the records that is dropped if none is expired: dropping one at a time would sort all of them for
+/// each crash.
+const DROPPED_SHARE: usize = 10;
 
 /// Crashes of the requests with one fingerprint.
 #[derive(Clone, Debug)]
@@ -94,13 +98,7 @@
     /// the crash is then recorded for each, as nothing shows which one caused it. Returns the crash
     /// count of the request.
     pub fn record_crash(&mut self, fingerprint: u64, now: Instant) -> u32 {
-        if self.records.len() >= MAX_RECORDS {
-            let quarantine = self.quarantine;
-            self.records.retain(|_, record| {
-                now.saturating_duration_since(record.last_crash_at) <= quarantine
-                    && record.crashes > 1
-            });
-        }
+        self.make_room(now);
         let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
         record.crashes += 1;
         record.last_crash_at = now;
@@ -108,6 +106,30 @@
         record.crashes
     }
 
+    /// Drops records if the table is full.
+    fn make_room(&mut self, now: Instant) {
+        if self.records.len() < MAX_RECORDS {
+            return;
+        }
+        let quarantine = self.quarantine;
+        self.records.retain(|_, record| {
+            now.saturating_duration_since(record.last_crash_at) <= quarantine && record.crashes > 1
+        });
+        if self.records.len() < MAX_RECORDS {
+            return;
+        }
+        let mut crash_times: Vec<Instant> =
+            self.records.values().map(|record| record.last_crash_at).collect();
+        crash_times.sort_unstable();
+        let mut excess = self.records.len() / DROPPED_SHARE;
+        let newest_dropped = crash_times[excess];
+        self.records.retain(|_, record| {
+            let is_dropped = excess > 0 && record.last_crash_at <= newest_dropped;
+            excess -= usize::from(is_dropped);
+            !is_dropped
+        });
+    }
+
     /// Clears a request that ran to completion: its earlier crashes had another cause.
     pub fn record_success(&mut self, fingerprint: u64) {
         self.records.remove(&fingerprint);
@@ -172,6 +194,7 @@
 
     /// Merges the crash count that another host reported: the higher count wins.
     pub fn merge(&mut self, fingerprint: u64, crashes: u32, now: Instant) {
+        self.make_room(now);
         let record = self.records.get_or_insert_with(fingerprint, || CrashRecord::new(now));
         record.crashes = record.crashes.max(crashes);
         record.last_crash_at = now;
--- a/crates/cuminramp-targets/src/crashes/tests.rs
+++ b/crates/cuminramp-targets/src/crashes/tests.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::{Instant, advance};
 
-use super::CrashTable;
+use super::{CrashTable, MAX_RECORDS};
 
 const QUARANTINE: Duration = Duration::from_secs(60);
 
@@ -78,3 +78,18 @@
 
     assert_eq!((reported.len(), reported[0]), (64, (321, 2)));
 }
+
+/// Guards against a table that grows without bound: other hosts report crashes of different requests while a
+/// rack of targets fails, or one host reports made-up counts.
+#[tokio::test(start_paused = true)]
+async fn the_table_is_bounded_whoever_observed_the_crashes() {
+    let mut table = table();
+
+    for fingerprint in 0..2 * MAX_RECORDS as u64 {
+        table.merge(fingerprint, 3, Instant::now());
+    }
+
+    assert!(table.records.len() <= MAX_RECORDS, "{}", table.records.len());
+    let last = 2 * MAX_RECORDS as u64 - 1;
+    assert!(table.remaining_quarantine(last, Instant::now()).is_some());
+}
