Remove a field that is never read; the number of near heartbeats as it follows

TargetRecord.in_first_generation was written and never read. A host of a zone of 29 that sends each of the 28 others a heartbeat every 29 ms sends 966 a second, not 250.

--- a/crates/cuminramp-fleet/src/schedule.rs
+++ b/crates/cuminramp-fleet/src/schedule.rs
@@ -13,7 +13,7 @@
 /// heartbeats. Further changes in the meantime go out with the same heartbeat.
 const MIN_DELAY: Duration = Duration::from_millis(3);
 /// Minimum interval between two heartbeats to near hosts, per host of the zone. With 29 hosts in a zone,
-/// a host sends each of the 28 others at most one heartbeat every 29 ms. Under full load it sends some 250
+/// a host sends each of the 28 others at most one heartbeat every 29 ms. Under full load it sends some 970
 /// near heartbeats a second in all.
 const NEAR_DELAY_PER_HOST: Duration = Duration::from_micros(1_000);
 /// Minimum interval between two heartbeats when nothing changes, and maximum interval between two near
--- a/crates/cuminramp-targets/src/choice.rs
+++ b/crates/cuminramp-targets/src/choice.rs
@@ -148,8 +148,6 @@
     ejected_until: Option<Instant>,
     /// Time at which the slow start began.
     slow_start_at: Instant,
-    /// Whether the target was in the first generation that this host applied.
-    in_first_generation: bool,
 }
 
 impl TargetRecord {
@@ -163,7 +161,6 @@
             ejections: 0,
             ejected_until: None,
             slow_start_at: now,
-            in_first_generation: false,
         }
     }
 
@@ -234,7 +231,6 @@
                 self.records.get_or_insert_with(spec.name.clone(), || TargetRecord::new(now));
             if first {
                 record.slow_start_at = now.checked_sub(SLOW_START_WINDOW).unwrap_or(now);
-                record.in_first_generation = true;
             }
         }
         let mut names: Vec<&Name> = specs.iter().map(|spec| &spec.name).collect();
