--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -62,8 +62,8 @@
     PlacementRequest, PlacementTable, TargetPhase, WorkKind,
 };
 pub use quota::{
-    OwnerStanding, QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome,
-    TokenRequest, TokenResponse,
+    QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome, TokenRequest,
+    TokenResponse,
 };
 pub use row_cache::{ChangedRow, KnownRow, RowAction, RowCache, RowCachePolicy};
 pub use schedule::{HeartbeatSchedule, HeartbeatTimer};
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -272,14 +272,6 @@
         })
     }
 
-    /// Returns whether another known host precedes the local one in the order of a team's owners, alive or
-    /// not.
-    pub fn has_known_owner_before_local(&self, team: &str) -> bool {
-        let own = rendezvous_score(team, &self.local.address);
-        let mut others = self.peers.values().filter(|record| !record.has_left);
-        others.any(|record| rendezvous_score(team, &record.host.address) > own)
-    }
-
     /// Returns an alive host that can reach the store, for use by a local host that can't. A host of the
     /// local zone is preferred; different values of `spread` select different hosts, which spreads the load.
     pub fn store_relay(&self, spread: usize, now: Instant) -> Option<Name> {
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -48,18 +48,6 @@
     Exceeded(Duration),
 }
 
-/// What an owner of a team may grant.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OwnerStanding {
-    /// All that its bucket has: heartbeats have reported the grants of earlier owners.
-    Established,
-    /// What a process that has just started may grant, and what the rate produces from then on.
-    New,
-    /// Only what the rate produces from now on. After a start of the whole fleet, the host that precedes
-    /// this one may be granting its start level to the hosts that reach it.
-    Substitute,
-}
-
 /// Excess over a team's rate and burst that operators tolerate within a window: `share` of the requests
 /// that the limits allow in the window, plus `extra_requests`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -163,13 +151,14 @@
         self.admit_at(team, self.alive_share, is_retry, true, now)
     }
 
-    /// Limits the decisions of this host as a new owner of the team with this hash, until heartbeats have
-    /// reported what others granted. To be called before each decision in this time.
-    pub fn limit_new_owner(&mut self, team: u32, standing: OwnerStanding, now: Instant) {
+    /// Limits the decisions of this host as a new owner of the team with this hash to the level of a process
+    /// that has just started, until heartbeats have reported what the earlier owner granted. To be called
+    /// before each decision in this time.
+    pub fn limit_new_owner(&mut self, team: u32, now: Instant) {
         let tolerance = self.tolerance;
         if let Some(account) = self.teams.get_mut(&team) {
             account.advance(now);
-            account.limit_new_owner(&tolerance, standing, now);
+            account.limit_new_owner(&tolerance, now);
         }
     }
 
--- a/crates/cuminramp-fleet/src/quota/account.rs
+++ b/crates/cuminramp-fleet/src/quota/account.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::{HostId, Name};
 use tokio::time::Instant;
 
-use super::{OwnerStanding, QuotaTolerance, TeamStatus};
+use super::{QuotaTolerance, TeamStatus};
 
 /// Fraction of the tolerance that a bucket holds at the start of a process. It is low because all hosts
 /// may be killed twice within a window, and requests admitted before a heartbeat arrives use up some of
@@ -209,18 +209,8 @@
     }
 
     /// Limits the decisions of this host, which is a new owner, unless they are limited already.
-    pub(super) fn limit_new_owner(
-        &mut self,
-        tolerance: &QuotaTolerance,
-        standing: OwnerStanding,
-        now: Instant,
-    ) {
-        let tokens = match standing {
-            OwnerStanding::Established => return,
-            OwnerStanding::New => self.start_level(tolerance),
-            OwnerStanding::Substitute => 0.0,
-        };
-        let level = TokenLevel { tokens, at: now };
+    pub(super) fn limit_new_owner(&mut self, tolerance: &QuotaTolerance, now: Instant) {
+        let level = TokenLevel { tokens: self.start_level(tolerance), at: now };
         let until = now + CEILING_TTL;
         self.ceiling.get_or_insert(LevelCeiling { level, until }).until = until;
     }
--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -7,8 +7,7 @@
 
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
-    HostMessage, LocalReadiness, OwnerStanding, QuotaDecision, TokenRequest, TokenResponse,
-    name_hash,
+    HostMessage, LocalReadiness, QuotaDecision, TokenRequest, TokenResponse, name_hash,
 };
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
@@ -79,27 +78,21 @@
 
 fn decide_as_owner(state: &GatewayState, team: &Name, is_retry: bool) -> QuotaDecision {
     let now = Instant::now();
-    let standing = owner_standing(state, team, now);
+    let is_new_owner = is_new_owner(state, team, now);
     let mut quota = lock(&state.quota);
-    quota.limit_new_owner(name_hash(team), standing, now);
+    if is_new_owner {
+        quota.limit_new_owner(name_hash(team), now);
+    }
     match quota.admit(team, is_retry, now) {
         QuotaDecision::Exceeded(_) => QuotaDecision::Exceeded(quota.retry_after(team, now)),
         QuotaDecision::Admitted => QuotaDecision::Admitted,
     }
 }
 
-/// Returns the standing of this host as an owner of a team. It is not established while another host may have
-/// granted tokens that this host does not count yet.
-fn owner_standing(state: &GatewayState, team: &Name, now: Instant) -> OwnerStanding {
+/// Returns whether another host may have granted tokens of a team that this host does not count yet.
+fn is_new_owner(state: &GatewayState, team: &Name, now: Instant) -> bool {
     let has_recent_counts = lock(&state.quota).has_recent_counts(now);
-    let peers = lock(&state.peers);
-    if has_recent_counts && !peers.has_recent_owner_before_local(team, now) {
-        return OwnerStanding::Established;
-    }
-    if !has_recent_counts && peers.has_known_owner_before_local(team) {
-        return OwnerStanding::Substitute;
-    }
-    OwnerStanding::New
+    !has_recent_counts || lock(&state.peers).has_recent_owner_before_local(team, now)
 }
 
 /// Result of a token request to one owner.
@@ -199,10 +192,12 @@
     // This host has not read the team's declaration yet. Without a response the requesting host turns to the
     // next owner.
     let Some(team) = team else { return };
-    let standing = owner_standing(state, &team, now);
+    let is_new_owner = is_new_owner(state, &team, now);
     let response = {
         let mut quota = lock(&state.quota);
-        quota.limit_new_owner(request.team, standing, now);
+        if is_new_owner {
+            quota.limit_new_owner(request.team, now);
+        }
         quota.grant_token(&host, &request, now)
     };
     if let Some(response) = response {
