--- a/crates/cuminramp-fleet/src/quota/message.rs
+++ b/crates/cuminramp-fleet/src/quota/message.rs
@@ -9,7 +9,7 @@
     /// Incarnation of the requesting host.
     pub incarnation: Incarnation,
     /// Number of the token request, unique within the incarnation. A repeated token request keeps its
-    /// number and gets the same response.
+    /// number, and the first response to arrive counts. If the first was lost, its token remains unused.
     pub request_id: u64,
     /// Hash of the team's name, as returned by [`name_hash`](crate::name_hash).
     pub team: u32,
--- a/crates/cuminramp-fleet/src/quota/tests/flood.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/flood.rs
@@ -48,6 +48,7 @@
 
 struct FloodFleet {
     hosts: Vec<FloodHost>,
+    limits: (f64, f64),
     schedule: HeartbeatSchedule,
     random: SeededRandom,
     /// Until then, the owner is a new one.
@@ -69,6 +70,7 @@
             owner: 0,
         };
         FloodFleet {
+            limits,
             hosts: (0..size).map(host).collect(),
             schedule: HeartbeatSchedule::new(size, size.div_ceil(ZONES)),
             random: SeededRandom::new(7),
@@ -81,7 +83,7 @@
 
     /// Kills all hosts and starts them again.
     fn restart(&mut self) {
-        let limits = LIMITS;
+        let limits = self.limits;
         let size = self.hosts.len();
         for host in &mut self.hosts {
             host.table = table_of(size, &declarations_with(limits), tolerance());
