--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -1,8 +1,7 @@
 //! Tokens of teams: requests to the hosts that own the teams, and the teams that this host owns.
 
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name, SortedMap};
@@ -16,7 +15,7 @@
 use crate::state::{GatewayState, lock};
 
 /// Timeout for the response of an owner in the region of this host: about ten times the round trip. Requests
-/// wait for it whenever an owner was killed, and their callers expect the first event within 100 ms.
+/// wait for it whenever an owner was killed.
 const NEAR_RESPONSE_TIMEOUT: Duration = Duration::from_millis(10);
 /// Timeout for the response of an owner in another region: more than the round trip between regions.
 const FAR_RESPONSE_TIMEOUT: Duration = Duration::from_millis(35);
