--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //!   zones in which the work of a route or team may run;
 //! - [`SlotLedger`] grants the slots of a group of targets, which one host owns, and decides which items
 //!   are preempted; [`SlotSearch`] sends slot requests to owners, which [`OwnerTable`] determines;
+//! - [`AdmissionQueue`] orders the requests that wait for a slot of a group while all of its slots are taken;
 //! - [`RowCache`] contains the rows of a watched table, from the store and from other hosts;
 //! - [`SteeringArea`] selects the hosts that callers are steered to, and [`HeartbeatSchedule`] derives the
 //!   intervals of heartbeats from the number of hosts;
@@ -21,6 +22,7 @@
 //! - [`JobTable`] orders the items of the jobs that this host holds.
 
 mod acceptance;
+mod admission;
 mod declarations;
 mod demand;
 mod drains;
@@ -40,6 +42,10 @@
 mod steering;
 
 pub use acceptance::{AcceptanceStep, AcceptanceView, JobRowWriter};
+pub use admission::{
+    AdmissionQueue, AdmissionRequest, AdmissionWithdrawal, GroupCapacity, QueueDecision,
+    RejectionReason, ReturnSchedule, TeamWeights, WaitingRequest,
+};
 pub use declarations::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
     TeamRule,
@@ -68,8 +74,8 @@
 pub use row_cache::{ChangedRow, KnownRow, RowAction, RowCache, RowCachePolicy};
 pub use schedule::{HeartbeatSchedule, HeartbeatTimer};
 pub use slots::{
-    GrantSequence, GroupShare, ItemGrant, ItemLimit, OwnerFailure, OwnerTable, ReportTimer,
-    SearchLimits, SearchStep, SlotCommand, SlotGroup, SlotLedger, SlotOutcome, SlotReport,
-    SlotRequest, SlotResponse, SlotSearch,
+    GrantSequence, GroupShare, ItemGrant, ItemLimit, OwnerFailure, OwnerTable, PaceReport,
+    ReportTimer, SearchLimits, SearchStep, SlotCommand, SlotGroup, SlotLedger, SlotOutcome,
+    SlotReport, SlotRequest, SlotResponse, SlotSearch, TargetPaceReport,
 };
 pub use steering::{SteeringArea, SteeringBounds};
--- a/crates/cuminramp-fleet/src/message.rs
+++ b/crates/cuminramp-fleet/src/message.rs
@@ -2,9 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::{AdmissionRequest, AdmissionWithdrawal};
 use crate::heartbeat::HostHeartbeat;
 use crate::quota::{TokenRequest, TokenResponse};
-use crate::slots::{OwnerFailure, SlotCommand, SlotReport, SlotRequest, SlotResponse};
+use crate::slots::{OwnerFailure, PaceReport, SlotCommand, SlotReport, SlotRequest, SlotResponse};
 
 /// Content of one datagram. A lost, repeated or late datagram of any kind does no harm.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -25,4 +26,10 @@
     TokenRequest(TokenRequest),
     /// Response of the owner to a token request.
     TokenResponse(TokenResponse),
+    /// Paces that targets of a group reported to a host, sent to the owner of the group.
+    PaceReport(PaceReport),
+    /// Request for a slot of a group with an admission queue, sent to the owner.
+    AdmissionRequest(AdmissionRequest),
+    /// Notice that a request no longer waits in the owner's admission queue.
+    AdmissionWithdrawal(AdmissionWithdrawal),
 }
--- a/crates/cuminramp-fleet/src/placement.rs
+++ b/crates/cuminramp-fleet/src/placement.rs
@@ -23,6 +23,7 @@
 mod cold;
 mod group;
 mod orphans;
+mod pace;
 mod placing;
 mod reachability;
 
--- a/crates/cuminramp-fleet/src/slots.rs
+++ b/crates/cuminramp-fleet/src/slots.rs
@@ -23,7 +23,8 @@
 pub use grants::GrantSequence;
 pub use ledger::{GroupShare, ItemGrant, ItemLimit, SlotLedger};
 pub use message::{
-    OwnerFailure, SlotCommand, SlotGroup, SlotOutcome, SlotReport, SlotRequest, SlotResponse,
+    OwnerFailure, PaceReport, SlotCommand, SlotGroup, SlotOutcome, SlotReport, SlotRequest,
+    SlotResponse, TargetPaceReport,
 };
 pub use owners::OwnerTable;
 pub use reports::ReportTimer;
--- a/crates/cuminramp-fleet/src/slots/message.rs
+++ b/crates/cuminramp-fleet/src/slots/message.rs
@@ -3,6 +3,7 @@
 use cuminramp_core::{AvailabilityZone, HostId, Incarnation, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::admission::RejectionReason;
 use crate::demand::ItemDemand;
 use crate::heartbeat::{ReportedLoad, TargetLoad, name_hash};
 use crate::outliers::TargetOutcomes;
@@ -59,6 +60,29 @@
     pub demand: Vec<ItemDemand>,
 }
 
+/// Pace of one target, as the target reported it in a response.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetPaceReport {
+    /// Hash of the target's name, see [`name_hash`].
+    pub target: u32,
+    /// Time that work takes at the target, in percent of the usual time.
+    pub pace: u16,
+    /// Time since the response arrived, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// Report of a host to a group's owner of the paces that targets reported to the host since its last report.
+/// It accompanies a [`SlotReport`], and only if there is a pace to report.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PaceReport {
+    /// Incarnation of the reporting host.
+    pub incarnation: Incarnation,
+    /// The group, as returned by [`SlotGroup::hash`].
+    pub group: u32,
+    /// The paces, at most one for each target.
+    pub paces: Vec<TargetPaceReport>,
+}
+
 /// Request to a group's owner for a slot, sent on behalf of one online request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SlotRequest {
@@ -93,6 +117,18 @@
     },
     /// The group has no target that accepts work.
     NoTarget,
+    /// The request waits in the owner's admission queue. Another response with the same number follows.
+    Waiting {
+        /// Estimated time until the request gets a slot, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The owner's admission queue did not accept the request.
+    Rejected {
+        /// Delay after which the caller should retry, in milliseconds.
+        retry_after_ms: u32,
+        /// Why the request was rejected.
+        reason: RejectionReason,
+    },
 }
 
 /// Response to a slot request.
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -98,6 +98,12 @@
         self.tokens.add(1, &[KeyValue::new("decided_by", decided_by)]);
     }
 
+    /// Counts the outcome of a request to an admission queue.
+    pub(crate) fn count_admission(&self, _team: &str, _outcome: &'static str) {}
+
+    /// Records the number of requests that wait in the admission queues of this host.
+    pub(crate) fn record_waiting(&self, _requests: usize) {}
+
     pub(crate) fn record_first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -88,6 +88,10 @@
         HostMessage::TokenRequest(request) => handle_token_request(state, &address, request).await,
         HostMessage::TokenResponse(response) => handle_token_response(state, response),
         HostMessage::OwnerFailure(failure) => handle_owner_failure(state, &address, &failure),
+        // No host sends these yet.
+        HostMessage::PaceReport(_)
+        | HostMessage::AdmissionRequest(_)
+        | HostMessage::AdmissionWithdrawal(_) => {}
     }
 }
 
