Agree on the owners of teams while hosts that started together settle

Cause: candidates for a team's owner rank first by whether they are settled, which each host learns from heartbeats at a time of its own. When all hosts were killed, they settle at the same moment two seconds later. If the owner is cut off just then, the others never receive that it is settled and turn to the host whose heartbeat said so first, one for each zone.

Change: for 4 s after the local start, hosts that started together with the local one count as settled when it is.

The new test fails on the code before.

--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -20,6 +20,13 @@
 /// what was granted before.
 const OWNER_CHANGE_WINDOW: Duration = Duration::from_secs(2);
 
+/// Time after the start of the local host in which hosts whose first heartbeat arrives unsettled count as
+/// started together with it.
+const JOINT_START_WINDOW: Duration = Duration::from_secs(1);
+/// Time after the start of the local host for which hosts that started together with it count as settled when
+/// it is. By then, heartbeats of all of them have reported that they are settled.
+const JOINT_SETTLING_WINDOW: Duration = Duration::from_secs(4);
+
 /// Settings that determine when a host is lost.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerPolicy {
@@ -44,6 +51,9 @@
     pub has_left: bool,
     /// Time of the last heartbeat from the host's address that allowed it to own teams.
     pub owner_candidate_at: Option<Instant>,
+    /// Whether this incarnation started at about the same time as the local host: its first heartbeat arrived
+    /// soon after the local start, and the host was not settled then.
+    pub has_joint_start: bool,
 }
 
 impl PeerRecord {
@@ -70,12 +80,19 @@
     policy: PeerPolicy,
     schedule: HeartbeatSchedule,
     peers: SortedMap<Name, PeerRecord>,
+    started_at: Instant,
 }
 
 impl PeerTable {
     /// Creates a table without other hosts.
     pub fn new(local: KnownHost, policy: PeerPolicy) -> Self {
-        PeerTable { local, policy, schedule: HeartbeatSchedule::new(1, 1), peers: SortedMap::new() }
+        PeerTable {
+            local,
+            policy,
+            schedule: HeartbeatSchedule::new(1, 1),
+            peers: SortedMap::new(),
+            started_at: Instant::now(),
+        }
     }
 
     /// Returns the local host.
@@ -101,6 +118,7 @@
             heartbeat: None,
             has_left: false,
             owner_candidate_at,
+            has_joint_start: false,
         };
         self.peers.insert(host.address.clone(), record);
         self.schedule = self.compute_schedule();
@@ -121,6 +139,10 @@
         if is_outdated {
             return false;
         }
+        if record.heartbeat.is_none() && !heartbeat.is_settled {
+            let elapsed = now.saturating_duration_since(self.started_at);
+            record.has_joint_start = elapsed < JOINT_START_WINDOW;
+        }
         record.last_heartbeat_at = Some(now);
         record.has_left = heartbeat.has_left;
         if heartbeat.is_ready && heartbeat.is_settled && !heartbeat.has_left {
@@ -240,6 +262,10 @@
     /// These are the alive hosts that accept requests, and those that became known a moment ago. When all
     /// hosts start at once, heartbeats of the others arrive in a different order at each host. If only hosts
     /// with a heartbeat were owners, hosts would turn to many different ones at first.
+    ///
+    /// Hosts that started together with the local one count as settled when it is. If one of them is cut off
+    /// at the moment at which all settle, the others would otherwise never learn that it is settled, and each
+    /// would turn to the host whose heartbeat told it so first.
     pub(crate) fn owner_candidates(
         &self,
         local: LocalReadiness,
@@ -248,13 +274,19 @@
         let local_id =
             HostId { address: self.local.address.clone(), incarnation: self.local.incarnation };
         let own = local.is_ready.then_some((local_id, local.is_settled));
+        let is_settling = now.saturating_duration_since(self.started_at) < JOINT_SETTLING_WINDOW;
         let others = self.peers.values().filter_map(move |record| {
             let Some(heartbeat) = &record.heartbeat else {
                 let is_new = now.duration_since(record.discovered_at) < OWNER_CHANGE_WINDOW;
                 return is_new.then(|| (record.id(), false));
             };
             let is_ready = heartbeat.is_ready && !record.has_left && self.is_alive(record, now);
-            is_ready.then(|| (record.id(), heartbeat.is_settled))
+            let is_settled = if record.has_joint_start && is_settling {
+                local.is_settled
+            } else {
+                heartbeat.is_settled
+            };
+            is_ready.then(|| (record.id(), is_settled))
         });
         own.into_iter().chain(others)
     }
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -147,3 +147,30 @@
     assert!(owners[0].is_some());
     assert_eq!(owners[0], owners[1]);
 }
+
+/// Guards against one owner of a team in each zone when all hosts were killed and the owner is cut off as they
+/// settle: the others then receive that they are settled at different times, and never for the owner.
+#[tokio::test(start_paused = true)]
+async fn hosts_that_started_together_agree_on_the_owner_while_they_settle() {
+    let others = [("a", "z1"), ("b", "z2"), ("c", "z2")];
+    let mut peers = table("d", &[]);
+    for (address, zone) in others {
+        let host = known_host(address, 1, zone);
+        let heartbeat = HostHeartbeat { is_settled: false, ..host_heartbeat(host, 1) };
+        peers.receive_heartbeat(heartbeat, Instant::now());
+    }
+    let unsettled = team_owner(&OwnerTable::default(), &peers, false).unwrap();
+
+    advance(Duration::from_millis(2_100)).await;
+    for (address, zone) in others {
+        let heartbeat = HostHeartbeat {
+            is_settled: *unsettled.address != *address,
+            ..host_heartbeat(known_host(address, 1, zone), 2)
+        };
+        peers.receive_heartbeat(heartbeat, Instant::now());
+    }
+    let settled = team_owner(&OwnerTable::default(), &peers, true).unwrap();
+
+    assert_ne!(&*unsettled.address, "d");
+    assert_eq!(settled, unsettled);
+}
