Settings of gateways: admission queue and team weights

Operators need to turn the queue off and to give a team a larger share. Adds the settings admission-queue (auto, off) and team-weights. An error names the entry of the list: unknown and missing keys, wrong types, weights that are not above 0 or not finite, empty names and teams that are listed twice.

--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cuminramp_core::SortedMap;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -51,6 +52,12 @@
     pub cold_tolerance_factor: f64,
     /// Requests a second that a cold target may get in addition to `cold-tolerance-factor`.
     pub cold_tolerance_requests: f64,
+    /// Whether the owner of a pool's slots queues requests while all slots are taken: `auto` or `off`. With
+    /// `auto` it does so for pools whose targets report their pace.
+    pub admission_queue: String,
+    /// Weights of teams in the shares of crowded pools. A team that is not listed has its declared rate as its
+    /// weight. Must be the same on all hosts.
+    pub team_weights: Vec<TeamWeight>,
 }
 
 /// Region of one availability zone.
@@ -62,6 +69,15 @@
     pub region: String,
 }
 
+/// Weight of one team in the shares of crowded pools.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TeamWeight {
+    /// Name of the team.
+    pub team: String,
+    /// Weight of the team, on the scale of declared rates in requests per second.
+    pub weight: f64,
+}
+
 impl Default for GatewaySettings {
     fn default() -> Self {
         GatewaySettings {
@@ -83,6 +99,8 @@
             zone_regions: vec![],
             cold_tolerance_factor: 1.0,
             cold_tolerance_requests: 0.0,
+            admission_queue: "auto".into(),
+            team_weights: vec![],
         }
     }
 }
@@ -92,6 +110,11 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+
+    /// Returns whether requests are queued where targets report their pace.
+    pub fn has_admission_queue(&self) -> bool {
+        self.admission_queue != "off"
+    }
 }
 
 /// Parses the settings of a gateway, in JSON with comments; a setting that is not given has its default.
@@ -111,6 +134,7 @@
         .map_err(|error| vec![SettingsError::new("defaults", error.to_string())])?;
     let mut errors = Vec::new();
     check_shape(&defaults, &given, "", &mut errors);
+    check_team_weight_shapes(&given, &mut errors);
     if !errors.is_empty() {
         return Err(errors);
     }
@@ -120,6 +144,9 @@
     if errors.is_empty() { Ok(settings) } else { Err(errors) }
 }
 
+/// Valid values of settings that turn a function off.
+const FUNCTION_MODES: [&str; 2] = ["auto", "off"];
+
 /// Maximum of a setting in seconds: one day. A time too long for a `Duration` would cause a panic at
 /// startup that does not name the setting.
 const MAX_TIME_S: f64 = 86_400.0;
@@ -149,6 +176,13 @@
     if settings.availability_zone.is_empty() {
         errors.push(SettingsError::new("availability-zone", "must not be empty"));
     }
+    for (place, mode) in [("admission-queue", &settings.admission_queue)] {
+        if !FUNCTION_MODES.contains(&mode.as_str()) {
+            let reason = format!("must be one of {}, not {mode:?}", FUNCTION_MODES.join(", "));
+            errors.push(SettingsError::new(place, reason));
+        }
+    }
+    check_team_weights(&settings.team_weights, errors);
     let tolerances = [
         ("rate-tolerance-share", settings.rate_tolerance_share),
         ("rate-tolerance-requests", settings.rate_tolerance_requests),
@@ -173,5 +207,39 @@
     }
 }
 
+/// Adds an error for each unknown or missing key and each wrong type in the entries of `team-weights`.
+fn check_team_weight_shapes(given: &Value, errors: &mut Vec<SettingsError>) {
+    let entries = given.get("team-weights").and_then(Value::as_array);
+    let expected = serde_json::json!({ "team": "", "weight": 1.0 });
+    for (index, entry) in entries.into_iter().flatten().enumerate() {
+        let place = format!("team-weights[{index}]");
+        check_shape(&expected, entry, &place, errors);
+        for key in ["team", "weight"] {
+            if entry.is_object() && entry.get(key).is_none() {
+                errors.push(SettingsError::new(format!("{place}.{key}"), "is missing"));
+            }
+        }
+    }
+}
+
+fn check_team_weights(team_weights: &[TeamWeight], errors: &mut Vec<SettingsError>) {
+    let mut first_places = SortedMap::new();
+    for (index, TeamWeight { team, weight }) in team_weights.iter().enumerate() {
+        let place = format!("team-weights[{index}]");
+        if team.is_empty() {
+            errors.push(SettingsError::new(format!("{place}.team"), "must not be empty"));
+        }
+        if !weight.is_finite() || *weight <= 0.0 {
+            let reason = format!("must be above 0 and finite, not {weight:?}");
+            errors.push(SettingsError::new(format!("{place}.weight"), reason));
+        }
+        let first = *first_places.get_or_insert_with(team.as_str(), || index);
+        if first != index {
+            let reason = format!("{team:?} is already set by team-weights[{first}]");
+            errors.push(SettingsError::new(format!("{place}.team"), reason));
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -1,7 +1,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
-use super::{GatewaySettings, parse_gateway_settings};
+use super::{GatewaySettings, TeamWeight, parse_gateway_settings};
 
 #[test]
 fn settings_that_are_not_given_have_their_defaults() {
@@ -28,12 +28,71 @@
     assert_eq!(errors[0].place, place);
 }
 
+/// An operator who makes a mistake in one of many entries must see which one, and what is expected.
+#[test_case(
+    r#"{ "admission-queue": "on" }"#,
+    "admission-queue: must be one of auto, off, not \"on\""
+)]
+#[test_case(r#"{ "admission-queue": true }"#, "admission-queue: must be a text, not true or false")]
+#[test_case(r#"{ "team-weights": {} }"#, "team-weights: must be a list, not a section")]
+#[test_case(
+    r#"{ "team-weights": [3] }"#,
+    "team-weights[0]: must be a section, not a whole number from 0"
+)]
+#[test_case(
+    r#"{ "team-weights": [{ "team": "a", "wieght": 1, "weight": 1 }] }"#,
+    "team-weights[0].wieght: is not a setting"
+)]
+#[test_case(r#"{ "team-weights": [{ "team": "a" }] }"#, "team-weights[0].weight: is missing")]
+#[test_case(
+    r#"{ "team-weights": [{ "team": "a", "weight": "1" }] }"#,
+    "team-weights[0].weight: must be a number, not a text"
+)]
+#[test_case(
+    r#"{ "team-weights": [{ "team": "a", "weight": 0 }] }"#,
+    "team-weights[0].weight: must be above 0 and finite, not 0.0"
+)]
+#[test_case(
+    r#"{ "team-weights": [{ "team": "a", "weight": -1 }] }"#,
+    "team-weights[0].weight: must be above 0 and finite, not -1.0"
+)]
+#[test_case(
+    r#"{ "team-weights": [{ "team": "", "weight": 1 }] }"#,
+    "team-weights[0].team: must not be empty"
+)]
+#[test_case(r#"{ "team-weights": [{ "team": "a", "weight": 1 }, { "team": "b", "weight": 1 }, { "team": "a", "weight": 2 }] }"#, "team-weights[2].team: \"a\" is already set by team-weights[0]")]
+fn a_wrong_setting_of_shares_names_its_entry(text: &str, expected: &str) {
+    let errors = parse_gateway_settings(text).unwrap_err();
+
+    assert_eq!(errors.len(), 1);
+    assert_eq!(format!("{}: {}", errors[0].place, errors[0].reason), expected);
+}
+
+/// JSON has no infinity, but a number beyond the range of a double could become one.
+#[test]
+fn a_weight_beyond_all_numbers_is_rejected() {
+    let text = r#"{ "team-weights": [{ "team": "a", "weight": 1e999 }] }"#;
+
+    assert!(parse_gateway_settings(text).is_err());
+}
+
+#[test]
+fn weights_and_the_queue_are_read() {
+    let text = r#"{ "admission-queue": "off", "team-weights": [{ "team": "a", "weight": 2 }] }"#;
+
+    let settings = parse_gateway_settings(text).unwrap();
+
+    assert!(!settings.has_admission_queue());
+    assert_eq!(settings.team_weights, [TeamWeight { team: "a".into(), weight: 2.0 }]);
+    assert!(GatewaySettings::default().has_admission_queue());
+}
+
 proptest! {
     /// Guards against a panic on values that a template fills in unchecked: any text is parsed completely
     /// or rejected with at least one error.
     #[test]
     fn any_text_is_parsed_or_rejected_with_an_error(
-        place in "(name|grace-s|seeds|rate-window-s|log-level|steering-keep-s)",
+        place in "(name|grace-s|seeds|rate-window-s|log-level|steering-keep-s|admission-queue|team-weights)",
         value in prop_oneof![
             any::<f64>().prop_map(|number| number.to_string()),
             "[\\[\\]{}\"a0:., /]{0,12}",
