--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -63,6 +63,8 @@
     pub max_waiting_tokens: u64,
     /// Home regions: the regions in which the route's requests may run. Empty means all.
     pub home_regions: Vec<Name>,
+    /// Priority of the route's requests while they wait for a slot; 0 is the most urgent.
+    pub priority: u8,
 }
 
 impl RouteRule {
--- a/crates/cuminramp-fleet/src/declarations/tests.rs
+++ b/crates/cuminramp-fleet/src/declarations/tests.rs
@@ -22,6 +22,7 @@
         item_ttl: Duration::ZERO,
         max_waiting_tokens: 0,
         home_regions: vec![],
+        priority: 0,
     }
 }
 
