--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -122,6 +122,13 @@
     pub home_regions: Vec<Name>,
 }
 
+impl TeamRule {
+    /// Returns the rate limit; `None` if the team has none.
+    pub(crate) fn limited_rate(&self) -> Option<f64> {
+        (self.rate > 0.0 && self.rate.is_finite()).then_some(self.rate)
+    }
+}
+
 /// Limits on the size and duration of callers' requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
@@ -156,6 +163,15 @@
     teams: SortedMap<Name, TeamRule>,
     keys: SortedMap<Name, Name>,
     has_teams: bool,
+    /// Mean rate of the teams that have one, calculated once since it is needed for each request.
+    mean_team_rate: Option<f64>,
+}
+
+/// Returns the mean rate of the teams that have one.
+fn calculate_mean_rate(teams: &[TeamRule]) -> Option<f64> {
+    let rates = || teams.iter().filter_map(TeamRule::limited_rate);
+    let count = rates().count();
+    (count > 0).then(|| rates().sum::<f64>() / count as f64)
 }
 
 impl FleetDeclarations {
@@ -191,6 +207,7 @@
             routes: routes_by_host,
             keys: teams_by_key.collect(),
             has_teams: !teams.is_empty(),
+            mean_team_rate: calculate_mean_rate(&teams),
             pools: pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect(),
             teams: teams.into_iter().map(|team| (team.name.clone(), team)).collect(),
         }
@@ -226,6 +243,15 @@
         self.teams.get(name)
     }
 
+    /// Returns the mean rate of the teams that have one; `None` if none has.
+    ///
+    /// ```
+    /// assert_eq!(cuminramp_fleet::FleetDeclarations::default().mean_team_rate(), None);
+    /// ```
+    pub fn mean_team_rate(&self) -> Option<f64> {
+        self.mean_team_rate
+    }
+
     /// Returns the slow start rules of all pools, by the pool's name.
     pub fn cold_rules(&self) -> SortedMap<Name, ColdRule> {
         self.pools.iter().map(|(name, pool)| (name.clone(), pool.cold)).collect()
