--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -1,7 +1,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
-use super::{GatewaySettings, parse_gateway_settings};
+use super::{GatewaySettings, TeamWeight, parse_gateway_settings};
 
 #[test]
 fn settings_that_are_not_given_have_their_defaults() {
@@ -20,6 +20,8 @@
 #[test_case(r#"{ "grace-s": 1e300 }"#, "grace-s"; "grace time too long for a duration")]
 #[test_case(r#"{ "steering-keep-s": 1e300 }"#, "steering-keep-s"; "steering time too long for a duration")]
 #[test_case(r#"{ "rate-window-s": -1 }"#, "rate-window-s")]
+#[test_case(r#"{ "admission-queue": "on" }"#, "admission-queue"; "unknown mode")]
+#[test_case(r#"{ "admission-queue": true }"#, "admission-queue"; "mode of a wrong type")]
 #[test_case(r#"{ "unknown": 0 }"#, "unknown")]
 #[test_case(r#"{ "name": "#, "line 1 column 10")]
 fn an_error_names_its_place(text: &str, place: &str) {
@@ -28,12 +30,43 @@
     assert_eq!(errors[0].place, place);
 }
 
+/// An operator who makes a mistake in one of many entries must see which one, and what is expected. JSON has no
+/// infinity, but a number beyond the range of a double could become one.
+#[test_case("3", "[1]: must be a section, not a whole number from 0")]
+#[test_case(r#"{ "team": "b", "wieght": 1, "weight": 1 }"#, "[1].wieght: is not a setting")]
+#[test_case(r#"{ "team": "b" }"#, "[1].weight: is missing")]
+#[test_case(r#"{ "team": "b", "weight": "1" }"#, "[1].weight: must be a number, not a text")]
+#[test_case(r#"{ "team": "b", "weight": 0 }"#, "[1].weight: must be above 0 and finite, not 0.0")]
+#[test_case(r#"{ "team": "b", "weight": -1 }"#, "[1].weight: must be above 0 and finite, not -1.0")]
+#[test_case(r#"{ "team": "b", "weight": 1e999 }"#, "number out of range")]
+#[test_case(r#"{ "team": "", "weight": 1 }"#, "[1].team: must not be empty")]
+#[test_case(r#"{ "team": "a", "weight": 2 }"#, "[1].team: \"a\" is already set by team-weights[0]")]
+fn a_wrong_weight_names_its_entry(entry: &str, expected: &str) {
+    let text = format!(r#"{{ "team-weights": [{{ "team": "a", "weight": 1 }}, {entry}] }}"#);
+
+    let errors = parse_gateway_settings(&text).unwrap_err();
+
+    assert_eq!(errors.len(), 1);
+    assert!(format!("{}: {}", errors[0].place, errors[0].reason).contains(expected));
+}
+
+#[test]
+fn weights_and_the_queue_are_read() {
+    let text = r#"{ "admission-queue": "off", "team-weights": [{ "team": "a", "weight": 2 }] }"#;
+
+    let settings = parse_gateway_settings(text).unwrap();
+
+    assert!(!settings.has_admission_queue());
+    assert_eq!(settings.team_weights, [TeamWeight { team: "a".into(), weight: 2.0 }]);
+    assert!(GatewaySettings::default().has_admission_queue());
+}
+
 proptest! {
     /// Guards against a panic on values that a template fills in unchecked: any text is parsed completely
     /// or rejected with at least one error.
     #[test]
     fn any_text_is_parsed_or_rejected_with_an_error(
-        place in "(name|grace-s|seeds|rate-window-s|log-level|steering-keep-s)",
+        place in "(name|grace-s|seeds|rate-window-s|log-level|steering-keep-s|admission-queue|team-weights)",
         value in prop_oneof![
             any::<f64>().prop_map(|number| number.to_string()),
             "[\\[\\]{}\"a0:., /]{0,12}",
