Placement uses the pace that targets report

Cause: all targets counted as equally fast. A target that shares its machine or is of a slower kind got the same rank for a free slot, and the wait in its queue was estimated with the average hold time of all.

Change: the placement table keeps the last reported pace of each target, a fast and a slow average, and the time that this host's requests took there. Free slots are divided by the expected pace, waits and the capacity of a group use the hold time of each target, and batch items are preempted at targets that are not slow first. A target that never reported a pace is treated as before.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -64,8 +64,8 @@
 pub use outliers::{OutlierChange, TargetOutcomes};
 pub use peers::{LocalReadiness, PeerPolicy, PeerRecord, PeerTable};
 pub use placement::{
-    ColdRule, ColdShare, ColdTolerance, FleetTarget, PlacementDecision, PlacementPolicy,
-    PlacementRequest, PlacementTable, TargetPhase, WorkKind,
+    ColdRule, ColdShare, ColdTolerance, FleetTarget, PaceChange, PlacementDecision,
+    PlacementPolicy, PlacementRequest, PlacementTable, TARGET_PACE_RANGE, TargetPhase, WorkKind,
 };
 pub use quota::{
     QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome, TokenRequest,
--- a/crates/cuminramp-fleet/src/placement.rs
+++ b/crates/cuminramp-fleet/src/placement.rs
@@ -8,6 +8,8 @@
 //! reserved for callers stood empty for seconds.
 //!
 //! A host that reaches no owner places its requests by what it has in flight itself.
+//!
+//! Where targets report their pace, free slots and waits are weighted by it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -30,6 +32,8 @@
 pub use cold::{ColdRule, ColdShare, ColdTolerance};
 pub(crate) use group::{GroupPlacement, GroupRequest};
 use orphans::{OrphanedWork, RecentPeak};
+pub use pace::{PaceChange, TARGET_PACE_RANGE};
+use pace::{PaceState, TargetPace};
 use reachability::ReachabilityTable;
 
 /// Whether a target accepts new work.
@@ -112,6 +116,8 @@
     pub zone_bonus: u32,
     /// Tolerated excess over the declared rate of cold targets, as set by operators.
     pub cold_tolerance: ColdTolerance,
+    /// Whether the paces that targets report are used.
+    pub uses_pace: bool,
 }
 
 impl Default for PlacementPolicy {
@@ -124,6 +130,7 @@
             initial_hold: Duration::from_millis(700),
             zone_bonus: 2,
             cold_tolerance: ColdTolerance { factor: 1.0, requests: 0.0 },
+            uses_pace: true,
         }
     }
 }
@@ -176,6 +183,8 @@
     orphaned: OrphanedWork,
     /// Load that the target reported last, until it is sent on to the owner of the group.
     unreported_load: Option<u16>,
+    /// Pace of the target; `None` until it reports one.
+    pace: Option<TargetPace>,
     /// End of the backoff after a refusal for lack of capacity.
     full_until: Option<Instant>,
     /// End of the backoff after failures.
@@ -243,6 +252,7 @@
     outliers: OutlierDetector,
     /// Moving average of the time for which a request holds a slot.
     average_hold: Duration,
+    pace: PaceState,
     /// Zones whose targets receive no new work, sorted by name.
     drained: Vec<AvailabilityZone>,
     cold_rules: SortedMap<Name, ColdRule>,
@@ -264,6 +274,7 @@
             peer_loads: SortedMap::new(),
             outliers: OutlierDetector::new(),
             average_hold: policy.initial_hold,
+            pace: PaceState::default(),
             drained: Vec::new(),
             cold_rules: SortedMap::new(),
             reachability: ReachabilityTable::default(),
@@ -286,6 +297,7 @@
                 entry.backoff_until = None;
                 entry.failures = 0;
                 entry.orphaned = OrphanedWork::none(now);
+                entry.pace = None;
                 self.outliers.forget(name_hash(&target.id));
             }
             entry.extend_cold(target.cold_remaining, now);
@@ -307,6 +319,7 @@
             peak: RecentPeak::new(now),
             orphaned: OrphanedWork::none(now),
             unreported_load: None,
+            pace: None,
             full_until: None,
             backoff_until: None,
             failures: 0,
--- a/crates/cuminramp-fleet/src/placement/group.rs
+++ b/crates/cuminramp-fleet/src/placement/group.rs
@@ -53,13 +53,13 @@
         let has_rate =
             |entry: &&PlacementEntry| self.remaining_sends(entry, request.share, now) > 0;
         let available: Vec<&PlacementEntry> = usable.iter().copied().filter(has_rate).collect();
-        if let Some(entry) = self.pick_free_slot(&available, usize::MAX, random) {
+        if let Some(entry) = self.pick_free_slot(&available, usize::MAX, random, now) {
             return GroupPlacement::Slot(entry.hash);
         }
-        if let Some(entry) = self.pick_preemptible(&available, random) {
+        if let Some(entry) = self.pick_preemptible(&available, random, now) {
             return GroupPlacement::Slot(entry.hash);
         }
-        match self.shortest_queue(&available, random) {
+        match self.shortest_queue(&available, random, now) {
             None => {
                 self.cold_wait(&usable, now).map_or(GroupPlacement::NoTarget, GroupPlacement::Busy)
             }
--- a/crates/cuminramp-fleet/src/placement/placing.rs
+++ b/crates/cuminramp-fleet/src/placement/placing.rs
@@ -1,10 +1,12 @@
 //! Choice of the target for a request, or of the time after which its caller should retry.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use cuminramp_core::RandomSource;
 use tokio::time::Instant;
 
+use super::pace::USUAL_PACE;
 use super::{ColdShare, PlacementDecision, PlacementEntry, PlacementRequest, PlacementTable};
 use crate::slots::retry_after;
 
@@ -40,13 +42,13 @@
         {
             return PlacementDecision::Full(retry_after(wait, random));
         }
-        if let Some(entry) = self.pick_free_slot(&available, MAX_CHOICES, random) {
+        if let Some(entry) = self.pick_free_slot(&available, MAX_CHOICES, random, now) {
             return PlacementDecision::Send(entry.target.clone());
         }
-        if let Some(entry) = self.pick_preemptible(&available, random) {
+        if let Some(entry) = self.pick_preemptible(&available, random, now) {
             return PlacementDecision::Send(entry.target.clone());
         }
-        self.queue_or_refuse(&available, request, random)
+        self.queue_or_refuse(&available, request, random, now)
     }
 
     /// Sends a request to the target with the shortest queue, or refuses it if it would wait longer than
@@ -57,8 +59,9 @@
         available: &[&PlacementEntry],
         request: &PlacementRequest<'_>,
         random: &mut dyn RandomSource,
+        now: Instant,
     ) -> PlacementDecision {
-        let Some((wait, entry)) = self.shortest_queue(available, random) else {
+        let Some((wait, entry)) = self.shortest_queue(available, random, now) else {
             return PlacementDecision::NoTarget;
         };
         if wait <= request.objective.mul_f64(self.policy.wait_share) || request.is_retry {
@@ -101,31 +104,35 @@
         available: &[&'a PlacementEntry],
         choices: usize,
         random: &mut dyn RandomSource,
+        now: Instant,
     ) -> Option<&'a PlacementEntry> {
         let free = available.iter().filter(|entry| entry.total() < entry.target.slots);
         let mut candidates: Vec<(usize, &PlacementEntry)> =
             free.map(|entry| (random.below(1 << 16), *entry)).collect();
         candidates.sort_by_key(|candidate| candidate.0);
         candidates.truncate(choices);
-        let scored = candidates.into_iter().map(|(_, entry)| (self.score_free(entry), entry));
+        let scored = candidates.into_iter().map(|(_, entry)| (self.score_free(entry, now), entry));
         scored.max_by(|left, right| left.0.total_cmp(&right.0)).map(|best| best.1)
     }
 
-    /// Returns the score of a target with free slots; the highest is preferred.
-    fn score_free(&self, entry: &PlacementEntry) -> f64 {
+    /// Returns the score of a target with free slots; the highest is preferred. A slot that work holds
+    /// longer counts as a smaller part of one.
+    fn score_free(&self, entry: &PlacementEntry, now: Instant) -> f64 {
         let is_near = entry.target.zone == self.zone;
         let bonus = if is_near { self.policy.zone_bonus } else { 0 };
         let penalty = self.outliers.failure_rate(entry.hash) * f64::from(entry.target.slots);
-        f64::from(entry.target.slots - entry.total() + bonus) - penalty
+        let free = f64::from(entry.target.slots - entry.total());
+        free / self.expected_pace(entry, now).unwrap_or(USUAL_PACE) + f64::from(bonus) - penalty
     }
 
     /// Returns the target where a batch item is best preempted: one with the least work beyond its slots,
-    /// and among those one where this host has an item in flight, since this host preempts that item
-    /// before it sends the request.
+    /// among those one that is not slow, and among those one where this host has an item in flight, since
+    /// this host preempts that item before it sends the request.
     pub(super) fn pick_preemptible<'a>(
         &self,
         available: &[&'a PlacementEntry],
         random: &mut dyn RandomSource,
+        now: Instant,
     ) -> Option<&'a PlacementEntry> {
         let preemptible = available
             .iter()
@@ -134,25 +141,28 @@
             let is_near = entry.target.zone == self.zone;
             let over = entry.total().saturating_sub(entry.target.slots);
             let is_own = entry.own_batch > 0;
-            ((std::cmp::Reverse(over), is_own, is_near, random.below(1 << 16)), *entry)
+            let pace = self.expected_pace(entry, now).unwrap_or(USUAL_PACE);
+            let slowness = pace.round().max(USUAL_PACE) as u32;
+            let rank = (Reverse(over), Reverse(slowness), is_own, is_near, random.below(1 << 16));
+            (rank, *entry)
         });
         scored.max_by_key(|candidate| candidate.0).map(|best| best.1)
     }
 
     /// Returns the target with the shortest queue, and the time for which a request would wait there: a
-    /// slot becomes free about every `average_hold / slots`, less often where orphaned work occupies
-    /// slots.
+    /// slot becomes free about every `hold / slots`, less often where orphaned work occupies slots.
     pub(super) fn shortest_queue<'a>(
         &self,
         available: &[&'a PlacementEntry],
         random: &mut dyn RandomSource,
+        now: Instant,
     ) -> Option<(Duration, &'a PlacementEntry)> {
         let expected_wait = |entry: &PlacementEntry| {
             let over = entry.non_preemptible().saturating_sub(entry.target.slots) + 1;
             let slots = entry.target.slots.max(1);
             let orphaned = entry.orphaned.remaining().min(slots);
             let slots_freed_per_s = f64::from(slots - orphaned)
-                / self.average_hold.as_secs_f64().max(MIN_HOLD_S)
+                / self.expected_hold(entry, now).as_secs_f64().max(MIN_HOLD_S)
                 + f64::from(orphaned) / ORPHANED_HOLD_S;
             Duration::from_secs_f64(f64::from(over) / slots_freed_per_s)
         };
--- a/crates/cuminramp-fleet/src/placement/tests.rs
+++ b/crates/cuminramp-fleet/src/placement/tests.rs
@@ -13,11 +13,11 @@
 
 static ANYWHERE: OnceLock<ZoneLimit> = OnceLock::new();
 
-fn host(address: &str) -> HostId {
+pub(super) fn host(address: &str) -> HostId {
     HostId { address: address.into(), incarnation: 1 }
 }
 
-fn target(id: &str, zone: &str) -> FleetTarget {
+pub(super) fn target(id: &str, zone: &str) -> FleetTarget {
     FleetTarget {
         id: id.into(),
         pool: "p".into(),
@@ -30,7 +30,7 @@
     }
 }
 
-fn placement(targets: &[(&str, &str)]) -> PlacementTable {
+pub(super) fn placement(targets: &[(&str, &str)]) -> PlacementTable {
     let mut placement = PlacementTable::new("z1".into(), PlacementPolicy::default());
     for (id, zone) in targets {
         placement.put(target(id, zone));
@@ -38,11 +38,11 @@
     placement
 }
 
-fn load(id: &str, online: u16, batch: u16) -> TargetLoad {
+pub(super) fn load(id: &str, online: u16, batch: u16) -> TargetLoad {
     TargetLoad { target: name_hash(id), online, batch }
 }
 
-fn request<'a>(is_retry: bool, tried: &'a [Name]) -> PlacementRequest<'a> {
+pub(super) fn request<'a>(is_retry: bool, tried: &'a [Name]) -> PlacementRequest<'a> {
     let zones = ANYWHERE.get_or_init(ZoneLimit::none);
     PlacementRequest { pool: "p", objective: Duration::from_millis(300), is_retry, tried, zones }
 }
@@ -52,7 +52,7 @@
     placement.place(&request, &ColdShare::Owner, &mut SeededRandom::new(1), Instant::now())
 }
 
-fn place(placement: &PlacementTable, request: &PlacementRequest<'_>) -> Option<Name> {
+pub(super) fn place(placement: &PlacementTable, request: &PlacementRequest<'_>) -> Option<Name> {
     match placement.place(request, &ColdShare::Owner, &mut SeededRandom::new(1), Instant::now()) {
         PlacementDecision::Send(target) => Some(target.id),
         _ => None,
