Read the pace of a target from its load header

Cause: the fourth figure of X-Server-Load was dropped.

A response's pace and the time that a complete request took are recorded for its target.

--- a/crates/cuminramp-gateway/src/interfaces.rs
+++ b/crates/cuminramp-gateway/src/interfaces.rs
@@ -134,6 +134,8 @@
     pub keep_alive: Option<Duration>,
     /// Number of requests that the target runs or queues, this one included, if it returned it.
     pub active_requests: Option<u32>,
+    /// Time that work takes at the target at the moment, in percent of the usual time, if it returned it.
+    pub pace: Option<u16>,
 }
 
 /// Result of an item, as listed in a page of results.
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -102,7 +102,9 @@
         let mut placement = lock(&self.state.placement);
         placement.record_success(&self.target.id, Instant::now());
         if self.kind == WorkKind::Online {
-            placement.record_hold_time(self.started_at.elapsed());
+            let hold_time = self.started_at.elapsed();
+            placement.record_hold_time(hold_time);
+            placement.record_target_hold(&self.target.id, hold_time, Instant::now());
         }
     }
 
@@ -186,6 +188,9 @@
     if let Some(active_requests) = head.active_requests {
         lock(&state.placement).record_load(&run.target.id, active_requests, Instant::now());
     }
+    if let Some(pace) = head.pace {
+        lock(&state.placement).record_pace(&run.target.id, pace, Instant::now());
+    }
     Ok((parts, head, body))
 }
 
