Report the paces of targets to the owners of their groups

Cause: the owner of a group chooses the target, but only the hosts that send requests learn how fast targets work.

Change: beside its slot report, a host sends the owner a `PaceReport` with the paces that targets reported to it since the last one, if there are any.

Result: owners know the paces that all hosts received. Where no target reports a pace, no datagram changes.

--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -9,7 +9,8 @@
 
 use super::heartbeats::handle_heartbeat;
 use crate::slots::{
-    handle_command, handle_owner_failure, handle_report, handle_request, handle_response,
+    handle_command, handle_owner_failure, handle_pace_report, handle_report, handle_request,
+    handle_response,
 };
 use crate::state::GatewayState;
 use crate::tokens::{handle_token_request, handle_token_response};
@@ -88,10 +89,9 @@
         HostMessage::TokenRequest(request) => handle_token_request(state, &address, request).await,
         HostMessage::TokenResponse(response) => handle_token_response(state, response),
         HostMessage::OwnerFailure(failure) => handle_owner_failure(state, &address, &failure),
+        HostMessage::PaceReport(report) => handle_pace_report(state, &report),
         // No host sends these yet.
-        HostMessage::PaceReport(_)
-        | HostMessage::AdmissionRequest(_)
-        | HostMessage::AdmissionWithdrawal(_) => {}
+        HostMessage::AdmissionRequest(_) | HostMessage::AdmissionWithdrawal(_) => {}
     }
 }
 
--- a/crates/cuminramp-gateway/src/slots/report.rs
+++ b/crates/cuminramp-gateway/src/slots/report.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::owner::balance_group;
+use super::pace::send_paces;
 use super::{item_demand, owner_of};
 use crate::jobs::{fill_slots, waiting_pools};
 use crate::peers::send_to_host;
@@ -48,6 +49,7 @@
         Some(owner) => {
             let report = build_report(state, group, &owner);
             send_to_host(state, HostMessage::Report(report), &owner.address).await;
+            send_paces(state, group, &owner).await;
         }
     }
 }
