Log slow targets and count them in a metric

Cause: operators could not see which targets work slowly.

Change: the log lines `target-slow` and `target-pace-usual` are written when the slow average of a target rises above 200 and when it falls below 150, at most one per target in 5 s. The gauge `cuminramp_targets_slow` is the number of targets with a slow average above 200.

--- a/crates/cuminramp-gateway/src/entry/service_endpoints.rs
+++ b/crates/cuminramp-gateway/src/entry/service_endpoints.rs
@@ -124,6 +124,8 @@
         state.metrics.record_state(version, alive, held_jobs);
         let drained = lock(&state.drains).drained().len();
         state.metrics.record_drained(drained);
+        let slow = lock(&state.placement).slow_targets();
+        state.metrics.record_slow_targets(slow);
         match state.metrics.render() {
             Ok(text) => {
                 let mut response = json_response(StatusCode::OK, text);
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -28,7 +28,7 @@
     HostSocket, PeerClients, broadcast_heartbeat, detect_pauses, mark_silent_hosts,
     receive_datagrams, send_heartbeats, send_join_request, serve_calls,
 };
-use crate::slots::{SlotState, maintain_owned_groups, send_reports};
+use crate::slots::{SlotState, log_pace_changes, maintain_owned_groups, send_reports};
 use crate::state::{GatewayState, lock};
 use crate::sync::{
     DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, discover_hosts,
@@ -341,6 +341,7 @@
         tokio::time::sleep(UPKEEP_INTERVAL).await;
         mark_silent_hosts(&state, &mut silent);
         drop_missing_targets(&state, Instant::now());
+        log_pace_changes(&state);
         state.connections.close_expired();
         turn = turn.wrapping_add(1);
         if turn.is_multiple_of(LOAD_LOG_TURNS) {
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     alive_hosts: Gauge<u64>,
     held_jobs: Gauge<u64>,
     drained_zones: Gauge<u64>,
+    slow_targets: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -65,6 +66,7 @@
             alive_hosts: gauge("cuminramp.hosts.heard", "Hosts heard lately, this one included"),
             held_jobs: gauge("cuminramp.jobs.held", "Jobs that this host works on"),
             drained_zones: gauge("cuminramp.zones.drained", "Zones whose targets get nothing new"),
+            slow_targets: gauge("cuminramp.targets.slow", "Targets whose work takes twice as long"),
             registry,
             _provider: provider,
         })
@@ -126,6 +128,10 @@
         self.drained_zones.record(zones as u64, &[]);
     }
 
+    pub(crate) fn record_slow_targets(&self, targets: usize) {
+        self.slow_targets.record(targets as u64, &[]);
+    }
+
     /// Returns the metrics in the text format for scrapers.
     pub(crate) fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -26,7 +26,7 @@
 pub(crate) use owner::{
     handle_owner_failure, handle_report, handle_request, maintain_owned_groups,
 };
-pub(crate) use pace::handle_pace_report;
+pub(crate) use pace::{handle_pace_report, log_pace_changes};
 pub(crate) use report::{handle_command, request_item_slots, send_reports};
 pub(crate) use request::{PlacedBy, find_slot, handle_response};
 
--- a/crates/cuminramp-gateway/src/slots/pace.rs
+++ b/crates/cuminramp-gateway/src/slots/pace.rs
@@ -23,3 +23,18 @@
 pub(crate) fn handle_pace_report(state: &GatewayState, report: &PaceReport) {
     lock(&state.placement).receive_paces(&report.paces, Instant::now());
 }
+
+/// Logs each target that became slow, or whose pace is usual again. `since_ms` is the time since its average
+/// crossed the threshold.
+pub(crate) fn log_pace_changes(state: &GatewayState) {
+    let now = Instant::now();
+    let changes = lock(&state.placement).take_pace_changes(now);
+    for change in changes {
+        let message = if change.is_slow { "target-slow" } else { "target-pace-usual" };
+        log::warn!(
+            target_id = &*change.target, pace = change.pace,
+            since_ms = now.saturating_duration_since(change.since).as_millis() as u64;
+            "{message}"
+        );
+    }
+}
