Setting target-pace turns off the use of pace

Cause: operators need to turn off the use of pace if targets report wrong ones.

Change: the gateway has the setting `target-pace`, `auto` (default) or `off`.

Result: another value is rejected at start with the name of the setting.

--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -141,6 +141,7 @@
             factor: settings.cold_tolerance_factor,
             requests: settings.cold_tolerance_requests,
         },
+        uses_pace: settings.uses_target_pace(),
         ..PlacementPolicy::default()
     };
     let zones = settings.zone_regions.iter();
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -51,8 +51,15 @@
     pub cold_tolerance_factor: f64,
     /// Requests a second that a cold target may get in addition to `cold-tolerance-factor`.
     pub cold_tolerance_requests: f64,
+    /// Whether the paces that targets report are used: `auto`, for targets that report one, or `off`.
+    pub target_pace: String,
 }
 
+/// Value of a setting that uses a feature where it can.
+const AUTO: &str = "auto";
+/// Values of a setting that turns a feature off.
+const SWITCH_VALUES: [&str; 2] = [AUTO, "off"];
+
 /// Region of one availability zone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ZoneRegion {
@@ -83,6 +90,7 @@
             zone_regions: vec![],
             cold_tolerance_factor: 1.0,
             cold_tolerance_requests: 0.0,
+            target_pace: AUTO.into(),
         }
     }
 }
@@ -92,6 +100,18 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+
+    /// Returns whether the paces that targets report are used.
+    ///
+    /// ```
+    /// use cuminramp_settings::parse_gateway_settings;
+    /// assert!(parse_gateway_settings("{}").unwrap().uses_target_pace());
+    /// let settings = parse_gateway_settings(r#"{ "target-pace": "off" }"#).unwrap();
+    /// assert!(!settings.uses_target_pace());
+    /// ```
+    pub fn uses_target_pace(&self) -> bool {
+        self.target_pace == AUTO
+    }
 }
 
 /// Parses the settings of a gateway, in JSON with comments; a setting that is not given has its default.
@@ -146,6 +166,11 @@
             format!("must be one of {}, not {:?}", LOG_LEVELS.join(", "), settings.log_level);
         errors.push(SettingsError::new("log-level", reason));
     }
+    if !SWITCH_VALUES.contains(&settings.target_pace.as_str()) {
+        let reason =
+            format!("must be one of {}, not {:?}", SWITCH_VALUES.join(", "), settings.target_pace);
+        errors.push(SettingsError::new("target-pace", reason));
+    }
     if settings.availability_zone.is_empty() {
         errors.push(SettingsError::new("availability-zone", "must not be empty"));
     }
--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -20,6 +20,7 @@
 #[test_case(r#"{ "grace-s": 1e300 }"#, "grace-s"; "grace time too long for a duration")]
 #[test_case(r#"{ "steering-keep-s": 1e300 }"#, "steering-keep-s"; "steering time too long for a duration")]
 #[test_case(r#"{ "rate-window-s": -1 }"#, "rate-window-s")]
+#[test_case(r#"{ "target-pace": "on" }"#, "target-pace")]
 #[test_case(r#"{ "unknown": 0 }"#, "unknown")]
 #[test_case(r#"{ "name": "#, "line 1 column 10")]
 fn an_error_names_its_place(text: &str, place: &str) {
