--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     admissions: Counter<u64>,
     waiting_requests: Gauge<u64>,
     team_labels: Mutex<TeamLabels>,
+    slow_targets: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -80,6 +81,7 @@
                 "Requests that wait in the admission queues of this host",
             ),
             team_labels: Mutex::default(),
+            slow_targets: gauge("cuminramp.targets.slow", "Targets whose work takes twice as long"),
             registry,
             _provider: provider,
         })
@@ -151,6 +153,10 @@
         self.drained_zones.record(zones as u64, &[]);
     }
 
+    pub(crate) fn record_slow_targets(&self, targets: usize) {
+        self.slow_targets.record(targets as u64, &[]);
+    }
+
     /// Returns the metrics in the text format for scrapers.
     pub(crate) fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -58,8 +58,15 @@
     /// Weights of teams in the shares of crowded pools. A team that is not listed has its declared rate as its
     /// weight. Must be the same on all hosts.
     pub team_weights: Vec<TeamWeight>,
+    /// Whether the paces that targets report are used: `auto`, for targets that report one, or `off`.
+    pub target_pace: String,
 }
 
+/// Value of a setting that uses a feature where it can.
+const AUTO: &str = "auto";
+/// Values of a setting that turns a feature off.
+const SWITCH_VALUES: [&str; 2] = [AUTO, "off"];
+
 /// Region of one availability zone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ZoneRegion {
@@ -99,8 +106,9 @@
             zone_regions: vec![],
             cold_tolerance_factor: 1.0,
             cold_tolerance_requests: 0.0,
-            admission_queue: "auto".into(),
+            admission_queue: AUTO.into(),
             team_weights: vec![],
+            target_pace: AUTO.into(),
         }
     }
 }
@@ -113,7 +121,19 @@
 
     /// Returns whether requests are queued where targets report their pace.
     pub fn has_admission_queue(&self) -> bool {
-        self.admission_queue != "off"
+        self.admission_queue == AUTO
+    }
+
+    /// Returns whether the paces that targets report are used.
+    ///
+    /// ```
+    /// use cuminramp_settings::parse_gateway_settings;
+    /// assert!(parse_gateway_settings("{}").unwrap().uses_target_pace());
+    /// let settings = parse_gateway_settings(r#"{ "target-pace": "off" }"#).unwrap();
+    /// assert!(!settings.uses_target_pace());
+    /// ```
+    pub fn uses_target_pace(&self) -> bool {
+        self.target_pace == AUTO
     }
 }
 
@@ -144,9 +164,6 @@
     if errors.is_empty() { Ok(settings) } else { Err(errors) }
 }
 
-/// Valid values of settings that turn a function off.
-const FUNCTION_MODES: [&str; 2] = ["auto", "off"];
-
 /// Maximum of a setting in seconds: one day. A time too long for a `Duration` would cause a panic at
 /// startup that does not name the setting.
 const MAX_TIME_S: f64 = 86_400.0;
@@ -176,9 +193,11 @@
     if settings.availability_zone.is_empty() {
         errors.push(SettingsError::new("availability-zone", "must not be empty"));
     }
-    for (place, mode) in [("admission-queue", &settings.admission_queue)] {
-        if !FUNCTION_MODES.contains(&mode.as_str()) {
-            let reason = format!("must be one of {}, not {mode:?}", FUNCTION_MODES.join(", "));
+    let switches =
+        [("admission-queue", &settings.admission_queue), ("target-pace", &settings.target_pace)];
+    for (place, value) in switches {
+        if !SWITCH_VALUES.contains(&value.as_str()) {
+            let reason = format!("must be one of {}, not {value:?}", SWITCH_VALUES.join(", "));
             errors.push(SettingsError::new(place, reason));
         }
     }
--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -22,6 +22,7 @@
 #[test_case(r#"{ "rate-window-s": -1 }"#, "rate-window-s")]
 #[test_case(r#"{ "admission-queue": "on" }"#, "admission-queue"; "unknown mode")]
 #[test_case(r#"{ "admission-queue": true }"#, "admission-queue"; "mode of a wrong type")]
+#[test_case(r#"{ "target-pace": "on" }"#, "target-pace")]
 #[test_case(r#"{ "unknown": 0 }"#, "unknown")]
 #[test_case(r#"{ "name": "#, "line 1 column 10")]
 fn an_error_names_its_place(text: &str, place: &str) {
