Ledger: admission queue of a group and its slots

The owner of a group granted every free slot to whoever asked first. The ledger now admits requests through the group's queue: at once while nobody waits, else in the queue's order as slots become free. Repeats get the current state or the same grant, withdrawn requests are not queued again, and batch items get no slot while a request waits. Slots for the owner's own requests are reserved until they begin; without that, all of its waiting requests would get the same slot.

--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -7,12 +7,14 @@
 use tokio::time::Instant;
 
 use super::message::{SlotGroup, SlotOutcome, SlotReport, SlotRequest, SlotResponse};
+use crate::admission::AdmissionQueue;
 use crate::heartbeat::TargetLoad;
 #[cfg(test)]
 use crate::placement::WorkKind;
 use crate::placement::{ColdShare, GroupPlacement, GroupRequest, PlacementTable};
 
 mod account;
+mod admission;
 mod items;
 
 use account::{GroupAccount, PendingGrant};
@@ -61,6 +63,8 @@
     renewed_at: Instant,
     /// Times of recent grants to callers, oldest first.
     caller_grants: VecDeque<Instant>,
+    /// Requests that wait for a slot; always empty in groups whose targets report no pace.
+    queue: AdmissionQueue,
 }
 
 impl OwnedGroup {
@@ -103,7 +107,7 @@
         }
     }
 
-    /// Clears all accounts, ownerships and cached responses after a pause of this process, during which
+    /// Clears all accounts, queues, ownerships and cached responses after a pause of this process, during which
     /// other hosts may have used another owner.
     pub fn reset(&mut self, placement: &mut PlacementTable) {
         let accounts = std::mem::take(&mut self.accounts);
@@ -115,7 +119,12 @@
     /// Records that this host owns the group with this hash or responds to requests for it, and renews the
     /// ownership.
     pub fn record_ownership(&mut self, group: u32, now: Instant) {
-        let new = || OwnedGroup { since: now, renewed_at: now, caller_grants: VecDeque::new() };
+        let new = || OwnedGroup {
+            since: now,
+            renewed_at: now,
+            caller_grants: VecDeque::new(),
+            queue: AdmissionQueue::default(),
+        };
         self.owned.get_or_insert_with(group, new).renewed_at = now;
     }
 
@@ -187,16 +196,48 @@
         load: TargetLoad,
         now: Instant,
     ) -> u64 {
-        self.last_grant += 1;
-        let number = self.last_grant;
+        let number = self.next_grant();
         if *host == self.me {
             // The placement table counts this host's own work when it begins.
             return number;
         }
+        let pending = PendingGrant { number, load, granted_at: now };
+        self.add_pending(placement, host, group, pending, now);
+        number
+    }
+
+    fn next_grant(&mut self) -> u64 {
+        self.last_grant += 1;
+        self.last_grant
+    }
+
+    /// Counts a grant as work of the host until it expires or a report confirms it.
+    fn add_pending(
+        &mut self,
+        placement: &mut PlacementTable,
+        host: &HostId,
+        group: u32,
+        pending: PendingGrant,
+        now: Instant,
+    ) {
         let account = self.accounts.get_or_insert_with((host.clone(), group), Default::default);
-        account.pending.push(PendingGrant { number, load, granted_at: now });
+        account.pending.push(pending);
         self.update_placement(placement, host, now);
-        number
+    }
+
+    /// Records that a slot was granted to a caller, for the slots reserved for callers and the rate of cold
+    /// targets.
+    fn record_caller_grant(
+        &mut self,
+        placement: &mut PlacementTable,
+        group: u32,
+        target: u32,
+        now: Instant,
+    ) {
+        if let Some(owned) = self.owned.get_mut(&group) {
+            owned.caller_grants.push_back(now);
+        }
+        placement.record_sends(target, 1, now);
     }
 
     /// Responds to a slot request. A repeated request gets the same response: the first one was lost, and a
@@ -211,12 +252,8 @@
         now: Instant,
     ) -> SlotResponse {
         self.record_ownership(request.group, now);
-        self.responses.retain(|cached| now.duration_since(cached.cached_at) < RESPONSE_TTL);
-        let cached = self.responses.iter().find(|cached| {
-            cached.response.request_id == request.request_id && cached.host == *host
-        });
-        if let Some(cached) = cached {
-            return cached.response;
+        if let Some(response) = self.cached_response(host, request.request_id, now) {
+            return response;
         }
         let GroupShare { group, share } = owned;
         let group_request =
@@ -224,10 +261,7 @@
         let outcome = match placement.place_in_group(&group_request, random, now) {
             GroupPlacement::Slot(target) => {
                 let load = TargetLoad { target, online: 1, batch: 0 };
-                if let Some(owned) = self.owned.get_mut(&request.group) {
-                    owned.caller_grants.push_back(now);
-                }
-                placement.record_sends(target, 1, now);
+                self.record_caller_grant(placement, request.group, target, now);
                 let grant = self.grant(placement, host, request.group, load, now);
                 SlotOutcome::Granted { target, grant }
             }
@@ -235,12 +269,12 @@
             GroupPlacement::NoTarget => SlotOutcome::NoTarget,
         };
         let response = SlotResponse { request_id: request.request_id, outcome };
-        self.responses.push(CachedResponse { host: host.clone(), response, cached_at: now });
+        self.cache_response(host, response, now);
         response
     }
 
-    /// Drops unused grants, accounts of silent hosts and ownerships that were not renewed, and lets orphaned
-    /// work decay.
+    /// Drops unused grants, accounts of silent hosts, waiting requests that their hosts no longer repeat, and
+    /// ownerships that were not renewed, with their queues. Lets orphaned work decay.
     pub fn expire(&mut self, placement: &mut PlacementTable, now: Instant) {
         placement.decay_orphaned(now);
         let mut changed: Vec<HostId> = Vec::new();
@@ -254,6 +288,7 @@
             is_alive
         });
         self.owned.retain(|_, owned| now.duration_since(owned.renewed_at) < OWNERSHIP_TTL);
+        self.owned.iter_mut().for_each(|(_, owned)| owned.queue.expire(now));
         changed.dedup();
         for host in changed {
             if self.accounts.keys().any(|(reporter, _)| *reporter == host) {
--- a/crates/cuminramp-fleet/src/slots/ledger/items.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/items.rs
@@ -46,7 +46,8 @@
     /// Grants free slots of a group to waiting items, the most urgent of all hosts first. `own` describes
     /// the items that wait at this host.
     ///
-    /// Returns no grants while this host has owned the group for less than the settle delay.
+    /// Returns no grants while requests wait for a slot, or while this host has owned the group for less than
+    /// the settle delay.
     pub fn grant_items(
         &mut self,
         placement: &mut PlacementTable,
@@ -57,7 +58,7 @@
     ) -> Vec<ItemGrant> {
         let hash = group.hash();
         let mut grants: Vec<ItemGrant> = Vec::new();
-        if !self.is_settled(hash, now) {
+        if !self.is_settled(hash, now) || self.waiting(hash) > 0 {
             return grants;
         }
         let mut demands = vec![(self.me.clone(), own)];
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -13,6 +13,7 @@
     ColdShare, FleetTarget, PlacementPolicy, PlacementTable, TargetPhase, WorkKind,
 };
 
+mod admission;
 mod cold;
 mod orphans;
 mod owners;
