--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -167,7 +167,9 @@
 #[tokio::test(start_paused = true)]
 async fn as_many_waiting_requests_are_served_as_slots_are_free() {
     let mut owner = Owner::with_full_target();
-    (0..5).for_each(|number| drop(owner.admit("a", &admission(number))));
+    for number in 0..5 {
+        owner.admit("a", &admission(number));
+    }
     owner.report_busy(2, 6);
 
     let served = owner.serve_requests();
@@ -181,7 +183,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_slot_goes_to_one_waiting_request_of_the_owner_itself() {
     let mut owner = Owner::with_full_target();
-    (0..3).for_each(|number| drop(owner.admit("o", &admission(number))));
+    for number in 0..3 {
+        owner.admit("o", &admission(number));
+    }
     owner.report_busy(2, 7);
 
     let served = owner.serve();
