Gateways: requests wait in the owner's admission queue

In pools whose targets report their pace, hosts send AdmissionRequest instead of SlotRequest. Owners serve waiting requests before batch items, and log when a group is crowded and relieved. Rejections carry their reason to the log. Pools without pace send and log what they did before.

--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use cuminramp_core::{Name, Refusal};
+use cuminramp_fleet::RejectionReason;
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
-use crate::slots::PlacedBy;
+use crate::slots::{AdmissionResult, PlacedBy};
 use crate::state::GatewayState;
 
 /// How a request ended.
@@ -35,6 +36,48 @@
     }
 }
 
+/// What owners' admission queues decided on a request.
+#[derive(Clone, Copy, Debug)]
+struct QueueRecord {
+    /// Total time for which the request waited.
+    waited: Duration,
+    /// Objective of the request's route.
+    objective: Duration,
+    /// Why the request was rejected last; `None` if it got a slot.
+    rejection: Option<RejectionReason>,
+}
+
+impl QueueRecord {
+    /// Returns the value of `reason_kind` in log lines.
+    fn reason_kind(&self) -> &'static str {
+        self.rejection.map_or("-", RejectionReason::as_str)
+    }
+
+    fn waited_ms(&self) -> u64 {
+        self.waited.as_millis() as u64
+    }
+}
+
+/// Writes the log line of a refused request, with more keys in pools with admission queues.
+macro_rules! log_refusal {
+    ($record:ident, $refusal:ident $(, $key:ident = $value:expr)*) => {
+        log::info!(
+            request_id = &*$record.request_id, route = &*$record.route, team = &*$record.team,
+            declarations = $record.declarations, sends = $record.sends,
+            target_id = $record.target.as_deref().unwrap_or("-"),
+            placed_by = $record.placed_by.map_or("-", PlacedBy::as_str),
+            placing_us = $record.placement_time.as_micros() as u64,
+            code = $refusal.code.number(), name = $refusal.code.name(),
+            execution = $refusal.execution.as_str(),
+            retry_after_ms = $refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64),
+            reason = $refusal.message.as_str(),
+            took_ms = $record.started_at.elapsed().as_millis() as u64
+            $(, $key = $value)*;
+            "request-refused"
+        )
+    };
+}
+
 /// Collects the log line of one request, and writes it when the request ends, however it ends.
 pub(crate) struct RequestRecord {
     state: Arc<GatewayState>,
@@ -49,6 +92,8 @@
     placed_by: Option<PlacedBy>,
     /// Total time of the searches for slots.
     placement_time: Duration,
+    /// Decisions of admission queues; `None` in a pool without them.
+    queue: Option<QueueRecord>,
     outcome: Option<RequestOutcome>,
     is_logged: bool,
     /// Keeps a draining host running until the request ends or the grace period is over.
@@ -77,6 +122,7 @@
             target: None,
             placed_by: None,
             placement_time: Duration::ZERO,
+            queue: None,
             outcome: None,
             is_logged: false,
             _task_token: state.tasks.token(),
@@ -95,6 +141,20 @@
         self.state.metrics.record_placement(placed_by.as_str(), elapsed);
     }
 
+    /// Records the decision of an owner's admission queue.
+    pub(crate) fn record_admission(&mut self, admission: AdmissionResult, objective: Duration) {
+        self.state.metrics.count_admission(&self.team, admission.as_str());
+        let new = QueueRecord { waited: Duration::ZERO, objective, rejection: None };
+        let queue = self.queue.get_or_insert(new);
+        queue.waited += admission.waited;
+        queue.rejection = admission.rejection;
+    }
+
+    /// Returns why an admission queue rejected the request, if one did.
+    pub(crate) fn rejection(&self) -> Option<RejectionReason> {
+        self.queue.and_then(|queue| queue.rejection)
+    }
+
     /// Records a send to a target.
     pub(crate) fn record_send(&mut self, target: &Name) {
         self.sends += 1;
@@ -143,18 +203,27 @@
     pub(crate) fn end_refused(&mut self, refusal: &Refusal) {
         self.is_logged = true;
         self.state.metrics.count_request("refused");
-        log::info!(
-            request_id = &*self.request_id, route = &*self.route, team = &*self.team,
-            declarations = self.declarations, sends = self.sends,
-            target_id = self.target.as_deref().unwrap_or("-"),
-            placed_by = self.placed_by.map_or("-", PlacedBy::as_str),
-            placing_us = self.placement_time.as_micros() as u64,
-            code = refusal.code.number(), name = refusal.code.name(),
-            execution = refusal.execution.as_str(),
-            retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64),
-            reason = refusal.message.as_str(), took_ms = self.started_at.elapsed().as_millis() as u64;
-            "request-refused"
-        );
+        match self.queue {
+            Some(queue) => log_refusal!(
+                self,
+                refusal,
+                reason_kind = queue.reason_kind(),
+                waited_ms = queue.waited_ms()
+            ),
+            None => log_refusal!(self, refusal),
+        }
+    }
+
+    /// Logs that a request waited longer than its objective before it was served.
+    fn log_long_wait(&self) {
+        let Some(queue) = self.queue else { return };
+        if queue.waited > queue.objective && self.has_sent() {
+            log::info!(
+                request_id = &*self.request_id, route = &*self.route, team = &*self.team,
+                reason_kind = queue.reason_kind(), waited_ms = queue.waited_ms();
+                "request-waited"
+            );
+        }
     }
 }
 
@@ -168,6 +237,7 @@
         let elapsed = self.started_at.elapsed();
         self.state.metrics.count_request(outcome.as_str());
         self.state.metrics.record_answer(elapsed);
+        self.log_long_wait();
         log::info!(
             request_id = &*self.request_id, route = &*self.route, team = &*self.team,
             declarations = self.declarations, sends = self.sends,
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -16,7 +16,7 @@
 use super::forward::{forward_complete, forward_stream};
 use crate::entry::{ResponseBody, is_retry};
 use crate::interfaces::{CallHead, TargetHead};
-use crate::slots::find_slot;
+use crate::slots::{AdmissionTerms, find_slot};
 use crate::state::{GatewayState, lock};
 use crate::targets::{SendFailure, TargetRequest, TargetResponse, TargetRun, send_request};
 
@@ -30,6 +30,9 @@
 /// Time subtracted from a caller's deadline, so that the final response still arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
+/// Priority of a request in the queues of owners; 0 is the most urgent.
+const REQUEST_PRIORITY: u8 = 0;
+
 /// A request that passed admission.
 pub(crate) struct AdmittedRequest {
     pub(crate) parts: request::Parts,
@@ -157,10 +160,19 @@
             tried: &self.tried,
             zones: &self.request.zones,
         };
+        let terms = AdmissionTerms {
+            team: self.request.team.as_ref(),
+            priority: REQUEST_PRIORITY,
+            started_at: self.record.started_at(),
+            deadline: self.deadline,
+        };
         let started_at = Instant::now();
-        let (decision, placed_by) = find_slot(&self.state, &placement_request).await;
-        self.record.record_placement(placed_by, started_at.elapsed());
-        decision
+        let placement = find_slot(&self.state, &placement_request, &terms).await;
+        self.record.record_placement(placement.placed_by, started_at.elapsed());
+        if let Some(admission) = placement.admission {
+            self.record.record_admission(admission, self.request.route.objective);
+        }
+        placement.decision
     }
 
     /// Sends the request to `target` and waits for the head of the response.
@@ -212,7 +224,10 @@
     }
 
     fn refuse_full(&self, retry_after: Duration) -> Refusal {
-        let reason = "all slots are in use and the shortest queue is too long";
+        let reason = match self.record.rejection() {
+            Some(rejection) => format!("no slot was available in time: {}", rejection.as_str()),
+            None => "all slots are in use and the shortest queue is too long".to_owned(),
+        };
         Refusal::not_run(ResultCode::TargetsUnavailable, reason).with_retry_after(retry_after)
     }
 
--- a/crates/cuminramp-gateway/src/peers/mod.rs
+++ b/crates/cuminramp-gateway/src/peers/mod.rs
@@ -10,4 +10,4 @@
     broadcast_heartbeat, mark_silent_hosts, send_heartbeats, send_join_request,
 };
 pub(crate) use pauses::detect_pauses;
-pub(crate) use socket::{HostSocket, receive_datagrams, send_to_host};
+pub(crate) use socket::{HostSocket, receive_datagrams, send_to_host, try_send_to_host};
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -9,7 +9,8 @@
 
 use super::heartbeats::handle_heartbeat;
 use crate::slots::{
-    handle_command, handle_owner_failure, handle_report, handle_request, handle_response,
+    handle_admission_request, handle_admission_withdrawal, handle_command, handle_owner_failure,
+    handle_report, handle_request, handle_response,
 };
 use crate::state::GatewayState;
 use crate::tokens::{handle_token_request, handle_token_response};
@@ -53,6 +54,17 @@
     }
 }
 
+/// Sends a message to one host if that is possible without waiting, for callers that can't wait.
+pub(crate) fn try_send_to_host(state: &GatewayState, message: &HostMessage, to: &Name) {
+    let (Some(socket), Ok(address)) = (state.socket.get(), to.parse::<SocketAddr>()) else {
+        return;
+    };
+    if let Ok(bytes) = postcard::to_allocvec(message) {
+        // A failed send equals a lost datagram.
+        let _ = socket.socket.try_send_to(&bytes, address);
+    }
+}
+
 /// Receives and handles datagrams. Runs until its task is cancelled.
 pub(crate) async fn receive_datagrams(state: Arc<GatewayState>) {
     let Some(socket) = state.socket.get() else { return };
@@ -88,10 +100,14 @@
         HostMessage::TokenRequest(request) => handle_token_request(state, &address, request).await,
         HostMessage::TokenResponse(response) => handle_token_response(state, response),
         HostMessage::OwnerFailure(failure) => handle_owner_failure(state, &address, &failure),
+        HostMessage::AdmissionRequest(request) => {
+            handle_admission_request(state, &address, request).await;
+        }
+        HostMessage::AdmissionWithdrawal(withdrawal) => {
+            handle_admission_withdrawal(state, &address, withdrawal).await;
+        }
         // No host sends these yet.
-        HostMessage::PaceReport(_)
-        | HostMessage::AdmissionRequest(_)
-        | HostMessage::AdmissionWithdrawal(_) => {}
+        HostMessage::PaceReport(_) => {}
     }
 }
 
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,8 +1,9 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
-    HostHeartbeat, HostMessage, ItemDemand, KnownHost, OwnerFailure, ReportedLoad, SlotCommand,
-    SlotOutcome, SlotReport, SlotRequest, SlotResponse, TargetLoad, TeamUsage, TokenOutcome,
-    TokenRequest, TokenResponse,
+    AdmissionRequest, AdmissionWithdrawal, HostHeartbeat, HostMessage, ItemDemand, KnownHost,
+    OwnerFailure, PaceReport, RejectionReason, ReportedLoad, SlotCommand, SlotOutcome, SlotReport,
+    SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage, TokenOutcome, TokenRequest,
+    TokenResponse,
 };
 use proptest::prelude::*;
 
@@ -46,6 +47,23 @@
     }
 }
 
+fn admission_request() -> AdmissionRequest {
+    AdmissionRequest {
+        incarnation: 7,
+        request_id: 1,
+        group: 1,
+        avoided: vec![1],
+        team: 2,
+        weight_milli: 1_000,
+        priority: 1,
+        is_retry: true,
+        max_wait_ms: 180,
+        deadline_ms: 4_700,
+        may_wait: true,
+    }
+}
+
+/// Returns one message of each kind, responses with each kind of outcome.
 fn messages() -> Vec<HostMessage> {
     let outcome = SlotOutcome::Granted { target: 1, grant: 2 };
     let failed_address = Name::from("10.1.0.22:7360");
@@ -70,9 +88,40 @@
             outcome: TokenOutcome::Exceeded { wait_ms: 300 },
             level: -2,
         }),
+        HostMessage::PaceReport(PaceReport {
+            incarnation: 7,
+            group: 1,
+            paces: vec![TargetPaceReport { target: 1, pace: 250, age_ms: 40 }],
+        }),
+        HostMessage::AdmissionRequest(admission_request()),
+        HostMessage::AdmissionWithdrawal(AdmissionWithdrawal {
+            incarnation: 7,
+            request_id: 1,
+            group: 1,
+        }),
+        response(SlotOutcome::Busy { wait_ms: 90 }),
+        response(SlotOutcome::NoTarget),
+        response(SlotOutcome::Waiting { wait_ms: 90 }),
+        response(SlotOutcome::Rejected { retry_after_ms: 250, reason: RejectionReason::ShareUsed }),
     ]
 }
 
+fn response(outcome: SlotOutcome) -> HostMessage {
+    HostMessage::Response(SlotResponse { request_id: 1, outcome })
+}
+
+/// Guards against a message that arrives as another one or with other values.
+#[test]
+fn every_message_is_read_as_it_was_written() {
+    for message in messages() {
+        let bytes = postcard::to_allocvec(&message).unwrap();
+
+        let read: HostMessage = postcard::from_bytes(&bytes).unwrap();
+
+        assert_eq!(read, message);
+    }
+}
+
 proptest! {
     /// Guards against a panic while decoding a datagram: arbitrary bytes may arrive at the hosts' port, and a
     /// panic would end the receiving task.
@@ -84,7 +133,7 @@
     /// Guards against accepting a part of a truncated message: a truncated heartbeat or report would state
     /// that its host has nothing in flight.
     #[test]
-    fn a_truncated_message_is_rejected(length in 0_usize..10_000, which in 0_usize..8) {
+    fn a_truncated_message_is_rejected(length in 0_usize..10_000, which in 0_usize..messages().len()) {
         let bytes = postcard::to_allocvec(&messages()[which]).unwrap();
 
         let read = postcard::from_bytes::<HostMessage>(&bytes[..length % bytes.len()]);
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -3,7 +3,9 @@
 //! A slot group is the targets of one pool in one availability zone. One host, the owner of the group, grants
 //! the slots of these targets to all hosts.
 
+mod admission;
 mod cold;
+mod crowding;
 mod owner;
 mod report;
 mod request;
@@ -14,16 +16,20 @@
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
     GrantSequence, ItemDemand, LocalReadiness, OwnerTable, PeerTable, ReportTimer, SlotGroup,
-    SlotLedger, SlotResponse,
+    SlotLedger, SlotResponse, TeamWeights,
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
+use admission::OwnerResponse;
+
 use crate::jobs::may_run_in;
 use crate::state::{GatewayState, lock};
 
+pub(crate) use admission::{AdmissionResult, AdmissionTerms};
 pub(crate) use owner::{
-    handle_owner_failure, handle_report, handle_request, maintain_owned_groups,
+    handle_admission_request, handle_admission_withdrawal, handle_owner_failure, handle_report,
+    handle_request, maintain_owned_groups,
 };
 pub(crate) use report::{handle_command, request_item_slots, send_reports};
 pub(crate) use request::{PlacedBy, find_slot, handle_response};
@@ -39,6 +45,9 @@
     grants: Mutex<SortedMap<Name, GrantSequence>>,
     next_request_id: AtomicU64,
     pending_requests: Mutex<SortedMap<u64, oneshot::Sender<SlotResponse>>>,
+    /// Requests to owners with an admission queue, which may get several responses.
+    pending_admissions: Mutex<SortedMap<u64, mpsc::UnboundedSender<OwnerResponse>>>,
+    team_weights: TeamWeights,
 }
 
 impl SlotState {
@@ -53,6 +62,8 @@
             grants: Default::default(),
             next_request_id: AtomicU64::new(1),
             pending_requests: Default::default(),
+            pending_admissions: Default::default(),
+            team_weights: TeamWeights::default(),
         }
     }
 
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -5,13 +5,15 @@
 
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
-    GroupShare, HostMessage, ItemGrant, ItemLimit, OwnerFailure, SlotCommand, SlotGroup,
-    SlotReport, SlotRequest, SlotResponse,
+    AdmissionRequest, AdmissionWithdrawal, GroupShare, HostMessage, ItemGrant, ItemLimit,
+    OwnerFailure, SlotCommand, SlotGroup, SlotReport, SlotRequest, SlotResponse,
 };
 use tokio::time::Instant;
 
 use super::cold::group_share;
+use super::crowding::{CrowdChange, CrowdDetector};
 use super::report::{limit_running_items, start_granted_items};
+use super::request::handle_response;
 use super::{item_demand, owner_of};
 use crate::peers::send_to_host;
 use crate::state::{GatewayState, lock};
@@ -55,6 +57,81 @@
     respond_to_request(state, &host, &group, &request).await;
 }
 
+/// Responds to a request of this host or another for a slot of a group with an admission queue, and serves the
+/// requests that wait: a slot may have become free since.
+pub(super) async fn respond_to_admission(
+    state: &Arc<GatewayState>,
+    host: &HostId,
+    group: &SlotGroup,
+    request: &AdmissionRequest,
+) -> SlotResponse {
+    let now = Instant::now();
+    let share = group_share(state, group, now);
+    let response = {
+        let mut placement = lock(&state.placement);
+        let mut ledger = lock(&state.slots.ledger);
+        let mut random = lock(&state.random);
+        let owned = GroupShare { group, share: &share };
+        ledger.admit(&mut placement, host, owned, request, &mut **random, now)
+    };
+    if *host != state.id() {
+        send_to_host(state, HostMessage::Response(response), &host.address).await;
+    }
+    serve_waiting(state, group).await;
+    send_item_limits(state, group).await;
+    response
+}
+
+/// Grants slots of a group to the requests that wait for them, and sends the responses.
+async fn serve_waiting(state: &Arc<GatewayState>, group: &SlotGroup) {
+    if lock(&state.slots.ledger).waiting(group.hash()) == 0 {
+        return;
+    }
+    let now = Instant::now();
+    let share = group_share(state, group, now);
+    let served = {
+        let mut placement = lock(&state.placement);
+        let mut ledger = lock(&state.slots.ledger);
+        let mut random = lock(&state.random);
+        let owned = GroupShare { group, share: &share };
+        ledger.serve_waiting(&mut placement, owned, &mut **random, now)
+    };
+    for (host, response) in served {
+        if host == state.id() {
+            handle_response(state, &host.address, response);
+        } else {
+            send_to_host(state, HostMessage::Response(response), &host.address).await;
+        }
+    }
+}
+
+/// Handles a request from another host for a slot of a group with an admission queue.
+pub(crate) async fn handle_admission_request(
+    state: &Arc<GatewayState>,
+    from: &Name,
+    request: AdmissionRequest,
+) {
+    let host = HostId { address: from.clone(), incarnation: request.incarnation };
+    let group = lock(&state.placement).group_by_hash(request.group).cloned();
+    let Some(group) = group else { return };
+    respond_to_admission(state, &host, &group, &request).await;
+}
+
+/// Handles the notice of another host that a request no longer waits.
+pub(crate) async fn handle_admission_withdrawal(
+    state: &Arc<GatewayState>,
+    from: &Name,
+    withdrawal: AdmissionWithdrawal,
+) {
+    let host = HostId { address: from.clone(), incarnation: withdrawal.incarnation };
+    lock(&state.slots.ledger).withdraw(&host, &withdrawal);
+    let group = lock(&state.placement).group_by_hash(withdrawal.group).cloned();
+    if let Some(group) = group {
+        serve_waiting(state, &group).await;
+        send_item_limits(state, &group).await;
+    }
+}
+
 /// Handles a report from another host of its work in flight and its waiting items.
 pub(crate) async fn handle_report(state: &Arc<GatewayState>, from: &Name, report: SlotReport) {
     let host = HostId { address: from.clone(), incarnation: report.incarnation };
@@ -71,8 +148,10 @@
     balance_group(state, &group).await;
 }
 
-/// Preempts items at targets with more work than slots, and grants free slots to items.
+/// Grants free slots to waiting requests, preempts items at targets with more work than slots, and grants
+/// the remaining slots to items.
 pub(super) async fn balance_group(state: &Arc<GatewayState>, group: &SlotGroup) {
+    serve_waiting(state, group).await;
     send_item_limits(state, group).await;
     // Only the owner grants: two hosts that granted the same free slots to items would fill them twice.
     if owner_of(state, group) == Some(state.id()) {
@@ -132,6 +211,7 @@
 /// Maintains the groups that this host owns until the gateway stops.
 pub(crate) async fn maintain_owned_groups(state: Arc<GatewayState>) {
     let mut turn = 0u32;
+    let mut queues = QueueMonitor::default();
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         if turn.is_multiple_of(OWNERSHIP_CHECK_TURNS) {
@@ -151,9 +231,52 @@
                 balance_group(&state, &group).await;
             }
         }
+        queues.update(&state);
     }
 }
 
+/// Logs which queues are crowded, and records the number of waiting requests.
+#[derive(Default)]
+struct QueueMonitor {
+    crowds: CrowdDetector,
+    recorded: usize,
+}
+
+impl QueueMonitor {
+    fn update(&mut self, state: &GatewayState) {
+        let now = Instant::now();
+        let waiting: Vec<(u32, usize)> = {
+            let ledger = lock(&state.slots.ledger);
+            ledger.owned().into_iter().map(|group| (group, ledger.waiting(group))).collect()
+        };
+        let total = waiting.iter().map(|(_, requests)| requests).sum();
+        if total != self.recorded {
+            state.metrics.record_waiting(total);
+            self.recorded = total;
+        }
+        for (hash, change) in self.crowds.update(&waiting, now) {
+            let listed = waiting.iter().find(|(group, _)| *group == hash);
+            log_crowd_change(state, hash, change, listed.map_or(0, |(_, requests)| *requests));
+        }
+    }
+}
+
+fn log_crowd_change(state: &GatewayState, hash: u32, change: CrowdChange, waiting: usize) {
+    let placement = lock(&state.placement);
+    let Some(group) = placement.group_by_hash(hash).cloned() else { return };
+    let capacity = placement.group_capacity(&group, Instant::now());
+    drop(placement);
+    let message = match change {
+        CrowdChange::Crowded => "group-crowded",
+        CrowdChange::Relieved => "group-relieved",
+    };
+    log::info!(
+        pool = &*group.pool, zone = &*group.zone, waiting = waiting, slots = capacity.slots,
+        freed_per_s = capacity.freed_per_s;
+        "{message}"
+    );
+}
+
 /// Logs each target that was ejected as an outlier for failing too often, or reinstated.
 fn log_outliers(state: &GatewayState) {
     let mut placement = lock(&state.placement);
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -12,6 +12,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+use super::admission::{
+    AdmissionResult, AdmissionTerms, deliver_response, is_queue_active, request_admission,
+};
 use super::cold::share_without_owner;
 use super::owner::respond_to_request;
 use super::owner_of;
@@ -19,13 +22,13 @@
 use crate::state::{GatewayState, lock};
 
 /// Timeout for an owner's response: about ten times the round trip of a slot request between zones.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
 /// Maximum number of times that a slot request is sent to one owner before the owner counts as silent. More
 /// than one, since a datagram may get lost.
-const MAX_SENDS_PER_OWNER: u32 = 2;
+pub(super) const MAX_SENDS_PER_OWNER: u32 = 2;
 /// Maximum number of owners of one group that are tried in turn: a request has some hundred milliseconds
 /// to find its slot.
-const MAX_OWNERS: u32 = 2;
+pub(super) const MAX_OWNERS: u32 = 2;
 
 /// Retry delay returned to the caller of a request that this host can send nowhere, because it is cut off
 /// from all zones with targets. It is short, since another host can serve the request at once.
@@ -53,16 +56,35 @@
     }
 }
 
-/// Finds a slot for a request, and returns the decision and which host made it.
+/// Result of the search for a request's slot.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotPlacement {
+    /// The decision.
+    pub(crate) decision: PlacementDecision,
+    /// Which host made it.
+    pub(crate) placed_by: PlacedBy,
+    /// Decision of an owner's admission queue; `None` if no queue decided.
+    pub(crate) admission: Option<AdmissionResult>,
+}
+
+impl SlotPlacement {
+    fn new(decision: PlacementDecision, placed_by: PlacedBy) -> Self {
+        SlotPlacement { decision, placed_by, admission: None }
+    }
+}
+
+/// Finds a slot for a request.
 pub(crate) async fn find_slot(
     state: &Arc<GatewayState>,
     request: &PlacementRequest<'_>,
-) -> (PlacementDecision, PlacedBy) {
+    terms: &AdmissionTerms<'_>,
+) -> SlotPlacement {
     let mut groups = lock(&state.placement).groups(request.pool);
     groups.retain(|group| request.zones.allows(&group.zone));
     let unreachable = unreachable_zones(state, &groups);
     if unreachable.len() == groups.len() && !groups.is_empty() && !has_at_least_half(state) {
-        return (PlacementDecision::Full(CUT_OFF_RETRY_DELAY), PlacedBy::NoOwner);
+        let decision = PlacementDecision::Full(CUT_OFF_RETRY_DELAY);
+        return SlotPlacement::new(decision, PlacedBy::NoOwner);
     }
     let mut failed = lock(&state.placement).zones_of(request.tried);
     // Listed twice, an unreachable zone counts like one in which two sends failed: the search asks it last.
@@ -71,34 +93,55 @@
         let mut random = lock(&state.random);
         SlotSearch::new(groups, &state.local_host.zone, &mut **random).after_failures(&failed)
     };
+    let has_queue = is_queue_active(state, request.pool);
     let search_limits = SearchLimits {
         max_wait: request.objective.mul_f64(lock(&state.placement).wait_share()),
-        is_retry: request.is_retry,
+        // The owner of a queue decides for how long a request may wait.
+        is_retry: request.is_retry || has_queue,
     };
     loop {
         let step = search.next(search_limits, &mut **lock(&state.random));
         let (group, may_queue) = match step {
             SearchStep::Request { group, may_queue } => (group, may_queue),
-            SearchStep::Refuse(after) => return (PlacementDecision::Full(after), PlacedBy::Owner),
-            SearchStep::NoTarget => {
-                return (place_without_owner(state, request), PlacedBy::NoOwner);
+            SearchStep::Refuse(after) => {
+                return SlotPlacement::new(PlacementDecision::Full(after), PlacedBy::Owner);
             }
+            SearchStep::NoTarget => return place_without_owner(state, request),
         };
-        let Some((outcome, placed_by)) =
+        let asked_at = Instant::now();
+        let reply = if has_queue {
+            request_admission(state, &group, may_queue, request, terms).await
+        } else {
             request_from_group(state, &group, may_queue, request.tried).await
-        else {
-            return (place_without_owner(state, request), PlacedBy::NoOwner);
         };
-        if let SlotOutcome::Granted { target, .. } = outcome {
-            // Ignores a grant for a target that is unknown here or that accepts no new work.
-            if let Some(target) = lock(&state.placement).granted_target(target).cloned() {
-                return (PlacementDecision::Send(target), placed_by);
-            }
+        let Some((outcome, placed_by)) = reply else {
+            return place_without_owner(state, request);
+        };
+        // Ignores a grant for a target that is unknown here or that accepts no new work.
+        if let Some(decision) = to_decision(state, outcome) {
+            let waited = if may_queue { asked_at.elapsed() } else { Duration::ZERO };
+            let admission = has_queue.then(|| AdmissionResult::new(waited, outcome));
+            return SlotPlacement { decision, placed_by, admission };
         }
         search.receive(outcome);
     }
 }
 
+/// Returns the decision that follows from an owner's outcome, or `None` if the search continues.
+fn to_decision(state: &GatewayState, outcome: SlotOutcome) -> Option<PlacementDecision> {
+    match outcome {
+        SlotOutcome::Granted { target, .. } => {
+            let placement = lock(&state.placement);
+            placement.granted_target(target).cloned().map(PlacementDecision::Send)
+        }
+        SlotOutcome::Rejected { retry_after_ms, .. } => {
+            let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+            Some(PlacementDecision::Full(retry_after))
+        }
+        SlotOutcome::Busy { .. } | SlotOutcome::NoTarget | SlotOutcome::Waiting { .. } => None,
+    }
+}
+
 /// Returns the zones of `groups` whose hosts are all silent and whose targets this host fails to connect to:
 /// the zone has failed, or this host is cut off from it.
 fn unreachable_zones(state: &GatewayState, groups: &[SlotGroup]) -> Vec<AvailabilityZone> {
@@ -117,7 +160,7 @@
 }
 
 /// Chooses a target without an owner, by the work that this host itself has in flight.
-fn place_without_owner(state: &GatewayState, request: &PlacementRequest<'_>) -> PlacementDecision {
+fn place_without_owner(state: &GatewayState, request: &PlacementRequest<'_>) -> SlotPlacement {
     let now = Instant::now();
     let share = share_without_owner(state, request.pool, None, now);
     let mut placement = lock(&state.placement);
@@ -126,7 +169,7 @@
     if let PlacementDecision::Send(target) = &decision {
         placement.record_sends(name_hash(&target.id), 1, now);
     }
-    decision
+    SlotPlacement::new(decision, PlacedBy::NoOwner)
 }
 
 /// Requests a slot from the owner of a group, and from the next owner if that one is silent.
@@ -197,7 +240,7 @@
         send_to_host(state, HostMessage::Request(request.clone()), &owner.address).await;
         match timeout(RESPONSE_TIMEOUT, &mut receiver).await {
             Ok(Ok(response)) => {
-                reply = OwnerReply::Outcome(check_grant(state, owner, response.outcome));
+                reply = OwnerReply::Outcome(check_grant(state, &owner.address, response.outcome));
                 break;
             }
             Ok(Err(_)) => break,
@@ -214,9 +257,9 @@
 
 /// Returns the outcome, or `Busy` in place of a grant that this host must no longer use: a later grant
 /// overtook it, and the owner may have granted its slot to another host since.
-fn check_grant(state: &GatewayState, owner: &HostId, outcome: SlotOutcome) -> SlotOutcome {
+pub(super) fn check_grant(state: &GatewayState, owner: &Name, outcome: SlotOutcome) -> SlotOutcome {
     match outcome {
-        SlotOutcome::Granted { grant, .. } if !state.slots.accept_grant(&owner.address, grant) => {
+        SlotOutcome::Granted { grant, .. } if !state.slots.accept_grant(owner, grant) => {
             SlotOutcome::Busy { wait_ms: 0 }
         }
         outcome => outcome,
@@ -225,7 +268,7 @@
 
 /// Excludes a silent owner and reports its failure to the hosts of the zone, so that they send their slot
 /// reports to the next owner at once.
-async fn report_owner_failure(state: &GatewayState, group: &SlotGroup, owner: &HostId) {
+pub(super) async fn report_owner_failure(state: &GatewayState, group: &SlotGroup, owner: &HostId) {
     let is_new = lock(&state.slots.owners).exclude(owner, Instant::now());
     if !is_new {
         return;
@@ -254,6 +297,9 @@
 
 /// Handles an owner's response to a slot request.
 pub(crate) fn handle_response(state: &GatewayState, from: &Name, response: SlotResponse) {
+    if deliver_response(state, from, response.request_id, response.outcome) {
+        return;
+    }
     let pending = lock(&state.slots.pending_requests).remove(&response.request_id);
     let undelivered = match pending {
         Some(sender) => sender.send(response).err(),
