--- a/crates/cuminramp-fleet/src/admission.rs
+++ b/crates/cuminramp-fleet/src/admission.rs
@@ -8,12 +8,17 @@
 //! - [`AdmissionQueue`] orders the waiting requests of a group and rejects those that can't be served in time;
 //! - [`ReturnSchedule`] spreads the retries of rejected requests over the capacity that becomes free.
 
+mod lanes;
 mod message;
 mod queue;
 mod returns;
+mod shares;
 mod weights;
 
 pub use message::{AdmissionRequest, AdmissionWithdrawal, RejectionReason};
-pub use queue::{AdmissionQueue, GroupCapacity, QueueDecision, WaitingRequest};
+pub use queue::{
+    AdmissionQueue, GroupCapacity, QueueDecision, QueueStatus, RejectedRequest, WaitingRequest,
+};
 pub use returns::ReturnSchedule;
+pub use shares::TeamShare;
 pub use weights::TeamWeights;
