Owner: tell hosts at once which waiting requests were rejected

The queue reports requests that passed their deadline or gave way in a full queue, but the ledger dropped them, and their callers waited for the next repeat. The rejections are cached for repeats and sent with the next responses.

--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -87,6 +87,8 @@
     /// Groups that this host owns, by hash.
     owned: SortedMap<u32, OwnedGroup>,
     responses: Vec<CachedResponse>,
+    /// Rejections of requests that waited, with the hash of the group, until they are sent to the hosts.
+    rejections: Vec<(u32, HostId, SlotResponse)>,
     /// Item limits sent recently, with the time of sending, by host and target.
     limits_sent: SortedMap<(HostId, u32), (u16, Instant)>,
     last_grant: u64,
@@ -102,6 +104,7 @@
             accounts: SortedMap::new(),
             owned: SortedMap::new(),
             responses: Vec::new(),
+            rejections: Vec::new(),
             limits_sent: SortedMap::new(),
             last_grant,
         }
@@ -114,6 +117,7 @@
         accounts.keys().for_each(|(host, _)| placement.forget_host(host));
         self.owned = SortedMap::new();
         self.responses.clear();
+        self.rejections.clear();
     }
 
     /// Records that this host owns the group with this hash or responds to requests for it, and renews the
@@ -288,7 +292,7 @@
             is_alive
         });
         self.owned.retain(|_, owned| now.duration_since(owned.renewed_at) < OWNERSHIP_TTL);
-        self.owned.iter_mut().for_each(|(_, owned)| owned.queue.expire(now));
+        self.expire_queues(now);
         changed.dedup();
         for host in changed {
             if self.accounts.keys().any(|(reporter, _)| *reporter == host) {
--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 
 use super::{CachedResponse, GroupShare, PendingGrant, SlotLedger};
-use crate::admission::{AdmissionRequest, AdmissionWithdrawal, QueueDecision, WaitingRequest};
+use crate::admission::{
+    AdmissionRequest, AdmissionWithdrawal, QueueDecision, RejectedRequest, WaitingRequest,
+};
 use crate::heartbeat::TargetLoad;
 use crate::placement::{GroupPlacement, GroupRequest, PlacementTable};
 use crate::slots::{SlotOutcome, SlotResponse};
@@ -109,7 +111,8 @@
     }
 
     /// Grants the slots that are free, or from which a batch item can be preempted, to waiting requests in
-    /// the order of the group's queue. Returns the responses to their hosts; a bounded number in each call.
+    /// the order of the group's queue, a bounded number in each call. Returns the responses to their hosts,
+    /// with those to requests that the queue has rejected since the last call.
     pub fn serve_waiting(
         &mut self,
         placement: &mut PlacementTable,
@@ -118,6 +121,7 @@
         now: Instant,
     ) -> Vec<(HostId, SlotResponse)> {
         let hash = owned.group.hash();
+        self.expire_queue(hash, now);
         let mut served = Vec::new();
         while served.len() < MAX_SERVED {
             let Some((waiting, target)) = self.place_next(placement, owned, random, now) else {
@@ -128,9 +132,34 @@
             self.cache_response(&waiting.host, response, now);
             served.push((waiting.host, response));
         }
+        served.extend(self.take_rejections(hash));
         served
     }
 
+    /// Drops requests from all queues whose hosts no longer repeat them, and those that the queues reject.
+    pub(super) fn expire_queues(&mut self, now: Instant) {
+        for group in self.owned() {
+            self.expire_queue(group, now);
+        }
+    }
+
+    fn expire_queue(&mut self, group: u32, now: Instant) {
+        let Some(owned) = self.owned.get_mut(&group) else { return };
+        for RejectedRequest { waiting, retry_after, reason } in owned.queue.expire(now) {
+            let outcome = SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason };
+            let response = SlotResponse { request_id: waiting.request.request_id, outcome };
+            self.cache_response(&waiting.host, response, now);
+            self.rejections.push((group, waiting.host, response));
+        }
+    }
+
+    fn take_rejections(&mut self, group: u32) -> Vec<(HostId, SlotResponse)> {
+        let (of_group, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.rejections).into_iter().partition(|(id, ..)| *id == group);
+        self.rejections = others;
+        of_group.into_iter().map(|(_, host, response)| (host, response)).collect()
+    }
+
     /// Takes the next request that gets a slot out of the queue, and returns it with its target.
     fn place_next(
         &mut self,
@@ -140,8 +169,6 @@
         now: Instant,
     ) -> Option<(WaitingRequest, u32)> {
         let queue = &mut self.owned.get_mut(&owned.group.hash())?.queue;
-        // Hosts whose requests have expired would let the slot expire as well.
-        queue.expire(now);
         // With no slot free for any request, there is no need to look for one for each of them.
         if queue.is_empty() || !is_slot(place(placement, owned, &[], random, now)) {
             return None;
@@ -193,6 +220,11 @@
         is_reserved
     }
 
+    /// Returns whether a call of [`serve_waiting`](Self::serve_waiting) may return responses.
+    pub fn has_waiting(&self, group: u32) -> bool {
+        self.waiting(group) > 0 || self.rejections.iter().any(|(id, ..)| *id == group)
+    }
+
     /// Returns the number of requests that wait for a slot of the group with this hash.
     pub fn waiting(&self, group: u32) -> usize {
         self.owned.get(&group).map_or(0, |owned| owned.queue.len())
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -259,6 +259,27 @@
     assert_eq!((repeated, owner.waiting()), (first, 0));
 }
 
+/// Guards against a caller that waits for its rejection until the next repeat of its request, after the request
+/// can no longer start before its deadline.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_passes_its_deadline_in_the_queue_is_rejected_at_once() {
+    let mut owner = Owner::with_full_target();
+    owner.admit("a", &AdmissionRequest { deadline_ms: 150, is_retry: true, ..admission(1) });
+    owner.admit("b", &admission(1));
+
+    advance(Duration::from_millis(160)).await;
+    owner.expire();
+    let responses = owner.serve();
+    let again = owner.serve();
+
+    let rejected: Vec<&str> = responses
+        .iter()
+        .filter(|(_, response)| matches!(response.outcome, SlotOutcome::Rejected { .. }))
+        .map(|(host, _)| &*host.address)
+        .collect();
+    assert_eq!((rejected, again.len(), owner.waiting()), (vec!["a"], 0, 1));
+}
+
 /// Guards against slots for callers that have left: the place is free at once for the next request.
 #[tokio::test(start_paused = true)]
 async fn a_withdrawal_frees_the_place() {
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -82,9 +82,10 @@
     response
 }
 
-/// Grants slots of a group to the requests that wait for them, and sends the responses.
+/// Grants slots of a group to the requests that wait for them, and sends the responses, also those to waiting
+/// requests that were rejected.
 async fn serve_waiting(state: &Arc<GatewayState>, group: &SlotGroup) {
-    if lock(&state.slots.ledger).waiting(group.hash()) == 0 {
+    if !lock(&state.slots.ledger).has_waiting(group.hash()) {
         return;
     }
     let now = Instant::now();
