--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -7,7 +7,8 @@
 
 use super::{CachedResponse, GroupShare, PendingGrant, SlotLedger};
 use crate::admission::{
-    AdmissionRequest, AdmissionWithdrawal, QueueDecision, RejectedRequest, WaitingRequest,
+    AdmissionRequest, AdmissionWithdrawal, QueueDecision, QueueStatus, RejectedRequest,
+    WaitingRequest,
 };
 use crate::heartbeat::TargetLoad;
 use crate::placement::{GroupPlacement, GroupRequest, PlacementTable};
@@ -230,6 +231,11 @@
         self.owned.get(&group).map_or(0, |owned| owned.queue.len())
     }
 
+    /// Returns the state of a group's queue for logs; `None` if this host doesn't own the group.
+    pub fn queue_status(&self, group: u32, now: Instant) -> Option<QueueStatus> {
+        self.owned.get(&group).map(|owned| owned.queue.status(now))
+    }
+
     /// Grants a slot to an online request. Unlike the slots of [`respond`](Self::respond), that of a request
     /// of this host is reserved as well: otherwise, all waiting requests of this host would get the same
     /// slot before the first of them begins.
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -6,7 +6,8 @@
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, GroupShare, HostMessage, ItemGrant, ItemLimit,
-    OwnerFailure, SlotCommand, SlotGroup, SlotReport, SlotRequest, SlotResponse,
+    OwnerFailure, QueueStatus, SlotCommand, SlotGroup, SlotReport, SlotRequest, SlotResponse,
+    name_hash,
 };
 use tokio::time::Instant;
 
@@ -256,28 +257,46 @@
             self.recorded = total;
         }
         for (hash, change) in self.crowds.update(&waiting, now) {
-            let listed = waiting.iter().find(|(group, _)| *group == hash);
-            log_crowd_change(state, hash, change, listed.map_or(0, |(_, requests)| *requests));
+            log_crowd_change(state, hash, change, now);
         }
     }
 }
 
-fn log_crowd_change(state: &GatewayState, hash: u32, change: CrowdChange, waiting: usize) {
+fn log_crowd_change(state: &GatewayState, hash: u32, change: CrowdChange, now: Instant) {
     let placement = lock(&state.placement);
     let Some(group) = placement.group_by_hash(hash).cloned() else { return };
-    let capacity = placement.group_capacity(&group, Instant::now());
+    let capacity = placement.group_capacity(&group, now);
     drop(placement);
+    let status = lock(&state.slots.ledger).queue_status(hash, now);
+    let (waiting, teams) = status.as_ref().map_or((0, 0), |status| (status.waiting, status.teams));
+    let usage = status.map_or_else(String::new, |status| describe_usage(state, &status));
     let message = match change {
         CrowdChange::Crowded => "group-crowded",
         CrowdChange::Relieved => "group-relieved",
     };
     log::info!(
-        pool = &*group.pool, zone = &*group.zone, waiting = waiting, slots = capacity.slots,
-        freed_per_s = capacity.freed_per_s;
+        pool = &*group.pool, zone = &*group.zone, waiting = waiting, teams = teams,
+        usage = usage.as_str(), slots = capacity.slots, freed_per_s = capacity.freed_per_s;
         "{message}"
     );
 }
 
+/// Returns the teams with the highest usage of a group, such as `team-a=12.5/1.00,team-b=3.0/1.00`: the usage in
+/// slots and the weight. A team that the declarations don't name is given by its hash.
+fn describe_usage(state: &GatewayState, status: &QueueStatus) -> String {
+    let declarations = state.current_declarations();
+    let name_of = |hash: u32| {
+        let mut teams = declarations.iter().flat_map(|declarations| declarations.teams());
+        let team = teams.find(|team| name_hash(&team.name) == hash);
+        team.map_or_else(|| format!("{hash:08x}"), |team| team.name.to_string())
+    };
+    let described = status.highest_usage.iter().map(|share| {
+        let weight = f64::from(share.weight_milli) / 1_000.0;
+        format!("{}={:.1}/{weight:.2}", name_of(share.team), share.usage)
+    });
+    described.collect::<Vec<String>>().join(",")
+}
+
 /// Logs each target that was ejected as an outlier for failing too often, or reinstated.
 fn log_outliers(state: &GatewayState) {
     let mut placement = lock(&state.placement);
