--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod crowding;
 mod owner;
+mod pace;
 mod report;
 mod request;
 
@@ -31,6 +32,7 @@
     handle_admission_request, handle_admission_withdrawal, handle_owner_failure, handle_report,
     handle_request, maintain_owned_groups,
 };
+pub(crate) use pace::{handle_pace_report, log_pace_changes};
 pub(crate) use report::{handle_command, request_item_slots, send_reports};
 pub(crate) use request::{PlacedBy, find_slot, handle_response};
 
