Admission queues use the settings, the weights of teams and the priority of routes

The parts were built side by side; this connects them. The queue is off where admission-queue is off, weights come from the settings and declarations, and the priority is that of the route.

--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -116,17 +116,12 @@
     }
 
     /// Counts the outcome of a request to an admission queue. A bounded number of teams is listed by name.
-    #[cfg_attr(
-        not(test),
-        expect(dead_code, reason = "no request is sent to an admission queue yet")
-    )]
     pub(crate) fn count_admission(&self, team: &str, outcome: &'static str) {
         let label = lock(&self.team_labels).count_request(team);
         self.admissions.add(1, &[KeyValue::new("team", label), KeyValue::new("outcome", outcome)]);
     }
 
     /// Records the number of requests that wait in the admission queues of this host.
-    #[cfg_attr(not(test), expect(dead_code, reason = "no owner has an admission queue yet"))]
     pub(crate) fn record_waiting(&self, requests: usize) {
         self.waiting_requests.record(requests as u64, &[]);
     }
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -30,9 +30,6 @@
 /// Time subtracted from a caller's deadline, so that the final response still arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
-/// Priority of a request in the queues of owners; 0 is the most urgent.
-const REQUEST_PRIORITY: u8 = 0;
-
 /// A request that passed admission.
 pub(crate) struct AdmittedRequest {
     pub(crate) parts: request::Parts,
@@ -162,7 +159,7 @@
         };
         let terms = AdmissionTerms {
             team: self.request.team.as_ref(),
-            priority: REQUEST_PRIORITY,
+            priority: self.request.route.priority,
             started_at: self.record.started_at(),
             deadline: self.deadline,
         };
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -72,7 +72,7 @@
 
 /// Returns whether the owners of a pool's groups queue requests.
 pub(super) fn is_queue_active(state: &GatewayState, pool: &str) -> bool {
-    lock(&state.placement).is_paced(pool, Instant::now())
+    state.has_admission_queue && lock(&state.placement).is_paced(pool, Instant::now())
 }
 
 /// Requests a slot from the owner of a group, and from the next owner if that one is silent. With `may_wait`,
@@ -330,7 +330,7 @@
     const DEFAULT_WEIGHT_MILLI: u32 = 1_000;
     let declarations = state.current_declarations();
     declarations.map_or(DEFAULT_WEIGHT_MILLI, |declarations| {
-        state.slots.team_weights.weight_milli(team, &declarations)
+        state.team_weights.weight_milli(team, &declarations)
     })
 }
 
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -17,7 +17,7 @@
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
     GrantSequence, ItemDemand, LocalReadiness, OwnerTable, PeerTable, ReportTimer, SlotGroup,
-    SlotLedger, SlotResponse, TeamWeights,
+    SlotLedger, SlotResponse,
 };
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
@@ -49,7 +49,6 @@
     pending_requests: Mutex<SortedMap<u64, oneshot::Sender<SlotResponse>>>,
     /// Requests to owners with an admission queue, which may get several responses.
     pending_admissions: Mutex<SortedMap<u64, mpsc::UnboundedSender<OwnerResponse>>>,
-    team_weights: TeamWeights,
 }
 
 impl SlotState {
@@ -65,7 +64,6 @@
             next_request_id: AtomicU64::new(1),
             pending_requests: Default::default(),
             pending_admissions: Default::default(),
-            team_weights: TeamWeights::default(),
         }
     }
 
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -52,10 +52,8 @@
     pub(crate) drains: Mutex<DrainTable>,
     pub(crate) regions: RegionMap,
     /// Whether requests are queued for pools whose targets report their pace.
-    #[expect(dead_code, reason = "no request is sent to an admission queue yet")]
     pub(crate) has_admission_queue: bool,
     /// Weights of teams that the settings name.
-    #[expect(dead_code, reason = "no request is sent to an admission queue yet")]
     pub(crate) team_weights: TeamWeights,
     pub(crate) quota: Mutex<QuotaTable>,
     pub(crate) placement: Mutex<PlacementTable>,
