AdmissionQueue: expect later requests, and let second attempts use two slots more

Arrivals are now counted by level, and those at lower levels are expected again. - The free slot of usage is replaced by two for second attempts only.

--- a/crates/cuminramp-fleet/src/admission/lanes.rs
+++ b/crates/cuminramp-fleet/src/admission/lanes.rs
@@ -3,7 +3,7 @@
 use cuminramp_core::{HostId, SortedMap};
 use tokio::time::Instant;
 
-use super::shares::{FREE_USAGE, ShareTable, TeamShare};
+use super::shares::{ShareTable, TeamShare};
 
 /// Identity of a waiting request.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -42,15 +42,6 @@
     }
 }
 
-/// What goes before a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RequestsAhead {
-    /// Number of waiting requests.
-    pub(super) requests: usize,
-    /// Usage of the request's team and of those other teams that have requests waiting behind it.
-    pub(super) competing_usage: f64,
-}
-
 /// Positions of all waiting requests of a group.
 #[derive(Debug, Default)]
 pub(super) struct RequestLanes {
@@ -88,38 +79,40 @@
         lane.map_or(0, |lane| lane.partition_point(|other| other < position))
     }
 
-    /// Returns what goes before a request of the team of `own` with this due time and rank.
-    pub(super) fn ahead_of(
+    /// Returns the number of requests that go before a request of the team of `own` with this due time and
+    /// rank.
+    pub(super) fn count_before(
         &self,
         class: UrgencyClass,
         own: TeamShare,
         rank: usize,
-        due: Instant,
+        position: &LanePosition,
         shares: &ShareTable,
         now: Instant,
-    ) -> RequestsAhead {
+    ) -> usize {
         let lower = self.classes.iter().take_while(|(other, _)| **other < class);
-        let requests = rank + lower.map(|(_, lanes)| lanes.len).sum::<usize>();
-        let mut ahead = RequestsAhead { requests, competing_usage: own.usage };
-        let Some(lanes) = self.classes.get(&class) else { return ahead };
-        let level = own.level_after(rank);
+        let mut count = rank + lower.map(|(_, lanes)| lanes.len).sum::<usize>();
+        let Some(lanes) = self.classes.get(&class) else { return count };
+        let level = own.level_after(rank, !position.is_first_attempt);
         for (share, lane) in lanes.shares(shares, now).zip(lanes.lanes.values()) {
             if share.team == own.team {
                 continue;
             }
             // The entry with index k goes before the request if the team's level after k grants is lower, or
             // equal and the entry is due earlier.
-            let turns = level * f64::from(share.weight_milli) - share.usage + FREE_USAGE;
-            let lower = if level > 0.0 { turns.max(0.0).ceil() as usize } else { 0 };
-            let tied_end = if turns >= 0.0 { turns as usize + 1 } else { 0 };
-            let tied = lane.iter().take(tied_end).skip(lower);
-            let before = lane.len().min(lower) + tied.take_while(|other| other.due <= due).count();
-            ahead.requests += before;
-            if before < lane.len() {
-                ahead.competing_usage += share.usage;
-            }
+            let goes_before = |(index, other): &(usize, &LanePosition)| {
+                let other_level = share.level_after(*index, !other.is_first_attempt);
+                other_level < level || (other_level == level && other.due <= position.due)
+            };
+            let retries = lane.partition_point(|other| !other.is_first_attempt);
+            let lower = |is_retry| share.grants_until(level, is_retry).max(0.0) as usize;
+            // Entries of which the whole part of the number of grants leaves no doubt are not compared.
+            let sure = if level > 0.0 { lower(false).max(lower(true).min(retries)) } else { 0 };
+            let sure = sure.min(lane.len());
+            let others = lane.iter().enumerate().skip(sure);
+            count += sure + others.take_while(goes_before).count();
         }
-        ahead
+        count
     }
 
     /// Returns whether a request of the team of `own` with this rank goes before the last request of all,
@@ -129,15 +122,17 @@
         class: UrgencyClass,
         own: TeamShare,
         rank: usize,
+        position: &LanePosition,
         shares: &ShareTable,
         now: Instant,
     ) -> Option<&LanePosition> {
         let (last_class, lanes) = self.classes.iter().next_back()?;
         let lanes_with_shares = lanes.shares(shares, now).zip(lanes.lanes.values());
         let levels = lanes_with_shares
-            .map(|(share, lane)| (share.level_after(lane.len().saturating_sub(1)), lane));
+            .map(|(share, lane)| (lane_level(&share, lane, lane.len().saturating_sub(1)), lane));
         let (level, lane) = levels.max_by(|one, other| one.0.total_cmp(&other.0))?;
-        let is_before = (class, own.level_after(rank)) < (*last_class, level);
+        let own_level = own.level_after(rank, !position.is_first_attempt);
+        let is_before = (class, own_level) < (*last_class, level);
         lane.last().filter(|_| is_before)
     }
 
@@ -148,9 +143,9 @@
         now: Instant,
     ) -> impl Iterator<Item = &'a LanePosition> {
         self.classes.values().flat_map(move |lanes| {
-            let levels = lanes.shares(shares, now).map(|share| share.level_after(0));
-            let mut order: Vec<(f64, &Vec<LanePosition>)> =
-                levels.zip(lanes.lanes.values()).collect();
+            let lanes_with_shares = lanes.shares(shares, now).zip(lanes.lanes.values());
+            let levels = lanes_with_shares.map(|(share, lane)| (lane_level(&share, lane, 0), lane));
+            let mut order: Vec<(f64, &Vec<LanePosition>)> = levels.collect();
             order.sort_unstable_by(|(one, one_lane), (other, other_lane)| {
                 let due = |lane: &Vec<LanePosition>| lane.first().map(|first| first.due);
                 one.total_cmp(other).then_with(|| due(one_lane).cmp(&due(other_lane)))
@@ -160,7 +155,7 @@
     }
 
     /// Returns the late requests of the team with the lowest level if requests that can be in time go before
-    /// them and the team is below its share.
+    /// them and the team is below half of its share.
     pub(super) fn delayed_below_share(
         &self,
         shares: &ShareTable,
@@ -171,10 +166,10 @@
             return None;
         }
         let late = self.classes.get(&UrgencyClass { is_late: true, ..*first })?;
-        let levels = late.shares(shares, now).map(|share| share.level_after(0));
+        let levels = late.shares(shares, now).map(|share| share.level_after(0, false));
         let lowest = levels.zip(late.lanes.values()).min_by(|one, other| one.0.total_cmp(&other.0));
         let (level, lane) = lowest?;
-        (level < shares.mean_level(now)).then_some(lane.as_slice())
+        (level < shares.mean_level(now) / 2.0).then_some(lane.as_slice())
     }
 
     /// Returns the number of teams in all classes.
@@ -186,3 +181,9 @@
         teams.len()
     }
 }
+
+/// Returns the level of a lane's team when it is the turn of the request with this index.
+fn lane_level(share: &TeamShare, lane: &[LanePosition], index: usize) -> f64 {
+    let is_retry = lane.get(index).is_some_and(|position| !position.is_first_attempt);
+    share.level_after(index, is_retry)
+}
--- a/crates/cuminramp-fleet/src/admission/queue.rs
+++ b/crates/cuminramp-fleet/src/admission/queue.rs
@@ -19,9 +19,11 @@
 /// Number of requests that are offered a free slot in vain before the search for one that can use it ends.
 /// Only requests that avoid different targets are offered the same slot.
 const MAX_OFFERS: usize = 64;
-/// Number of slots of which one goes to a late request of a team below its share. Without it, a flood of
+/// Minimum part of the slots that become free which is expected to be left by later requests of other teams.
+const MIN_FREED_PART: f64 = 0.05;
+/// Number of slots of which one goes to a late request of a team far below its share. Without it, a flood of
 /// requests that can still be in time would keep the request of such a team waiting until its deadline.
-const DELAYED_INTERVAL: u32 = 8;
+const DELAYED_INTERVAL: u32 = 16;
 /// Number of teams in a [`QueueStatus`].
 const STATUS_TEAMS: usize = 3;
 
@@ -126,7 +128,8 @@
 ///
 /// The most urgent priority goes first, then requests that can still be in time, then the team with the lowest
 /// usage relative to its weight. Within a team, second attempts go before first attempts, and the request with
-/// the earliest latest start goes first. One slot of eight goes to the late requests of teams below their share.
+/// the earliest latest start goes first. One slot of 16 goes to the late requests of teams below half of
+/// their share.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
     entries: SortedMap<RequestKey, Box<QueueEntry>>,
@@ -173,13 +176,16 @@
     fn entry_wait(&self, entry: &QueueEntry, capacity: GroupCapacity, now: Instant) -> Duration {
         let request = &entry.waiting.request;
         let own = self.shares.share(request.team, request.weight_milli, now);
-        let rank = self.lanes.rank(entry.class, request.team, &entry.position());
-        let ahead = self.lanes.ahead_of(entry.class, own, rank, entry.due(), &self.shares, now);
+        let position = entry.position();
+        let rank = self.lanes.rank(entry.class, request.team, &position);
+        let before = self.lanes.count_before(entry.class, own, rank, &position, &self.shares, now);
         let mut freed_per_s = capacity.freed_per_s;
         if !entry.class.is_late {
-            freed_per_s *= self.shares.part_for(own, rank, ahead.competing_usage, now);
+            // Requests that arrive later at a lower level go before the entry.
+            let later = self.shares.arrivals_below(own.level_after(rank, request.is_retry), now);
+            freed_per_s = (freed_per_s - later).max(freed_per_s * MIN_FREED_PART);
         }
-        let seconds = (ahead.requests + 1) as f64 / freed_per_s;
+        let seconds = (before + 1) as f64 / freed_per_s;
         let max = MAX_EXPECTED_WAIT.as_secs_f64();
         // A rate of 0, or one that is not a number, makes the wait the longest one.
         Duration::from_secs_f64(if (0.0..max).contains(&seconds) { seconds } else { max })
@@ -246,6 +252,11 @@
             let retry_after = self.book_return(request, wait, capacity, random, now);
             return QueueDecision::Rejected { retry_after, reason };
         }
+        if !entry.class.is_late {
+            let own = self.shares.share(request.team, request.weight_milli, now);
+            let rank = self.lanes.rank(entry.class, request.team, &entry.position());
+            self.shares.record_arrival(own.level_after(rank, request.is_retry), now);
+        }
         self.insert(key, Box::new(entry));
         QueueDecision::Waiting { wait }
     }
@@ -287,7 +298,7 @@
     /// Returns why a request can't be in time.
     fn capacity_reason(&self, request: &AdmissionRequest, now: Instant) -> RejectionReason {
         let share = self.shares.share(request.team, request.weight_milli, now);
-        if share.level_after(0) > self.shares.mean_level(now) {
+        if share.level_after(0, false) > self.shares.mean_level(now) {
             RejectionReason::ShareUsed
         } else {
             RejectionReason::NoRoom
@@ -322,8 +333,9 @@
         }
         let request = &entry.waiting.request;
         let own = self.shares.share(request.team, request.weight_milli, now);
-        let rank = self.lanes.rank(entry.class, request.team, &entry.position());
-        let last = self.lanes.last_after(entry.class, own, rank, &self.shares, now);
+        let position = entry.position();
+        let rank = self.lanes.rank(entry.class, request.team, &position);
+        let last = self.lanes.last_after(entry.class, own, rank, &position, &self.shares, now);
         let Some(last) = last.map(|last| last.key.clone()).and_then(|key| self.remove(&key)) else {
             return false;
         };
@@ -381,7 +393,8 @@
         self.grants_in_time =
             if entry.class.is_late { 0 } else { self.grants_in_time.saturating_add(1) };
         let waiting = entry.waiting;
-        self.record_grant(waiting.request.team, waiting.request.weight_milli, now);
+        let AdmissionRequest { team, weight_milli, .. } = waiting.request;
+        self.shares.record_grant(team, weight_milli, now);
         Some((waiting, target))
     }
 
@@ -412,8 +425,10 @@
         None
     }
 
-    /// Counts a slot that a team was granted, whether or not the request waited.
+    /// Counts a slot that was granted to a team's request which did not wait.
     pub fn record_grant(&mut self, team: u32, weight_milli: u32, now: Instant) {
+        let level = self.shares.share(team, weight_milli, now).level_after(0, false);
+        self.shares.record_arrival(level, now);
         self.shares.record_grant(team, weight_milli, now);
     }
 
--- a/crates/cuminramp-fleet/src/admission/shares.rs
+++ b/crates/cuminramp-fleet/src/admission/shares.rs
@@ -7,9 +7,13 @@
 
 /// Time constant with which a grant stops counting, about the time for which a request holds its slot.
 const USAGE_DECAY: Duration = Duration::from_secs(1);
-/// Usage that doesn't count against a team. In small groups, one slot is more than the share of a small team,
-/// and its second request within a second would be rejected for the benefit of teams far above their shares.
-pub(super) const FREE_USAGE: f64 = 1.0;
+/// Usage that doesn't count against a second attempt. In small groups, one slot is more than the share of a small
+/// team, so that its second attempt would be late for the benefit of first attempts of teams far above their shares.
+const FREE_RETRY_USAGE: f64 = 2.0;
+/// Number of intervals in which levels are counted. They reach from a sixteenth of the mean level to 16 times.
+const LEVEL_BUCKETS: usize = 32;
+const LEVEL_OCTAVES: f64 = 4.0;
+const BUCKETS_PER_OCTAVE: f64 = 4.0;
 /// Usage below which a team counts as not using the group, in slots.
 const MIN_USAGE: f64 = 0.01;
 /// Interval at which usages are brought to the current time and idle teams are dropped. A team that waits is
@@ -28,10 +32,21 @@
 }
 
 impl TeamShare {
-    /// Returns the usage above the free one, relative to the weight, after `grants` more grants.
-    pub(super) fn level_after(&self, grants: usize) -> f64 {
-        (self.usage + grants as f64 - FREE_USAGE).max(0.0) / f64::from(self.weight_milli)
+    /// Returns the usage relative to the weight after `grants` more grants, as it counts for a second attempt or
+    /// a first one.
+    pub(super) fn level_after(&self, grants: usize, is_retry: bool) -> f64 {
+        let counted = self.usage + grants as f64 - free_usage(is_retry);
+        counted.max(0.0) / f64::from(self.weight_milli)
     }
+
+    /// Returns the number of grants after which the level reaches `level`; negative if it is higher already.
+    pub(super) fn grants_until(&self, level: f64, is_retry: bool) -> f64 {
+        level * f64::from(self.weight_milli) - self.usage + free_usage(is_retry)
+    }
+}
+
+fn free_usage(is_retry: bool) -> f64 {
+    if is_retry { FREE_RETRY_USAGE } else { 0.0 }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +65,9 @@
     base: Option<Instant>,
     based_total: f64,
     total_weight: f64,
+    /// Requests that were granted a slot or queued, by the level of their team relative to the mean level;
+    /// decays like usage.
+    based_arrivals: [f64; LEVEL_BUCKETS],
 }
 
 impl ShareTable {
@@ -68,6 +86,7 @@
         }
         let remaining = self.remaining_part(now);
         self.base = Some(now);
+        self.based_arrivals.iter_mut().for_each(|arrivals| *arrivals *= remaining);
         self.teams.retain(|_, entry| {
             entry.based_usage *= remaining;
             let idle = now.saturating_duration_since(entry.asked_at);
@@ -123,22 +142,24 @@
         }
     }
 
-    /// Returns the part of the slots that become free which goes to requests that wait now, up to one of this
-    /// team with this rank. The rest goes to later requests of teams with a lower usage relative to their
-    /// weight. `competing_usage` is the usage of the team and of those that compete with it for its slots.
-    pub(super) fn part_for(
-        &self,
-        own: TeamShare,
-        rank: usize,
-        competing_usage: f64,
-        now: Instant,
-    ) -> f64 {
-        let total = self.based_total * self.remaining_part(now);
-        if total <= 0.0 || own.level_after(rank) <= self.mean_level(now) {
-            return 1.0;
-        }
-        let guaranteed = f64::from(own.weight_milli) / self.total_weight;
-        (competing_usage / total).clamp(guaranteed.min(1.0), 1.0)
+    /// Records that a request was granted a slot or queued, with the level of its team when its turn comes.
+    pub(super) fn record_arrival(&mut self, level: f64, now: Instant) {
+        self.expire(now);
+        let bucket = self.level_bucket(level, now);
+        self.based_arrivals[bucket] += 1.0 / self.remaining_part(now);
+    }
+
+    /// Returns how many requests arrived in a second whose level was lower than `level`.
+    pub(super) fn arrivals_below(&self, level: f64, now: Instant) -> f64 {
+        let lower = &self.based_arrivals[..self.level_bucket(level, now)];
+        lower.iter().sum::<f64>() * self.remaining_part(now) / USAGE_DECAY.as_secs_f64()
+    }
+
+    fn level_bucket(&self, level: f64, now: Instant) -> usize {
+        let relative = level / self.mean_level(now).max(f64::MIN_POSITIVE);
+        let bucket = (relative.log2() + LEVEL_OCTAVES) * BUCKETS_PER_OCTAVE;
+        // The logarithm of a level of 0 is minus infinity, which is converted to 0.
+        (bucket as usize).min(LEVEL_BUCKETS - 1)
     }
 
     /// Returns the usage of all teams relative to their weight.
