Load tests of the admission queue

A group of targets is emulated on simulated time at 4, 34, 89 and 360 hosts, with peaks and troughs. Other tests guard the order, the expected wait, the limits, absurd and reordered messages, memory and the cost of a decision.

--- a/crates/cuminramp-fleet/src/admission.rs
+++ b/crates/cuminramp-fleet/src/admission.rs
@@ -22,3 +22,6 @@
 pub use returns::ReturnSchedule;
 pub use shares::TeamShare;
 pub use weights::TeamWeights;
+
+#[cfg(test)]
+mod tests;
