Queue requests also where the deployment requires it

Targets that report no pace left the admission queue off, also in deployments whose platform requires that callers may compete for slots. Deployments without either are served as before.

--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -157,7 +157,7 @@
         placement: PlacementTable::new(local_host.zone.clone(), placement).into(),
         drains: Default::default(),
         regions,
-        has_admission_queue: settings.has_admission_queue(),
+        queue_mode: settings.queue_mode(),
         team_weights: TeamWeights::new(weights),
         slots: SlotState::new(id),
         tokens: Default::default(),
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -9,6 +9,7 @@
     AdmissionRequest, AdmissionWithdrawal, HostMessage, PlacementRequest, RejectionReason,
     SlotGroup, SlotOutcome, name_hash,
 };
+use cuminramp_settings::QueueMode;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::{Instant, timeout};
 
@@ -72,7 +73,11 @@
 
 /// Returns whether the owners of a pool's groups queue requests.
 pub(super) fn is_queue_active(state: &GatewayState, pool: &str) -> bool {
-    state.has_admission_queue && lock(&state.placement).is_paced(pool, Instant::now())
+    match state.queue_mode {
+        QueueMode::Off => false,
+        QueueMode::PacedPools => lock(&state.placement).is_paced(pool, Instant::now()),
+        QueueMode::AllPools => true,
+    }
 }
 
 /// Requests a slot from the owner of a group, and from the next owner if that one is silent. With `may_wait`,
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -9,7 +9,7 @@
     DeclarationStore, DrainTable, FleetDeclarations, JobTable, KnownHost, PeerTable,
     PlacementTable, QuotaTable, RegionMap, TeamWeights,
 };
-use cuminramp_settings::GatewaySettings;
+use cuminramp_settings::{GatewaySettings, QueueMode};
 use cuminramp_targets::CrashTable;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
@@ -51,8 +51,8 @@
     pub(crate) declarations: Mutex<DeclarationStore>,
     pub(crate) drains: Mutex<DrainTable>,
     pub(crate) regions: RegionMap,
-    /// Whether requests are queued for pools whose targets report their pace.
-    pub(crate) has_admission_queue: bool,
+    /// Where the owners of slots queue requests.
+    pub(crate) queue_mode: QueueMode,
     /// Weights of teams that the settings name.
     pub(crate) team_weights: TeamWeights,
     pub(crate) quota: Mutex<QuotaTable>,
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -52,9 +52,13 @@
     pub cold_tolerance_factor: f64,
     /// Requests a second that a cold target may get in addition to `cold-tolerance-factor`.
     pub cold_tolerance_requests: f64,
-    /// Whether the owner of a pool's slots queues requests while all slots are taken: `auto` or `off`. With
-    /// `auto` it does so for pools whose targets report their pace.
+    /// Whether the owner of a pool's slots queues requests while all slots are taken: `auto`, `on` or `off`.
+    /// With `auto` it does so for pools whose targets report their pace, and for all pools if `requirements`
+    /// lists `pressure`.
     pub admission_queue: String,
+    /// Requirements of the platform on the deployment. `pressure` means that callers may compete for slots. Other
+    /// names are ignored.
+    pub requirements: Vec<String>,
     /// Weights of teams in the shares of crowded pools. A team that is not listed has its declared rate as its
     /// weight. Must be the same on all hosts.
     pub team_weights: Vec<TeamWeight>,
@@ -64,8 +68,25 @@
 
 /// Value of a setting that uses a feature where it can.
 const AUTO: &str = "auto";
+/// Value of a setting that turns a feature off.
+const OFF: &str = "off";
 /// Values of a setting that turns a feature off.
-const SWITCH_VALUES: [&str; 2] = [AUTO, "off"];
+const SWITCH_VALUES: [&str; 2] = [AUTO, OFF];
+/// Values of `admission-queue`.
+const QUEUE_VALUES: [&str; 3] = [AUTO, "on", OFF];
+/// Requirement that callers may compete for slots.
+const PRESSURE: &str = "pressure";
+
+/// Where the owners of slots queue requests while all slots are taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueMode {
+    /// Nowhere.
+    Off,
+    /// For pools whose targets report their pace.
+    PacedPools,
+    /// For all pools.
+    AllPools,
+}
 
 /// Region of one availability zone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -107,6 +128,7 @@
             cold_tolerance_factor: 1.0,
             cold_tolerance_requests: 0.0,
             admission_queue: AUTO.into(),
+            requirements: vec![],
             team_weights: vec![],
             target_pace: AUTO.into(),
         }
@@ -119,9 +141,20 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
-    /// Returns whether requests are queued where targets report their pace.
-    pub fn has_admission_queue(&self) -> bool {
-        self.admission_queue == AUTO
+    /// Returns where the owners of slots queue requests.
+    ///
+    /// ```
+    /// use cuminramp_settings::{QueueMode, parse_gateway_settings};
+    /// let settings = parse_gateway_settings(r#"{ "requirements": ["pressure"] }"#).unwrap();
+    /// assert_eq!(settings.queue_mode(), QueueMode::AllPools);
+    /// ```
+    pub fn queue_mode(&self) -> QueueMode {
+        let is_required = self.requirements.iter().any(|name| name == PRESSURE);
+        match self.admission_queue.as_str() {
+            OFF => QueueMode::Off,
+            AUTO if !is_required => QueueMode::PacedPools,
+            _ => QueueMode::AllPools,
+        }
     }
 
     /// Returns whether the paces that targets report are used.
@@ -193,11 +226,13 @@
     if settings.availability_zone.is_empty() {
         errors.push(SettingsError::new("availability-zone", "must not be empty"));
     }
-    let switches =
-        [("admission-queue", &settings.admission_queue), ("target-pace", &settings.target_pace)];
-    for (place, value) in switches {
-        if !SWITCH_VALUES.contains(&value.as_str()) {
-            let reason = format!("must be one of {}, not {value:?}", SWITCH_VALUES.join(", "));
+    let switches = [
+        ("admission-queue", &settings.admission_queue, &QUEUE_VALUES[..]),
+        ("target-pace", &settings.target_pace, &SWITCH_VALUES[..]),
+    ];
+    for (place, value, valid) in switches {
+        if !valid.contains(&value.as_str()) {
+            let reason = format!("must be one of {}, not {value:?}", valid.join(", "));
             errors.push(SettingsError::new(place, reason));
         }
     }
--- a/crates/cuminramp-settings/src/lib.rs
+++ b/crates/cuminramp-settings/src/lib.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 pub use check::{SettingsError, parse_settings};
-pub use gateway::{GatewaySettings, TeamWeight, ZoneRegion, parse_gateway_settings};
+pub use gateway::{GatewaySettings, QueueMode, TeamWeight, ZoneRegion, parse_gateway_settings};
 pub use settings::{
     BatchSettings, ConfigurationSettings, DaemonSettings, LimitSettings, MarkSettings,
     PeerSettings, PlatformAccess, QuotaPolicy, QuotaSettings, RetrySettings, SteeringSettings,
