Leave most tokens of a team above its rate to first attempts

Cause: every refused caller was promised the next token of its team's rate. A team that sent five times its rate for seconds got nearly all its answers on the second attempt, 1.5 s late, while first attempts were refused.

Change: where requests are queued, scheduled retries may take a quarter of the rate; further refused callers are told a longer time, and go behind first attempts if they return before it.

The load test gives less than half of the tokens to first attempts on the code before.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -69,7 +69,7 @@
     PlacementPolicy, PlacementRequest, PlacementTable, TARGET_PACE_RANGE, TargetPhase, WorkKind,
 };
 pub use quota::{
-    QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome, TokenRequest,
+    AttemptKind, QuotaDecision, QuotaTable, QuotaTolerance, TeamStatus, TokenOutcome, TokenRequest,
     TokenResponse,
 };
 pub use row_cache::{ChangedRow, KnownRow, RowAction, RowCache, RowCachePolicy};
--- a/crates/cuminramp-fleet/src/placement/pace.rs
+++ b/crates/cuminramp-fleet/src/placement/pace.rs
@@ -296,6 +296,12 @@
         last.is_some_and(|last| now.saturating_duration_since(*last) < PACED_TTL)
     }
 
+    /// Returns whether any pool is paced.
+    pub fn is_any_paced(&self, now: Instant) -> bool {
+        let mut pools = self.pace.pools.values();
+        pools.any(|last| now.saturating_duration_since(*last) < PACED_TTL)
+    }
+
     /// Returns the slots of a group's usable targets, and how many of them become free in a second while all
     /// are in use.
     ///
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -37,7 +37,7 @@
 use account::{AliveShare, TeamAccount};
 use counts::{CountBaseline, ReceivedCounts, deduct_usage, reconcile_usage};
 
-pub use message::{TokenOutcome, TokenRequest, TokenResponse};
+pub use message::{AttemptKind, TokenOutcome, TokenRequest, TokenResponse};
 
 /// Result of checking a request against its team's rate and burst.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,6 +92,7 @@
     received: SortedMap<HostId, ReceivedCounts>,
     alive_share: AliveShare,
     settled_at: Instant,
+    limits_retries: bool,
 }
 
 impl QuotaTable {
@@ -103,16 +104,18 @@
             received: SortedMap::new(),
             alive_share: AliveShare { alive: 1.0, all: 1.0 },
             settled_at: now + SETTLING_WINDOW,
+            limits_retries: false,
         }
     }
 
     /// Applies the rates and bursts of new declarations.
     pub fn set_limits(&mut self, declarations: &FleetDeclarations, now: Instant) {
-        let tolerance = self.tolerance;
+        let (tolerance, limits_retries) = (self.tolerance, self.limits_retries);
         for team in declarations.teams() {
             let account = self.teams.get_or_insert_with(name_hash(&team.name), || {
                 TeamAccount::new(team.name.clone(), team.rate, team.burst, &tolerance, now)
             });
+            account.limit_retries(limits_retries);
             account.set_limits(team.rate, team.burst, now);
         }
     }
@@ -140,15 +143,23 @@
         }
     }
 
+    /// Sets whether scheduled retries may take only a part of each team's rate. Without the limit, a team that
+    /// sends more than its rate for long gets nearly all of its answers on the second attempt.
+    pub fn limit_retries(&mut self, is_limited: bool) {
+        if self.limits_retries != is_limited {
+            self.limits_retries = is_limited;
+            self.teams.iter_mut().for_each(|(_, account)| account.limit_retries(is_limited));
+        }
+    }
+
     /// Returns whether requests of the team are limited.
     pub fn is_limited(&self, team: &Name) -> bool {
         self.teams.get(&name_hash(team)).is_some_and(|account| account.rate > 0.0)
     }
 
     /// Decides on one request of `team` as the owner of the team, and counts it if it is admitted.
-    /// `is_retry` is set if the request was refused before and returns after the delay that it was given.
-    pub fn admit(&mut self, team: &Name, is_retry: bool, now: Instant) -> QuotaDecision {
-        self.admit_at(team, self.alive_share, is_retry, true, now)
+    pub fn admit(&mut self, team: &Name, attempt: AttemptKind, now: Instant) -> QuotaDecision {
+        self.admit_at(team, self.alive_share, attempt, true, now)
     }
 
     /// Limits the decisions of this host as a new owner of the team with this hash to the level of a process
@@ -166,14 +177,14 @@
     /// spends the part of the rate that it would have if it were cut off from all others, because any
     /// number of them may decide in this way at the same time.
     pub fn admit_alone(&mut self, team: &Name, now: Instant) -> QuotaDecision {
-        self.admit_at(team, self.alive_share.alone(), false, false, now)
+        self.admit_at(team, self.alive_share.alone(), AttemptKind::First, false, now)
     }
 
     fn admit_at(
         &mut self,
         team: &Name,
         alive_share: AliveShare,
-        is_retry: bool,
+        attempt: AttemptKind,
         is_owner: bool,
         now: Instant,
     ) -> QuotaDecision {
@@ -184,7 +195,7 @@
             return QuotaDecision::Admitted;
         }
         account.advance(now);
-        if account.spend(alive_share, is_retry) {
+        if account.spend(alive_share, attempt) {
             account.count_admission(is_owner, now);
             return QuotaDecision::Admitted;
         }
@@ -212,7 +223,7 @@
         if let Some(level) = request.other_owner_level {
             account.limit_by_other_owner(f64::from(level), now);
         }
-        let outcome = if account.rate <= 0.0 || account.spend(self.alive_share, request.is_retry) {
+        let outcome = if account.rate <= 0.0 || account.spend(self.alive_share, request.attempt) {
             account.count_grant(now);
             TokenOutcome::Granted
         } else {
--- a/crates/cuminramp-fleet/src/quota/account.rs
+++ b/crates/cuminramp-fleet/src/quota/account.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::{HostId, Name};
 use tokio::time::Instant;
 
-use super::{QuotaTolerance, TeamStatus};
+use super::{AttemptKind, QuotaTolerance, TeamStatus};
 
 /// Fraction of the tolerance that a bucket holds at the start of a process. It is low because all hosts
 /// may be killed twice within a window, and requests admitted before a heartbeat arrives use up some of
@@ -21,6 +21,16 @@
 /// Maximum delay for which refused requests that will be retried are expected. Callers are given no longer
 /// delays.
 const MAX_EXPECTED_SECONDS: f64 = 1.5;
+/// Part of a team's rate that scheduled retries may take where they are limited. The rest is left to first
+/// attempts, whose callers get their answers sooner.
+const RETRY_PART: f64 = 0.25;
+/// Time for which tokens for scheduled retries add up, since retries return unevenly.
+const RETRY_BURST_SECONDS: f64 = 0.3;
+/// Tokens that must be left after an unscheduled retry, as a fraction of the burst, and their maximum number.
+/// Below it, first attempts need all tokens.
+const UNSCHEDULED_RESERVE: (f64, f64) = (0.06, 4.0);
+/// Delay of a refused request for whose retry no token is expected: longer than callers wait.
+const UNSCHEDULED_DELAY: Duration = Duration::from_secs(3);
 /// Time for which the level of another owner limits this host's decisions. After it, heartbeats have
 /// reported all requests to which that owner granted tokens.
 const CEILING_TTL: Duration = Duration::from_secs(2);
@@ -83,6 +93,10 @@
     pub(super) active_at: Option<Instant>,
     /// Refused requests that will be retried and that the rate has not yet produced tokens for.
     expected: f64,
+    /// Part of the rate that scheduled retries may take; 1.0 if they are not limited.
+    retry_part: f64,
+    /// Tokens that scheduled retries may still take, if they are limited.
+    retry_tokens: f64,
     /// Tokens reserved for each silent host since this table was created. It only grows.
     pub(super) reserved: f64,
 }
@@ -110,6 +124,8 @@
             changed_at: now,
             active_at: None,
             expected: 0.0,
+            retry_part: 1.0,
+            retry_tokens: 0.0,
             reserved: 0.0,
         };
         account.level.tokens = account.start_level(tolerance);
@@ -118,7 +134,10 @@
 
     pub(super) fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.level.at).as_secs_f64();
-        self.expected = (self.expected - elapsed * self.rate).max(0.0);
+        let retry_rate = self.rate * self.retry_part;
+        self.expected = (self.expected - elapsed * retry_rate).max(0.0);
+        let max_retry_tokens = (retry_rate * RETRY_BURST_SECONDS).max(1.0);
+        self.retry_tokens = (self.retry_tokens + elapsed * retry_rate).min(max_retry_tokens);
         self.level.advance(self.rate, self.burst, now);
         self.ceiling = self.ceiling.filter(|ceiling| ceiling.until > now);
         if let Some(ceiling) = &mut self.ceiling {
@@ -140,14 +159,24 @@
         self.ceiling.map_or(level, |ceiling| level.min(ceiling.level.tokens))
     }
 
+    /// Sets whether scheduled retries may take only [`RETRY_PART`] of the rate.
+    pub(super) fn limit_retries(&mut self, is_limited: bool) {
+        self.retry_part = if is_limited { RETRY_PART } else { 1.0 };
+    }
+
+    fn limits_retries(&self) -> bool {
+        self.retry_part < 1.0
+    }
+
     /// Spends the tokens of one request, for this host or another. Returns whether enough were left.
-    pub(super) fn spend(&mut self, alive_share: AliveShare, is_retry: bool) -> bool {
+    pub(super) fn spend(&mut self, alive_share: AliveShare, attempt: AttemptKind) -> bool {
         let cost = alive_share.cost();
-        let debt =
-            if is_retry { (self.burst * MAX_RETRY_DEBT.0).min(MAX_RETRY_DEBT.1) } else { 0.0 };
-        if self.available() + debt < cost {
+        if self.available() - self.min_level_after(attempt) < cost {
             return false;
         }
+        if attempt == AttemptKind::Retry {
+            self.retry_tokens = (self.retry_tokens - 1.0).max(0.0);
+        }
         self.charge(1.0, alive_share);
         if let Some(ceiling) = &mut self.ceiling {
             ceiling.level.tokens -= cost;
@@ -155,6 +184,20 @@
         true
     }
 
+    /// Returns the level that an admitted request must leave; negative if it may cause debt.
+    fn min_level_after(&self, attempt: AttemptKind) -> f64 {
+        let is_scheduled = !self.limits_retries() || self.retry_tokens >= 1.0;
+        match attempt {
+            AttemptKind::First => 0.0,
+            AttemptKind::Retry if is_scheduled => {
+                -(self.burst * MAX_RETRY_DEBT.0).min(MAX_RETRY_DEBT.1)
+            }
+            AttemptKind::Retry | AttemptKind::UnscheduledRetry => {
+                (self.burst * UNSCHEDULED_RESERVE.0).min(UNSCHEDULED_RESERVE.1)
+            }
+        }
+    }
+
     /// Deducts admitted requests, together with the tokens reserved for silent hosts.
     pub(super) fn charge(&mut self, requests: f64, alive_share: AliveShare) {
         self.level.tokens =
@@ -234,8 +277,13 @@
     /// Returns the delay after which a request that is refused now should be retried.
     pub(super) fn schedule_retry(&mut self) -> Duration {
         let missing = (1.0 - self.available()).max(0.0) + self.expected;
-        self.expected = (self.expected + 1.0).min((self.rate * MAX_EXPECTED_SECONDS).max(1.0));
-        Duration::from_secs_f64((missing / self.rate.max(f64::MIN_POSITIVE)).min(60.0))
+        let retry_rate = self.rate * self.retry_part;
+        let max_expected = (retry_rate * MAX_EXPECTED_SECONDS).max(1.0);
+        if self.limits_retries() && self.expected + 1.0 > max_expected {
+            return UNSCHEDULED_DELAY;
+        }
+        self.expected = (self.expected + 1.0).min(max_expected);
+        Duration::from_secs_f64((missing / retry_rate.max(f64::MIN_POSITIVE)).min(60.0))
     }
 
     /// Returns the time until the bucket has `cost` tokens.
--- a/crates/cuminramp-fleet/src/quota/message.rs
+++ b/crates/cuminramp-fleet/src/quota/message.rs
@@ -3,6 +3,18 @@
 use cuminramp_core::Incarnation;
 use serde::{Deserialize, Serialize};
 
+/// Which attempt of a caller a request is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AttemptKind {
+    /// The request was not refused before.
+    First,
+    /// The request was refused before and returns after the delay that it was given.
+    Retry,
+    /// The request was refused before because more retries were scheduled than the rate allows, and returns
+    /// although no token is expected for it.
+    UnscheduledRetry,
+}
+
 /// Request to a team's owner for one token, sent on behalf of one request of the team.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TokenRequest {
@@ -16,8 +28,8 @@
     /// Tokens that another owner of the team had left, as far as the requesting host knows; `None` if no
     /// other owner responded to it recently.
     pub other_owner_level: Option<i32>,
-    /// Whether the request was refused before and returns after the delay that it was given.
-    pub is_retry: bool,
+    /// Which attempt the request is.
+    pub attempt: AttemptKind,
 }
 
 /// Decision of an owner on a token request.
--- a/crates/cuminramp-fleet/src/quota/tests.rs
+++ b/crates/cuminramp-fleet/src/quota/tests.rs
@@ -4,13 +4,14 @@
 mod flood;
 mod owners;
 mod partition;
+mod returns;
 
 use std::time::Duration;
 
 use cuminramp_core::Name;
 use tokio::time::{Instant, advance};
 
-use super::{QuotaDecision, QuotaTable, QuotaTolerance};
+use super::{AttemptKind, QuotaDecision, QuotaTable, QuotaTolerance};
 use crate::declarations::{CallerLimits, FleetDeclarations, TeamRule};
 use crate::fixtures::{host_heartbeat, known_host};
 use crate::heartbeat::HostHeartbeat;
@@ -71,7 +72,7 @@
 
 fn admitted_at_once(table: &mut QuotaTable) -> u32 {
     let mut count = 0;
-    while table.admit(&team(), false, Instant::now()) == QuotaDecision::Admitted {
+    while table.admit(&team(), AttemptKind::First, Instant::now()) == QuotaDecision::Admitted {
         count += 1;
     }
     count
@@ -114,7 +115,7 @@
     /// Sends one request every 10 ms, to each host in turn. Returns 1 if it was admitted, else 0.
     async fn send_request(&mut self, step: usize) -> u32 {
         let host = step % self.tables.len();
-        let decision = self.tables[host].admit(&team(), false, Instant::now());
+        let decision = self.tables[host].admit(&team(), AttemptKind::First, Instant::now());
         self.send_heartbeat(host, false);
         advance(Duration::from_millis(10)).await;
         u32::from(decision == QuotaDecision::Admitted)
@@ -278,8 +279,8 @@
     let mut table = table();
     advance(Duration::from_millis(95)).await;
 
-    let first_try = table.admit(&team(), false, Instant::now());
-    let retry = table.admit(&team(), true, Instant::now());
+    let first_try = table.admit(&team(), AttemptKind::First, Instant::now());
+    let retry = table.admit(&team(), AttemptKind::Retry, Instant::now());
 
     assert_eq!(first_try, QuotaDecision::Exceeded(Duration::from_millis(5)));
     assert_eq!(retry, QuotaDecision::Admitted);
--- a/crates/cuminramp-fleet/src/quota/tests/flood.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/flood.rs
@@ -10,7 +10,7 @@
 
 use super::{declarations_with, heartbeat_of, table_of, team};
 use crate::heartbeat::name_hash;
-use crate::quota::{QuotaDecision, QuotaTable, QuotaTolerance, TokenRequest};
+use crate::quota::{AttemptKind, QuotaDecision, QuotaTable, QuotaTolerance, TokenRequest};
 use crate::schedule::{HeartbeatSchedule, HeartbeatTimer};
 
 /// Rate and burst of a team with a steady stream of requests.
@@ -127,7 +127,7 @@
             self.hosts[owner].table.limit_new_owner(name_hash(&team()), now);
         }
         let decision = if owner == to {
-            self.hosts[to].table.admit(&team(), false, now)
+            self.hosts[to].table.admit(&team(), AttemptKind::First, now)
         } else {
             let id = host_id(owner, self.hosts[owner].incarnation);
             let request = TokenRequest {
@@ -135,7 +135,7 @@
                 request_id: 1,
                 team: name_hash(&team()),
                 other_owner_level: self.hosts[to].table.other_owner_level(&team(), &id, now),
-                is_retry: false,
+                attempt: AttemptKind::First,
             };
             let from = host_id(to, self.hosts[to].incarnation);
             let response = self.hosts[owner].table.grant_token(&from, &request, now).unwrap();
--- a/crates/cuminramp-fleet/src/quota/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/owners.rs
@@ -7,7 +7,7 @@
 
 use super::{admitted_at_once, example_tolerance, heartbeat_of, table, table_with, team};
 use crate::heartbeat::name_hash;
-use crate::quota::{QuotaDecision, QuotaTable, TokenOutcome, TokenRequest};
+use crate::quota::{AttemptKind, QuotaDecision, QuotaTable, TokenOutcome, TokenRequest};
 
 fn host(address: &str, incarnation: u64) -> HostId {
     HostId { address: address.into(), incarnation }
@@ -19,7 +19,7 @@
         request_id: 1,
         team: name_hash(&team()),
         other_owner_level,
-        is_retry: false,
+        attempt: AttemptKind::First,
     }
 }
 
--- a/crates/cuminramp-fleet/src/quota/tests/partition.rs
+++ b/crates/cuminramp-fleet/src/quota/tests/partition.rs
@@ -9,7 +9,7 @@
 use crate::declarations::{CallerLimits, FleetDeclarations, TeamRule};
 use crate::heartbeat::{HostHeartbeat, KnownHost};
 use crate::peers::{PeerPolicy, PeerRecord, PeerTable};
-use crate::quota::{QuotaDecision, QuotaTable};
+use crate::quota::{AttemptKind, QuotaDecision, QuotaTable};
 
 /// Rate and burst of a team with a steady stream of requests.
 const STEADY: (f64, f64) = (20.5, 29.3);
@@ -79,8 +79,8 @@
 
     fn admit(&mut self) -> bool {
         self.update_alive_share();
-        let is_admitted =
-            self.table.admit(&team(), false, Instant::now()) == QuotaDecision::Admitted;
+        let is_admitted = self.table.admit(&team(), AttemptKind::First, Instant::now())
+            == QuotaDecision::Admitted;
         self.has_admitted |= is_admitted;
         is_admitted
     }
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use cuminramp_core::{Name, Refusal, ResultCode};
-use cuminramp_fleet::{FleetDeclarations, QuotaDecision, RouteKind, RouteRule, TeamRule};
+use cuminramp_fleet::{
+    AttemptKind, FleetDeclarations, QuotaDecision, RouteKind, RouteRule, TeamRule,
+};
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -16,7 +18,7 @@
 use crate::jobs::{JobCaller, accept_job, end_job, read_item, read_results};
 use crate::online::{AdmittedRequest, RequestRecord, serve_request};
 use crate::state::GatewayState;
-use crate::tokens::acquire_token;
+use crate::tokens::{acquire_token, limits_retries};
 
 /// Timeout for receiving the complete body of a request. Callers send it right after the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -26,6 +28,10 @@
 /// Maximum Retry-After for a team above its rate.
 const MAX_RATE_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Delay after which a caller returns at the latest that was told when a token is expected for it: the maximum
+/// Retry-After and the time to connect again.
+const MAX_SCHEDULED_RETURN: Duration = Duration::from_millis(1_600);
+
 /// Share of the route's objective that a request may wait for its team's rate. A caller should receive a
 /// refusal within a quarter of the objective.
 const RATE_WAIT_SHARE: f64 = 0.2;
@@ -137,11 +143,11 @@
     version: u64,
 ) -> Result<(), Refusal> {
     let Some(team) = team else { return Ok(()) };
-    let is_retry = is_retry(head, route);
+    let attempt = attempt_kind(state, head, route);
     let until = Instant::now() + route.objective.mul_f64(RATE_WAIT_SHARE);
     loop {
         let now = Instant::now();
-        let decision = acquire_token(state, &team.name, is_retry).await;
+        let decision = acquire_token(state, &team.name, attempt).await;
         let QuotaDecision::Exceeded(wait) = decision else {
             state.request_heartbeat();
             return Ok(());
@@ -150,15 +156,31 @@
             tokio::time::sleep(wait.max(MIN_RATE_WAIT)).await;
             continue;
         }
+        // A longer wait says that no token is expected for the caller's retry.
+        let max_retry_after =
+            if limits_retries(state) { route.timeout } else { MAX_RATE_RETRY_AFTER };
         let reason =
             format!("team {} is above its rate for another {} ms", team.name, wait.as_millis());
         let refusal = Refusal::not_run(ResultCode::RateExceeded, reason)
-            .with_retry_after(wait.min(MAX_RATE_RETRY_AFTER));
+            .with_retry_after(wait.min(max_retry_after));
         log_refusal(head, Some(route), version, &refusal);
         return Err(refusal);
     }
 }
 
+/// Returns which attempt of its caller a call is.
+fn attempt_kind(state: &GatewayState, head: &CallHead, route: &RouteRule) -> AttemptKind {
+    if !is_retry(head, route) {
+        return AttemptKind::First;
+    }
+    let elapsed = head.deadline.map_or(Duration::ZERO, |left| route.timeout.saturating_sub(left));
+    if limits_retries(state) && elapsed > MAX_SCHEDULED_RETURN {
+        AttemptKind::UnscheduledRetry
+    } else {
+        AttemptKind::Retry
+    }
+}
+
 /// Returns whether a call repeats one that was refused: a retry has noticeably less time left until its
 /// deadline than the route's timeout.
 pub(crate) fn is_retry(head: &CallHead, route: &RouteRule) -> bool {
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,9 +1,9 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
-    AdmissionRequest, AdmissionWithdrawal, HostHeartbeat, HostMessage, ItemDemand, KnownHost,
-    OwnerFailure, PaceReport, RejectionReason, ReportedLoad, SlotCommand, SlotOutcome, SlotReport,
-    SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage, TokenOutcome, TokenRequest,
-    TokenResponse,
+    AdmissionRequest, AdmissionWithdrawal, AttemptKind, HostHeartbeat, HostMessage, ItemDemand,
+    KnownHost, OwnerFailure, PaceReport, RejectionReason, ReportedLoad, SlotCommand, SlotOutcome,
+    SlotReport, SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage, TokenOutcome,
+    TokenRequest, TokenResponse,
 };
 use proptest::prelude::*;
 
@@ -81,7 +81,7 @@
             request_id: 1,
             team: 1,
             other_owner_level: Some(-2),
-            is_retry: false,
+            attempt: AttemptKind::First,
         }),
         HostMessage::TokenResponse(TokenResponse {
             request_id: 1,
--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -6,8 +6,9 @@
 
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
-    HostMessage, LocalReadiness, QuotaDecision, TokenRequest, TokenResponse, name_hash,
+    AttemptKind, HostMessage, LocalReadiness, QuotaDecision, TokenRequest, TokenResponse, name_hash,
 };
+use cuminramp_settings::QueueMode;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
@@ -34,12 +35,11 @@
     pending_requests: Mutex<SortedMap<u64, oneshot::Sender<TokenResponse>>>,
 }
 
-/// Decides on one request of `team` with a token of the team's owner. `is_retry` is set if the request was
-/// refused before and returns after the delay that it was given.
+/// Decides on one request of `team` with a token of the team's owner.
 pub(crate) async fn acquire_token(
     state: &GatewayState,
     team: &Name,
-    is_retry: bool,
+    attempt: AttemptKind,
 ) -> QuotaDecision {
     if !lock(&state.quota).is_limited(team) {
         return QuotaDecision::Admitted;
@@ -51,9 +51,9 @@
         let Some(owner) = owner_of(state, team) else { break };
         if owner == state.id() {
             state.metrics.count_token("itself");
-            return decide_as_owner(state, team, is_retry);
+            return decide_as_owner(state, team, attempt);
         }
-        match request_from_owner(state, &owner, team, is_retry).await {
+        match request_from_owner(state, &owner, team, attempt).await {
             OwnerReply::Decision(decision) => {
                 state.metrics.count_token("owner");
                 return decision;
@@ -66,6 +66,15 @@
     lock(&state.quota).admit_alone(team, Instant::now())
 }
 
+/// Returns whether scheduled retries may take only a part of each team's rate: where requests may be queued.
+pub(crate) fn limits_retries(state: &GatewayState) -> bool {
+    match state.queue_mode {
+        QueueMode::Off => false,
+        QueueMode::PacedPools => lock(&state.placement).is_any_paced(Instant::now()),
+        QueueMode::AllPools => true,
+    }
+}
+
 /// Returns the owner of a team as seen by this host; `None` if no host may own it.
 fn owner_of(state: &GatewayState, team: &Name) -> Option<HostId> {
     let now = Instant::now();
@@ -75,14 +84,16 @@
     state.slots.team_owner(team, &peers, LocalReadiness { is_ready, is_settled }, now)
 }
 
-fn decide_as_owner(state: &GatewayState, team: &Name, is_retry: bool) -> QuotaDecision {
+fn decide_as_owner(state: &GatewayState, team: &Name, attempt: AttemptKind) -> QuotaDecision {
     let now = Instant::now();
+    let limits_retries = limits_retries(state);
     let is_new_owner = is_new_owner(state, team, now);
     let mut quota = lock(&state.quota);
     if is_new_owner {
         quota.limit_new_owner(name_hash(team), now);
     }
-    match quota.admit(team, is_retry, now) {
+    quota.limit_retries(limits_retries);
+    match quota.admit(team, attempt, now) {
         QuotaDecision::Exceeded(_) => QuotaDecision::Exceeded(quota.retry_after(team, now)),
         QuotaDecision::Admitted => QuotaDecision::Admitted,
     }
@@ -108,14 +119,14 @@
     state: &GatewayState,
     owner: &HostId,
     team: &Name,
-    is_retry: bool,
+    attempt: AttemptKind,
 ) -> OwnerReply {
     let request = TokenRequest {
         incarnation: state.local_host.incarnation,
         request_id: state.tokens.next_request_id.fetch_add(1, Ordering::Relaxed),
         team: name_hash(team),
         other_owner_level: lock(&state.quota).other_owner_level(team, owner, Instant::now()),
-        is_retry,
+        attempt,
     };
     let response_timeout = response_timeout(state, owner);
     let (_pending, mut receiver) = PendingRequest::insert(&state.tokens, request.request_id);
@@ -192,8 +203,10 @@
     // next owner.
     let Some(team) = team else { return };
     let is_new_owner = is_new_owner(state, &team, now);
+    let limits_retries = limits_retries(state);
     let response = {
         let mut quota = lock(&state.quota);
+        quota.limit_retries(limits_retries);
         if is_new_owner {
             quota.limit_new_owner(request.team, now);
         }
