Lines of crowded groups state the age of the oldest pace

Cause: the slots freed per second on these lines rest on paces that may be seconds old, which nobody could see.

Change: the key pace_age_ms on group-crowded and group-relieved, the age of the oldest pace of the group's usable targets, or - if none reported one.

--- a/crates/cuminramp-fleet/src/placement/pace.rs
+++ b/crates/cuminramp-fleet/src/placement/pace.rs
@@ -322,6 +322,20 @@
         GroupCapacity { slots, freed_per_s: freed_per_s.sum() }
     }
 
+    /// Returns the age of the oldest pace of a group's usable targets; `None` if none reported one.
+    ///
+    /// ```
+    /// use cuminramp_fleet::{PlacementPolicy, PlacementTable, SlotGroup};
+    /// let table = PlacementTable::new("z".into(), PlacementPolicy::default());
+    /// let group = SlotGroup { pool: "p".into(), zone: "z".into() };
+    /// assert_eq!(table.oldest_pace_age(group.hash(), tokio::time::Instant::now()), None);
+    /// ```
+    pub fn oldest_pace_age(&self, group: u32, now: Instant) -> Option<Duration> {
+        let usable = self.usable_targets(|entry| entry.group_hash == group, now);
+        let paces = usable.iter().filter_map(|entry| entry.pace.as_ref());
+        paces.map(|pace| now.saturating_duration_since(pace.last_at)).max()
+    }
+
     /// Returns the targets that became slow, or whose pace became usual again, since the last call, each at
     /// most once in five seconds.
     ///
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -266,17 +266,20 @@
     let placement = lock(&state.placement);
     let Some(group) = placement.group_by_hash(hash).cloned() else { return };
     let capacity = placement.group_capacity(&group, now);
+    let pace_age = placement.oldest_pace_age(hash, now);
     drop(placement);
     let status = lock(&state.slots.ledger).queue_status(hash, now);
     let (waiting, teams) = status.as_ref().map_or((0, 0), |status| (status.waiting, status.teams));
     let usage = status.map_or_else(String::new, |status| describe_usage(state, &status));
+    let pace_age_ms = pace_age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
     let message = match change {
         CrowdChange::Crowded => "group-crowded",
         CrowdChange::Relieved => "group-relieved",
     };
     log::info!(
         pool = &*group.pool, zone = &*group.zone, waiting = waiting, teams = teams,
-        usage = usage.as_str(), slots = capacity.slots, freed_per_s = capacity.freed_per_s;
+        usage = usage.as_str(), slots = capacity.slots, freed_per_s = capacity.freed_per_s,
+        pace_age_ms = pace_age_ms.as_str();
         "{message}"
     );
 }
