Owners send the usage and share of a team with their decisions

Cause: request-refused and request-waited gave a reason, but not the figures on which the owner had decided.

Change: a rejection, and a grant after waiting, carry the team's usage and share in hundredths of a slot and the age of the group's oldest pace. The grant after waiting is an outcome of its own, after the existing ones, so plain slot responses keep their bytes. The keys are team_share, team_usage and pace_age_ms.

Result: a test of the ledger fixes the figures, one of the messages their size: 14 bytes for a rejection, 24 for a grant after waiting, 18 for a plain grant as before.

--- a/crates/cuminramp-fleet/src/admission.rs
+++ b/crates/cuminramp-fleet/src/admission.rs
@@ -15,7 +15,7 @@
 mod shares;
 mod weights;
 
-pub use message::{AdmissionRequest, AdmissionWithdrawal, RejectionReason};
+pub use message::{AdmissionRequest, AdmissionWithdrawal, RejectionReason, ShareReport};
 pub use queue::{
     AdmissionQueue, GroupCapacity, QueueDecision, QueueStatus, RejectedRequest, WaitingRequest,
 };
--- a/crates/cuminramp-fleet/src/admission/message.rs
+++ b/crates/cuminramp-fleet/src/admission/message.rs
@@ -42,6 +42,17 @@
     pub group: u32,
 }
 
+/// Figures on which an owner based its decision on a request, for the log lines of the request's host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShareReport {
+    /// Part of all teams' usage of the group that the team's weight gives it, in hundredths of a slot.
+    pub share_centi: u32,
+    /// Usage of the team, including a slot that the decision grants, in hundredths of a slot.
+    pub usage_centi: u32,
+    /// Age of the oldest pace of the group's usable targets, in milliseconds; `None` if none reported one.
+    pub pace_age_ms: Option<u32>,
+}
+
 /// Why an owner rejected a request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum RejectionReason {
--- a/crates/cuminramp-fleet/src/admission/queue.rs
+++ b/crates/cuminramp-fleet/src/admission/queue.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::lanes::{LanePosition, RequestKey, RequestLanes, UrgencyClass};
-use super::message::{AdmissionRequest, RejectionReason};
+use super::message::{AdmissionRequest, RejectionReason, ShareReport};
 use super::returns::{MAX_DELAY, ReturnSchedule};
 use super::shares::{ShareTable, TeamShare};
 
@@ -464,6 +464,22 @@
         }
     }
 
+    /// Returns the usage and the share of a request's team, with the age of the oldest pace of the group.
+    pub(crate) fn report_share(
+        &self,
+        request: &AdmissionRequest,
+        pace_age: Option<Duration>,
+        now: Instant,
+    ) -> ShareReport {
+        let own = self.shares.share(request.team, request.weight_milli, now);
+        let share = self.shares.mean_level(now) * f64::from(own.weight_milli);
+        ShareReport {
+            share_centi: (share * 100.0).round() as u32,
+            usage_centi: (own.usage * 100.0).round() as u32,
+            pace_age_ms: pace_age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+        }
+    }
+
     /// Returns the state of the queue for logs.
     pub fn status(&self, now: Instant) -> QueueStatus {
         QueueStatus {
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -44,8 +44,8 @@
 pub use acceptance::{AcceptanceStep, AcceptanceView, JobRowWriter};
 pub use admission::{
     AdmissionQueue, AdmissionRequest, AdmissionWithdrawal, GroupCapacity, QueueDecision,
-    QueueStatus, RejectedRequest, RejectionReason, ReturnSchedule, TeamShare, TeamWeights,
-    WaitingRequest,
+    QueueStatus, RejectedRequest, RejectionReason, ReturnSchedule, ShareReport, TeamShare,
+    TeamWeights, WaitingRequest,
 };
 pub use declarations::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolRule, PoolShare, RouteKind, RouteRule,
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -63,7 +63,7 @@
     renewed_at: Instant,
     /// Times of recent grants to callers, oldest first.
     caller_grants: VecDeque<Instant>,
-    /// Requests that wait for a slot; always empty in groups whose targets report no pace.
+    /// Requests that wait for a slot; always empty in groups whose pools have no admission queue.
     queue: AdmissionQueue,
 }
 
@@ -292,7 +292,7 @@
             is_alive
         });
         self.owned.retain(|_, owned| now.duration_since(owned.renewed_at) < OWNERSHIP_TTL);
-        self.expire_queues(now);
+        self.expire_queues(placement, now);
         changed.dedup();
         for host in changed {
             if self.accounts.keys().any(|(reporter, _)| *reporter == host) {
--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -8,7 +8,7 @@
 use super::{CachedResponse, GroupShare, PendingGrant, SlotLedger};
 use crate::admission::{
     AdmissionRequest, AdmissionWithdrawal, QueueDecision, QueueStatus, RejectedRequest,
-    WaitingRequest,
+    ShareReport, WaitingRequest,
 };
 use crate::heartbeat::TargetLoad;
 use crate::placement::{GroupPlacement, GroupRequest, PlacementTable};
@@ -73,7 +73,7 @@
         let outcome = self.decide_admission(placement, host, owned, request, random, now);
         let response = SlotResponse { request_id: request.request_id, outcome };
         // Any other outcome changes with the load, and a repeat gets the current one.
-        if matches!(outcome, SlotOutcome::Granted { .. } | SlotOutcome::Rejected { .. }) {
+        if outcome.grant().is_some() || matches!(outcome, SlotOutcome::Rejected { .. }) {
             self.cache_response(host, response, now);
         }
         response
@@ -101,9 +101,19 @@
             }
             GroupPlacement::Slot(target) if queue.is_empty() => {
                 queue.record_grant(request.team, request.weight_milli, now);
-                self.grant_to_caller(placement, host, request.group, target, now)
+                let grant = self.grant_to_caller(placement, host, request.group, target, now);
+                SlotOutcome::Granted { target, grant }
             }
-            _ if request.may_wait => to_outcome(queue.submit(host, request, capacity, random, now)),
+            _ if request.may_wait => match queue.submit(host, request, capacity, random, now) {
+                QueueDecision::Waiting { wait } => {
+                    SlotOutcome::Waiting { wait_ms: to_millis(wait) }
+                }
+                QueueDecision::Rejected { retry_after, reason } => {
+                    let pace_age = placement.oldest_pace_age(request.group, now);
+                    let report = queue.report_share(request, pace_age, now);
+                    SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason, report }
+                }
+            },
             _ => {
                 let wait = queue.expected_wait(request, capacity, now);
                 SlotOutcome::Busy { wait_ms: to_millis(wait) }
@@ -122,13 +132,15 @@
         now: Instant,
     ) -> Vec<(HostId, SlotResponse)> {
         let hash = owned.group.hash();
-        self.expire_queue(hash, now);
+        self.expire_queue(placement, hash, now);
         let mut served = Vec::new();
         while served.len() < MAX_SERVED {
-            let Some((waiting, target)) = self.place_next(placement, owned, random, now) else {
+            let Some((waiting, target, report)) = self.place_next(placement, owned, random, now)
+            else {
                 break;
             };
-            let outcome = self.grant_to_caller(placement, &waiting.host, hash, target, now);
+            let grant = self.grant_to_caller(placement, &waiting.host, hash, target, now);
+            let outcome = SlotOutcome::GrantedAfterWait { target, grant, report };
             let response = SlotResponse { request_id: waiting.request.request_id, outcome };
             self.cache_response(&waiting.host, response, now);
             served.push((waiting.host, response));
@@ -138,20 +150,31 @@
     }
 
     /// Drops requests from all queues whose hosts no longer repeat them, and those that the queues reject.
-    pub(super) fn expire_queues(&mut self, now: Instant) {
+    pub(super) fn expire_queues(&mut self, placement: &PlacementTable, now: Instant) {
         for group in self.owned() {
-            self.expire_queue(group, now);
+            self.expire_queue(placement, group, now);
         }
     }
 
-    fn expire_queue(&mut self, group: u32, now: Instant) {
+    fn expire_queue(&mut self, placement: &PlacementTable, group: u32, now: Instant) {
         let Some(owned) = self.owned.get_mut(&group) else { return };
-        for RejectedRequest { waiting, retry_after, reason } in owned.queue.expire(now) {
-            let outcome = SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason };
+        let rejected = owned.queue.expire(now);
+        if rejected.is_empty() {
+            return;
+        }
+        let pace_age = placement.oldest_pace_age(group, now);
+        let mut rejections = Vec::new();
+        for RejectedRequest { waiting, retry_after, reason } in rejected {
+            let report = owned.queue.report_share(&waiting.request, pace_age, now);
+            let retry_after_ms = to_millis(retry_after);
+            let outcome = SlotOutcome::Rejected { retry_after_ms, reason, report };
             let response = SlotResponse { request_id: waiting.request.request_id, outcome };
-            self.cache_response(&waiting.host, response, now);
-            self.rejections.push((group, waiting.host, response));
+            rejections.push((group, waiting.host, response));
+        }
+        for (_, host, response) in &rejections {
+            self.cache_response(host, *response, now);
         }
+        self.rejections.append(&mut rejections);
     }
 
     fn take_rejections(&mut self, group: u32) -> Vec<(HostId, SlotResponse)> {
@@ -168,8 +191,9 @@
         owned: GroupShare<'_>,
         random: &mut dyn RandomSource,
         now: Instant,
-    ) -> Option<(WaitingRequest, u32)> {
-        let queue = &mut self.owned.get_mut(&owned.group.hash())?.queue;
+    ) -> Option<(WaitingRequest, u32, ShareReport)> {
+        let hash = owned.group.hash();
+        let queue = &mut self.owned.get_mut(&hash)?.queue;
         // With no slot free for any request, there is no need to look for one for each of them.
         if queue.is_empty() || !is_slot(place(placement, owned, &[], random, now)) {
             return None;
@@ -184,7 +208,10 @@
             GroupPlacement::Slot(target) => Some(target),
             _ => None,
         };
-        queue.grant_next(&mut place_waiting, now)
+        let (waiting, target) = queue.grant_next(&mut place_waiting, now)?;
+        let pace_age = placement.oldest_pace_age(hash, now);
+        let report = queue.report_share(&waiting.request, pace_age, now);
+        Some((waiting, target, report))
     }
 
     /// Removes a request whose caller has left from the queue. A repeat that arrives late does not enter the
@@ -236,7 +263,7 @@
         self.owned.get(&group).map(|owned| owned.queue.status(now))
     }
 
-    /// Grants a slot to an online request. Unlike the slots of [`respond`](Self::respond), that of a request
+    /// Grants a slot to an online request and returns the number of the grant. Unlike the slots of [`respond`](Self::respond), that of a request
     /// of this host is reserved as well: otherwise, all waiting requests of this host would get the same
     /// slot before the first of them begins.
     fn grant_to_caller(
@@ -246,13 +273,13 @@
         group: u32,
         target: u32,
         now: Instant,
-    ) -> SlotOutcome {
+    ) -> u64 {
         self.record_caller_grant(placement, group, target, now);
         let load = TargetLoad { target, online: 1, batch: 0 };
         let grant = self.next_grant();
         let pending = PendingGrant { number: grant, load, granted_at: now };
         self.add_pending(placement, host, group, pending, now);
-        SlotOutcome::Granted { target, grant }
+        grant
     }
 
     /// Returns the cached response to a request, and drops expired ones.
@@ -289,15 +316,6 @@
     matches!(placed, GroupPlacement::Slot(_))
 }
 
-fn to_outcome(decision: QueueDecision) -> SlotOutcome {
-    match decision {
-        QueueDecision::Waiting { wait } => SlotOutcome::Waiting { wait_ms: to_millis(wait) },
-        QueueDecision::Rejected { retry_after, reason } => {
-            SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason }
-        }
-    }
-}
-
 fn to_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/cuminramp-fleet/src/slots/message.rs
+++ b/crates/cuminramp-fleet/src/slots/message.rs
@@ -3,7 +3,7 @@
 use cuminramp_core::{AvailabilityZone, HostId, Incarnation, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::admission::RejectionReason;
+use crate::admission::{RejectionReason, ShareReport};
 use crate::demand::ItemDemand;
 use crate::heartbeat::{ReportedLoad, TargetLoad, name_hash};
 use crate::outliers::TargetOutcomes;
@@ -128,7 +128,51 @@
         retry_after_ms: u32,
         /// Why the request was rejected.
         reason: RejectionReason,
+        /// Figures on which the decision is based.
+        report: ShareReport,
     },
+    /// The slot is granted to the requesting host, for a request that waited in the owner's admission queue.
+    GrantedAfterWait {
+        /// The target, as returned by [`name_hash`].
+        target: u32,
+        /// The number of the grant.
+        grant: u64,
+        /// Figures on which the decision is based.
+        report: ShareReport,
+    },
+}
+
+impl SlotOutcome {
+    /// Returns the number of the grant; `None` if no slot is granted.
+    ///
+    /// ```
+    /// use cuminramp_fleet::SlotOutcome;
+    /// assert_eq!(SlotOutcome::Granted { target: 1, grant: 2 }.grant(), Some(2));
+    /// assert_eq!(SlotOutcome::NoTarget.grant(), None);
+    /// ```
+    pub fn grant(self) -> Option<u64> {
+        match self {
+            SlotOutcome::Granted { grant, .. } | SlotOutcome::GrantedAfterWait { grant, .. } => {
+                Some(grant)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the figures on which an admission queue based its decision, if the outcome carries them.
+    ///
+    /// ```
+    /// use cuminramp_fleet::SlotOutcome;
+    /// assert_eq!(SlotOutcome::Waiting { wait_ms: 90 }.report(), None);
+    /// ```
+    pub fn report(self) -> Option<ShareReport> {
+        match self {
+            SlotOutcome::Rejected { report, .. } | SlotOutcome::GrantedAfterWait { report, .. } => {
+                Some(report)
+            }
+            _ => None,
+        }
+    }
 }
 
 /// Response to a slot request.
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{Owner, group, host, load, report, settle, waiting};
-use crate::admission::{AdmissionRequest, AdmissionWithdrawal};
+use crate::admission::{AdmissionRequest, AdmissionWithdrawal, RejectionReason};
 use crate::heartbeat::name_hash;
 use crate::placement::{ColdShare, WorkKind};
 use crate::slots::{GroupShare, SlotOutcome, SlotReport, SlotResponse};
@@ -54,9 +54,7 @@
     /// Serves waiting requests, and returns the hosts and numbers of those that got a slot.
     fn serve_requests(&mut self) -> Vec<(String, u64)> {
         let served = self.serve();
-        let granted = served
-            .into_iter()
-            .filter(|(_, response)| matches!(response.outcome, SlotOutcome::Granted { .. }));
+        let granted = served.into_iter().filter(|(_, response)| response.outcome.grant().is_some());
         granted.map(|(host, response)| (host.address.to_string(), response.request_id)).collect()
     }
 
@@ -80,7 +78,7 @@
 }
 
 fn is_granted(outcome: SlotOutcome) -> bool {
-    matches!(outcome, SlotOutcome::Granted { .. })
+    outcome.grant().is_some()
 }
 
 fn is_waiting(outcome: SlotOutcome) -> bool {
@@ -189,7 +187,7 @@
     owner.report_busy(2, 7);
 
     let served = owner.serve();
-    let SlotOutcome::Granted { grant, .. } = served[0].1.outcome else { panic!("{served:?}") };
+    let grant = served[0].1.outcome.grant().unwrap();
     let occupied_before = owner.placement.occupancy("p");
     let (placement, hash) = (&mut owner.placement, group().hash());
     let is_reserved = owner.ledger.take_grant(placement, hash, grant, Instant::now());
@@ -434,3 +432,30 @@
 
     assert!(is_granted(owner.admit("a", &admission(1))));
 }
+
+/// Guards against log lines that show another team's figures, or figures that contradict the reason: a team that
+/// is rejected for its share has a usage above it, and a grant after waiting counts.
+#[tokio::test(start_paused = true)]
+async fn decisions_carry_the_usage_and_the_share_of_the_team() {
+    let mut owner = Owner::new(&["e1"]);
+    owner.report_busy(1, 4);
+    let other = AdmissionRequest { team: name_hash("team-b"), ..admission(100) };
+    for request in [admission(1), admission(2), admission(3), other] {
+        owner.admit("a", &request);
+    }
+    owner.placement.record_pace("e1", 100, Instant::now());
+    let hopeless = AdmissionRequest { max_wait_ms: 0, ..admission(4) };
+
+    let rejected = owner.admit("a", &hopeless);
+    owner.admit("a", &admission(5));
+    owner.report_busy(2, 3);
+    let served = owner.serve();
+    let refused = rejected.report().unwrap();
+    let granted = served[0].1.outcome.report().unwrap();
+
+    let reason = RejectionReason::ShareUsed;
+    assert!(matches!(rejected, SlotOutcome::Rejected { reason: given, .. } if given == reason));
+    assert_eq!((refused.usage_centi, refused.share_centi), (300, 200));
+    assert_eq!((granted.usage_centi, granted.share_centi), (400, 250));
+    assert_eq!((refused.pace_age_ms, granted.pace_age_ms), (Some(0), Some(0)));
+}
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminramp_core::{Name, Refusal};
-use cuminramp_fleet::RejectionReason;
+use cuminramp_fleet::{RejectionReason, ShareReport};
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -45,6 +45,8 @@
     objective: Duration,
     /// Why the request was rejected last; `None` if it got a slot.
     rejection: Option<RejectionReason>,
+    /// Figures on which an owner based its last decision that came with them.
+    report: Option<ShareReport>,
 }
 
 impl QueueRecord {
@@ -56,6 +58,29 @@
     fn waited_ms(&self) -> u64 {
         self.waited.as_millis() as u64
     }
+
+    /// Returns the value of `team_share` in log lines, in slots.
+    fn team_share(&self) -> String {
+        self.describe(|report| Some(format_slots(report.share_centi)))
+    }
+
+    /// Returns the value of `team_usage` in log lines, in slots.
+    fn team_usage(&self) -> String {
+        self.describe(|report| Some(format_slots(report.usage_centi)))
+    }
+
+    /// Returns the value of `pace_age_ms` in log lines.
+    fn pace_age_ms(&self) -> String {
+        self.describe(|report| report.pace_age_ms.map(|age| age.to_string()))
+    }
+
+    fn describe(&self, figure: impl Fn(ShareReport) -> Option<String>) -> String {
+        self.report.and_then(figure).unwrap_or_else(|| "-".to_owned())
+    }
+}
+
+fn format_slots(centi: u32) -> String {
+    format!("{:.2}", f64::from(centi) / 100.0)
 }
 
 /// Writes the log line of a refused request, with more keys in pools with admission queues.
@@ -144,10 +169,11 @@
     /// Records the decision of an owner's admission queue.
     pub(crate) fn record_admission(&mut self, admission: AdmissionResult, objective: Duration) {
         self.state.metrics.count_admission(&self.team, admission.as_str());
-        let new = QueueRecord { waited: Duration::ZERO, objective, rejection: None };
+        let new = QueueRecord { waited: Duration::ZERO, objective, rejection: None, report: None };
         let queue = self.queue.get_or_insert(new);
         queue.waited += admission.waited;
         queue.rejection = admission.rejection;
+        queue.report = admission.report.or(queue.report);
     }
 
     /// Returns why an admission queue rejected the request, if one did.
@@ -208,7 +234,10 @@
                 self,
                 refusal,
                 reason_kind = queue.reason_kind(),
-                waited_ms = queue.waited_ms()
+                waited_ms = queue.waited_ms(),
+                team_share = &*queue.team_share(),
+                team_usage = &*queue.team_usage(),
+                pace_age_ms = &*queue.pace_age_ms()
             ),
             None => log_refusal!(self, refusal),
         }
@@ -220,7 +249,9 @@
         if queue.waited > queue.objective && self.has_sent() {
             log::info!(
                 request_id = &*self.request_id, route = &*self.route, team = &*self.team,
-                reason_kind = queue.reason_kind(), waited_ms = queue.waited_ms();
+                reason_kind = queue.reason_kind(), waited_ms = queue.waited_ms(),
+                team_share = &*queue.team_share(), team_usage = &*queue.team_usage(),
+                pace_age_ms = &*queue.pace_age_ms();
                 "request-waited"
             );
         }
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,9 +1,9 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, AttemptKind, HostHeartbeat, HostMessage, ItemDemand,
-    KnownHost, OwnerFailure, PaceReport, RejectionReason, ReportedLoad, SlotCommand, SlotOutcome,
-    SlotReport, SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage, TokenOutcome,
-    TokenRequest, TokenResponse,
+    KnownHost, OwnerFailure, PaceReport, RejectionReason, ReportedLoad, ShareReport, SlotCommand,
+    SlotOutcome, SlotReport, SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage,
+    TokenOutcome, TokenRequest, TokenResponse, name_hash,
 };
 use proptest::prelude::*;
 
@@ -63,6 +63,9 @@
     }
 }
 
+const SHARE_REPORT: ShareReport =
+    ShareReport { share_centi: 320, usage_centi: 410, pace_age_ms: Some(40) };
+
 /// Returns one message of each kind, responses with each kind of outcome.
 fn messages() -> Vec<HostMessage> {
     let outcome = SlotOutcome::Granted { target: 1, grant: 2 };
@@ -102,7 +105,12 @@
         response(SlotOutcome::Busy { wait_ms: 90 }),
         response(SlotOutcome::NoTarget),
         response(SlotOutcome::Waiting { wait_ms: 90 }),
-        response(SlotOutcome::Rejected { retry_after_ms: 250, reason: RejectionReason::ShareUsed }),
+        response(SlotOutcome::Rejected {
+            retry_after_ms: 250,
+            reason: RejectionReason::ShareUsed,
+            report: SHARE_REPORT,
+        }),
+        response(SlotOutcome::GrantedAfterWait { target: 1, grant: 2, report: SHARE_REPORT }),
     ]
 }
 
@@ -141,3 +149,58 @@
         prop_assert!(read.is_err());
     }
 }
+
+/// Bytes of a message without the headers of its datagram.
+fn size_of(message: &HostMessage) -> usize {
+    postcard::to_allocvec(message).unwrap().len()
+}
+
+/// Guards against figures of the admission queue in messages of groups without one, and against an admission
+/// that costs more than docs/CAPACITY.md says. `--nocapture` prints the figures of that page.
+#[test]
+fn the_cost_of_admission_is_as_documented() {
+    let (number, grant) = (100_000, 1_796_000_000_000_000);
+    let (group, target) = (name_hash("pool-1/zone-0"), name_hash("engine-0"));
+    let avoided = vec![];
+    let slot_request = SlotRequest {
+        incarnation: grant,
+        request_id: number,
+        group,
+        avoided: avoided.clone(),
+        may_queue: false,
+    };
+    let admission = AdmissionRequest {
+        incarnation: grant,
+        request_id: number,
+        group,
+        avoided,
+        team: name_hash("team-1"),
+        weight_milli: 20_000,
+        ..admission_request()
+    };
+    let response = |outcome| HostMessage::Response(SlotResponse { request_id: number, outcome });
+    let report = SHARE_REPORT;
+    let reason = RejectionReason::ShareUsed;
+    let sizes = [
+        HostMessage::Request(slot_request),
+        response(SlotOutcome::Granted { target, grant }),
+        HostMessage::AdmissionRequest(admission),
+        response(SlotOutcome::Busy { wait_ms: 250 }),
+        response(SlotOutcome::Waiting { wait_ms: 250 }),
+        response(SlotOutcome::GrantedAfterWait { target, grant, report }),
+        response(SlotOutcome::Rejected { retry_after_ms: 400, reason, report }),
+    ]
+    .map(|message| size_of(&message));
+    let [request, granted, admission, busy, waiting, after_wait, rejected] = sizes;
+    println!("request {request}, granted {granted}, admission request {admission}, busy {busy}");
+    println!("waiting {waiting}, granted after waiting {after_wait}, rejected {rejected}");
+    // A request that waits for 200 ms asks without waiting, enters the queue and is repeated once.
+    let waiting_200_ms = 3 * admission + busy + 2 * waiting + after_wait;
+    println!(
+        "bytes a request: off {}, without waiting {}, with waiting for 200 ms {waiting_200_ms}",
+        request + granted,
+        admission + granted
+    );
+
+    assert_eq!(sizes, [19, 18, 33, 7, 7, 24, 14]);
+}
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -1,13 +1,13 @@
 //! Requests a slot for an online request from owners with an admission queue.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, HostMessage, PlacementRequest, RejectionReason,
-    SlotGroup, SlotOutcome, name_hash,
+    ShareReport, SlotGroup, SlotOutcome, name_hash,
 };
 use cuminramp_settings::QueueMode;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -46,6 +46,8 @@
     pub(crate) waited: Duration,
     /// Why the request was rejected; `None` if it got a slot.
     pub(crate) rejection: Option<RejectionReason>,
+    /// Figures on which the owner based the decision; `None` if the request got a slot at once.
+    pub(crate) report: Option<ShareReport>,
 }
 
 impl AdmissionResult {
@@ -55,7 +57,7 @@
             SlotOutcome::Rejected { reason, .. } => Some(reason),
             _ => None,
         };
-        AdmissionResult { waited, rejection }
+        AdmissionResult { waited, rejection, report: outcome.report() }
     }
 
     /// Returns the value of `outcome` in metrics.
@@ -210,7 +212,7 @@
             let Some((from, outcome)) = self.responses.recv().await else {
                 return std::future::pending().await;
             };
-            if from == owner.address || matches!(outcome, SlotOutcome::Granted { .. }) {
+            if from == owner.address || outcome.grant().is_some() {
                 return (from, outcome);
             }
         }
@@ -241,7 +243,7 @@
 
     /// Returns the outcome, or `Busy` in place of a grant that this host must no longer use.
     fn take_grant(&self, from: &Name, outcome: SlotOutcome) -> SlotOutcome {
-        let SlotOutcome::Granted { grant, .. } = outcome else { return outcome };
+        let Some(grant) = outcome.grant() else { return outcome };
         if *from != self.state.local_host.address {
             return check_grant(self.state, from, outcome);
         }
@@ -302,7 +304,7 @@
     /// lists no work for them.
     fn return_grants(&mut self) {
         while let Ok((from, outcome)) = self.responses.try_recv() {
-            if matches!(outcome, SlotOutcome::Granted { .. }) {
+            if outcome.grant().is_some() {
                 self.take_grant(&from, outcome);
                 self.state.slots.bring_report_forward(self.group);
             }
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -130,7 +130,7 @@
 /// Returns the decision that follows from an owner's outcome, or `None` if the search continues.
 fn to_decision(state: &GatewayState, outcome: SlotOutcome) -> Option<PlacementDecision> {
     match outcome {
-        SlotOutcome::Granted { target, .. } => {
+        SlotOutcome::Granted { target, .. } | SlotOutcome::GrantedAfterWait { target, .. } => {
             let placement = lock(&state.placement);
             placement.granted_target(target).cloned().map(PlacementDecision::Send)
         }
@@ -258,11 +258,9 @@
 /// Returns the outcome, or `Busy` in place of a grant that this host must no longer use: a later grant
 /// overtook it, and the owner may have granted its slot to another host since.
 pub(super) fn check_grant(state: &GatewayState, owner: &Name, outcome: SlotOutcome) -> SlotOutcome {
-    match outcome {
-        SlotOutcome::Granted { grant, .. } if !state.slots.accept_grant(owner, grant) => {
-            SlotOutcome::Busy { wait_ms: 0 }
-        }
-        outcome => outcome,
+    match outcome.grant() {
+        Some(grant) if !state.slots.accept_grant(owner, grant) => SlotOutcome::Busy { wait_ms: 0 },
+        _ => outcome,
     }
 }
 
@@ -307,7 +305,7 @@
     };
     // The request no longer waits. Accepting the grant without using it returns the slot: the next report
     // acknowledges the grant and lists no work for it.
-    if let Some(SlotOutcome::Granted { grant, .. }) = undelivered.map(|response| response.outcome) {
+    if let Some(grant) = undelivered.and_then(|response| response.outcome.grant()) {
         state.slots.accept_grant(from, grant);
     }
 }
