Count requests whose deadline ends their wait as deadline

Cause: a request that ran into its deadline in an owner's queue, for example because the owner's rejection was lost, was not counted in cuminramp_admissions_total, and its line had no reason_kind.

Change: the request keeps the time at which it was queued; if the deadline passes in the meantime, it is recorded with the reason deadline.

--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -16,7 +16,7 @@
 use super::forward::{forward_complete, forward_stream};
 use crate::entry::{ResponseBody, is_retry};
 use crate::interfaces::{CallHead, TargetHead};
-use crate::slots::{AdmissionTerms, find_slot};
+use crate::slots::{AdmissionResult, AdmissionTerms, find_slot};
 use crate::state::{GatewayState, lock};
 use crate::targets::{SendFailure, TargetRequest, TargetResponse, TargetRun, send_request};
 
@@ -57,6 +57,8 @@
     pub(crate) last_event: Option<u64>,
     /// Time by which the caller receives its final response.
     deadline: Instant,
+    /// Set while the request waits in an owner's queue, to the time at which it was queued.
+    queued_at: OnceLock<Instant>,
     /// Hash of team, URI and body, computed on first use. All calls that repeat a request have
     /// the same one.
     fingerprint: OnceLock<u64>,
@@ -79,6 +81,7 @@
             tried: Vec::new(),
             last_event,
             deadline,
+            queued_at: OnceLock::new(),
             fingerprint: OnceLock::new(),
         }
     }
@@ -162,9 +165,11 @@
             priority: self.request.route.priority,
             started_at: self.record.started_at(),
             deadline: self.deadline,
+            queued_at: &self.queued_at,
         };
         let started_at = Instant::now();
         let placement = find_slot(&self.state, &placement_request, &terms).await;
+        self.queued_at.take();
         self.record.record_placement(placement.placed_by, started_at.elapsed());
         if let Some(admission) = placement.admission {
             self.record.record_admission(admission, self.request.route.objective);
@@ -172,6 +177,14 @@
         placement.decision
     }
 
+    /// Records that the deadline passed, as a decision of the queue if the request was waiting in one.
+    fn record_deadline(&mut self) {
+        if let Some(queued_at) = self.queued_at.take() {
+            let admission = AdmissionResult::deadline_passed(queued_at.elapsed());
+            self.record.record_admission(admission, self.request.route.objective);
+        }
+    }
+
     /// Sends the request to `target` and waits for the head of the response.
     async fn send(&mut self, target: FleetTarget) -> Result<TargetResponse, SendFailure> {
         self.record.record_send(&target.id);
@@ -318,6 +331,7 @@
     let result = match tokio::time::timeout_at(deadline, dispatch.send_until_answered()).await {
         Ok(result) => result,
         Err(_) => {
+            dispatch.record_deadline();
             let execution =
                 if dispatch.record.has_sent() { Execution::MayHaveRun } else { Execution::NotRun };
             let refusal =
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -1,7 +1,7 @@
 //! Requests a slot for an online request from owners with an admission queue.
 
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name};
@@ -37,6 +37,8 @@
     pub(crate) started_at: Instant,
     /// Time by which the caller receives its final response.
     pub(crate) deadline: Instant,
+    /// Set when an owner queues the request, to the time at which it did.
+    pub(crate) queued_at: &'a OnceLock<Instant>,
 }
 
 /// Decision of an owner's admission queue on a request.
@@ -46,11 +48,17 @@
     pub(crate) waited: Duration,
     /// Why the request was rejected; `None` if it got a slot.
     pub(crate) rejection: Option<RejectionReason>,
-    /// Figures on which the owner based the decision; `None` if the request got a slot at once.
+    /// Figures on which the owner based the decision; `None` if the request got a slot at once, or if its
+    /// deadline ended the wait.
     pub(crate) report: Option<ShareReport>,
 }
 
 impl AdmissionResult {
+    /// Creates the result of a request whose deadline passed while it waited.
+    pub(crate) fn deadline_passed(waited: Duration) -> Self {
+        AdmissionResult { waited, rejection: Some(RejectionReason::Deadline), report: None }
+    }
+
     /// Creates the result of an owner's final outcome.
     pub(super) fn new(waited: Duration, outcome: SlotOutcome) -> Self {
         let rejection = match outcome {
@@ -150,6 +158,7 @@
             match self.ask(&owner, request, terms).await {
                 OwnerReply::Response((_, SlotOutcome::Waiting { .. })) => {
                     (silent_owners, is_queued) = (0, true);
+                    terms.queued_at.get_or_init(Instant::now);
                     if let Some(response) = self.wait_for_decision(&owner).await {
                         return Some(self.finish(response));
                     }
