Refusals above a team's rate name the team and say if a token is expected

Cause: where retries are limited, a refused call may be told a time at which no token is expected for it, and its line looked like any other.

Elsewhere the line is as before.

--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -53,17 +53,32 @@
     }
 }
 
+/// Writes the log line of a call that was refused before it was passed to its route's handler, with more keys
+/// for teams above their rates.
+macro_rules! log_call_refusal {
+    ($head:ident, $route:expr, $version:ident, $refusal:ident $(, $key:ident = $value:expr)*) => {
+        log::info!(
+            request_id = $head.request_id.as_deref().unwrap_or("-"), host = &*$head.host,
+            route = $route, declarations = $version,
+            code = $refusal.code.number(), name = $refusal.code.name(),
+            execution = $refusal.execution.as_str(),
+            retry_after_ms = $refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
+            reason = $refusal.message.as_str()
+            $(, $key = $value)*;
+            "call-refused"
+        )
+    };
+}
+
 /// Logs a call that was refused before it was passed to its route's handler.
 fn log_refusal(head: &CallHead, route: Option<&RouteRule>, version: u64, refusal: &Refusal) {
-    log::info!(
-        request_id = head.request_id.as_deref().unwrap_or("-"), host = &*head.host,
-        route = route.map_or("-", |route| &*route.name), declarations = version,
-        code = refusal.code.number(), name = refusal.code.name(),
-        execution = refusal.execution.as_str(),
-        retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
-        reason = refusal.message.as_str();
-        "call-refused"
-    );
+    log_call_refusal!(head, route.map_or("-", |route| &*route.name), version, refusal);
+}
+
+/// Returns the value of `reason_kind` for a team above its rate where retries are limited. A retry after more than
+/// [`MAX_RATE_RETRY_AFTER`] counts as one that no token is expected for.
+fn rate_reason_kind(wait: Duration) -> &'static str {
+    if wait > MAX_RATE_RETRY_AFTER { "rate-no-token-expected" } else { "rate" }
 }
 
 /// Logs a refused call about a job. Most calls about jobs have no request ID, so that a caller's
@@ -157,13 +172,24 @@
             continue;
         }
         // A longer wait says that no token is expected for the caller's retry.
-        let max_retry_after =
-            if limits_retries(state) { route.timeout } else { MAX_RATE_RETRY_AFTER };
+        let limits_retries = limits_retries(state);
+        let max_retry_after = if limits_retries { route.timeout } else { MAX_RATE_RETRY_AFTER };
         let reason =
             format!("team {} is above its rate for another {} ms", team.name, wait.as_millis());
         let refusal = Refusal::not_run(ResultCode::RateExceeded, reason)
             .with_retry_after(wait.min(max_retry_after));
-        log_refusal(head, Some(route), version, &refusal);
+        if limits_retries {
+            log_call_refusal!(
+                head,
+                &*route.name,
+                version,
+                refusal,
+                team = &*team.name,
+                reason_kind = rate_reason_kind(wait)
+            );
+        } else {
+            log_refusal(head, Some(route), version, &refusal);
+        }
         return Err(refusal);
     }
 }
