Refusals for lack of a slot state that an earlier send may have run

The admission queue also rejects second attempts, with reasons deadline and queue-full. If the first target of a request had failed after the request was sent, the refusal still said "not run". refuse_full now sets the execution from the number of runs, as the other refusals do.

--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{
-    FleetTarget, PlacementDecision, PlacementRequest, RouteKind, RouteRule, WorkKind, ZoneLimit,
+    FleetTarget, PlacementDecision, PlacementRequest, RejectionReason, RouteKind, RouteRule,
+    WorkKind, ZoneLimit,
 };
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
@@ -103,10 +104,9 @@
         else {
             return Ok(());
         };
-        let execution = if self.runs > 0 { Execution::MayHaveRun } else { Execution::NotRun };
         let reason = "the same request crashed several targets";
         Err(Refusal::not_run(ResultCode::RequestHeldBack, reason)
-            .with_execution(execution)
+            .with_execution(execution_after(self.runs))
             .with_retry_after(remaining))
     }
 
@@ -202,7 +202,9 @@
             self.check_quarantine()?;
             let target = match self.place().await {
                 PlacementDecision::Send(target) => target,
-                PlacementDecision::Full(retry_after) => return Err(self.refuse_full(retry_after)),
+                PlacementDecision::Full(retry_after) => {
+                    return Err(refuse_full(self.record.rejection(), self.runs, retry_after));
+                }
                 PlacementDecision::NoTarget if !self.tried.is_empty() => {
                     self.tried.clear();
                     continue;
@@ -220,22 +222,13 @@
         }
     }
 
-    fn refuse_full(&self, retry_after: Duration) -> Refusal {
-        let reason = match self.record.rejection() {
-            Some(rejection) => format!("no slot was available in time: {}", rejection.as_str()),
-            None => "all slots are in use and the shortest queue is too long".to_owned(),
-        };
-        Refusal::not_run(ResultCode::TargetsUnavailable, reason).with_retry_after(retry_after)
-    }
-
     fn refuse_without_target(&self) -> Refusal {
         /// Retry delay while a pool has no target. Targets register within about a second after they start.
         const NO_TARGET_RETRY_DELAY: Duration = Duration::from_millis(700);
         let reason = format!("pool {} has no target", self.request.pool);
-        let execution = if self.runs > 0 { Execution::MayHaveRun } else { Execution::NotRun };
         Refusal::not_run(ResultCode::TargetsUnavailable, reason)
             .with_retry_after(NO_TARGET_RETRY_DELAY)
-            .with_execution(execution)
+            .with_execution(execution_after(self.runs))
     }
 
     /// Records a failed send and decides the next step. `Ok` means that the request is sent again.
@@ -307,6 +300,23 @@
     }
 }
 
+/// Returns whether a request may have run, given the number of its sends that a target may have run.
+fn execution_after(runs: u32) -> Execution {
+    if runs > 0 { Execution::MayHaveRun } else { Execution::NotRun }
+}
+
+/// Returns the refusal of a request that gets no slot in time. `runs` is the number of its sends that a target
+/// may have run: a second attempt is rejected as well if it can't start before its deadline.
+fn refuse_full(rejection: Option<RejectionReason>, runs: u32, retry_after: Duration) -> Refusal {
+    let reason = match rejection {
+        Some(rejection) => format!("no slot was available in time: {}", rejection.as_str()),
+        None => "all slots are in use and the shortest queue is too long".to_owned(),
+    };
+    Refusal::not_run(ResultCode::TargetsUnavailable, reason)
+        .with_retry_after(retry_after)
+        .with_execution(execution_after(runs))
+}
+
 /// Serves one admitted request, within its deadline.
 pub(crate) async fn serve_request(
     state: Arc<GatewayState>,
@@ -338,3 +348,6 @@
         forward_complete(dispatch, response).await
     }
 }
+
+#[cfg(test)]
+mod tests;
