SlotLedger: drop old grants to callers when a grant is recorded

The times of grants to callers were dropped only when slots were granted to batch items. An owner without waiting items kept one entry for each grant as long as it owned the group.

--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -68,13 +68,24 @@
 }
 
 impl OwnedGroup {
+    /// Records a grant to a caller. Earlier ones are dropped here too: without waiting items,
+    /// [`reserved_slots`](Self::reserved_slots) is not called.
+    fn record_caller_grant(&mut self, now: Instant) {
+        self.drop_past_grants(now);
+        self.caller_grants.push_back(now);
+    }
+
     /// Returns the number of slots to keep free of items, since callers will probably need them soon.
     fn reserved_slots(&mut self, now: Instant) -> u32 {
+        self.drop_past_grants(now);
+        self.caller_grants.len() as u32
+    }
+
+    fn drop_past_grants(&mut self, now: Instant) {
         while self.caller_grants.front().is_some_and(|at| now.duration_since(*at) > RESERVE_WINDOW)
         {
             self.caller_grants.pop_front();
         }
-        self.caller_grants.len() as u32
     }
 }
 
@@ -239,7 +250,7 @@
         now: Instant,
     ) {
         if let Some(owned) = self.owned.get_mut(&group) {
-            owned.caller_grants.push_back(now);
+            owned.record_caller_grant(now);
         }
         placement.record_sends(target, 1, now);
     }
@@ -303,6 +314,12 @@
         }
     }
 
+    /// Returns the number of grants to callers that are recorded for a group.
+    #[cfg(test)]
+    pub(super) fn recorded_caller_grants(&self, group: u32) -> usize {
+        self.owned.get(&group).map_or(0, |owned| owned.caller_grants.len())
+    }
+
     /// Returns how much work a host has in flight at a target according to this ledger, pending grants
     /// included.
     #[cfg(test)]
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -293,6 +293,20 @@
     assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
 }
 
+/// Guards against memory that grows with each grant to a caller as long as no batch item waits.
+#[tokio::test(start_paused = true)]
+async fn grants_to_callers_are_not_recorded_for_ever() {
+    let mut owner = Owner::new(&["e1"]);
+
+    for number in 0..100 {
+        owner.admit("a", &admission(number));
+        advance(Duration::from_millis(300)).await;
+        owner.expire();
+    }
+
+    assert_eq!(owner.ledger.recorded_caller_grants(group().hash()), 1);
+}
+
 /// Guards against a repeat that overtakes the withdrawal or arrives late: queued again, the request would
 /// get a slot that nobody uses.
 #[tokio::test(start_paused = true)]
