SlotLedger: do not queue a request again that was just rejected

A request that left a full queue, or passed its deadline there, had its rejection cached only by the next call of serve_waiting. A repeat that was handled before it entered the queue as a new request; its host then received the rejection and no longer withdrew it, so it could get a slot that nobody used. admit now caches the rejections first, and the repeat gets the same rejection.

--- a/crates/cuminramp-fleet/src/admission/queue.rs
+++ b/crates/cuminramp-fleet/src/admission/queue.rs
@@ -448,8 +448,14 @@
         self.remove_where(|waiting| {
             now.saturating_duration_since(waiting.received_at) >= REPEAT_TTL
         });
-        self.advance(now);
         self.shares.expire(now);
+        self.take_rejected(now)
+    }
+
+    /// Returns the requests that left the queue since the last call because their deadline has passed or the
+    /// queue is full.
+    pub fn take_rejected(&mut self, now: Instant) -> Vec<RejectedRequest> {
+        self.advance(now);
         std::mem::take(&mut self.rejected)
     }
 
--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -67,6 +67,8 @@
         now: Instant,
     ) -> SlotResponse {
         self.record_ownership(request.group, now);
+        // Cached first: a repeat of a request that was just rejected must not enter the queue again.
+        self.cache_rejections(request.group, now);
         if let Some(response) = self.cached_response(host, request.request_id, now) {
             return response;
         }
@@ -146,7 +148,20 @@
 
     fn expire_queue(&mut self, group: u32, now: Instant) {
         let Some(owned) = self.owned.get_mut(&group) else { return };
-        for RejectedRequest { waiting, retry_after, reason } in owned.queue.expire(now) {
+        let rejected = owned.queue.expire(now);
+        self.cache_rejected(group, rejected, now);
+    }
+
+    /// Caches the rejections of requests that have left the queue of a group, and keeps them for
+    /// [`serve_waiting`](Self::serve_waiting).
+    fn cache_rejections(&mut self, group: u32, now: Instant) {
+        let Some(owned) = self.owned.get_mut(&group) else { return };
+        let rejected = owned.queue.take_rejected(now);
+        self.cache_rejected(group, rejected, now);
+    }
+
+    fn cache_rejected(&mut self, group: u32, rejected: Vec<RejectedRequest>, now: Instant) {
+        for RejectedRequest { waiting, retry_after, reason } in rejected {
             let outcome = SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason };
             let response = SlotResponse { request_id: waiting.request.request_id, outcome };
             self.cache_response(&waiting.host, response, now);
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{Owner, group, host, load, report, settle, waiting};
-use crate::admission::{AdmissionRequest, AdmissionWithdrawal};
+use crate::admission::{AdmissionRequest, AdmissionWithdrawal, RejectionReason};
 use crate::heartbeat::name_hash;
 use crate::placement::{ColdShare, WorkKind};
 use crate::slots::{GroupShare, SlotOutcome, SlotReport, SlotResponse};
@@ -293,6 +293,34 @@
     assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
 }
 
+/// Guards against a rejected request that enters the queue again with a repeat that was sent before its host
+/// received the rejection: it would then get a slot that nobody uses.
+#[tokio::test(start_paused = true)]
+async fn a_repeat_of_a_request_that_a_full_queue_rejected_is_not_queued() {
+    let mut owner = Owner::with_full_target();
+    let late_retry = |number| AdmissionRequest {
+        max_wait_ms: 0,
+        deadline_ms: 60_000,
+        is_retry: true,
+        ..admission(number)
+    };
+    (0..32).for_each(|number| {
+        owner.admit("a", &late_retry(number));
+    });
+    let urgent = owner.admit("b", &AdmissionRequest { team: name_hash("team-b"), ..admission(1) });
+
+    owner.withdraw("a", 0);
+    let repeated = owner.admit("a", &late_retry(31));
+
+    let queue_full = RejectionReason::QueueFull;
+    assert!(is_waiting(urgent), "{urgent:?}");
+    assert!(
+        matches!(repeated, SlotOutcome::Rejected { reason, .. } if reason == queue_full),
+        "{repeated:?}"
+    );
+    assert_eq!(owner.waiting(), 31);
+}
+
 /// Guards against memory that grows with each grant to a caller as long as no batch item waits.
 #[tokio::test(start_paused = true)]
 async fn grants_to_callers_are_not_recorded_for_ever() {
