SlotLedger: a withdrawal frees the slot granted to a request of the owner itself

If a caller left between the grant and its delivery to the request, the reservation of the slot ended only after 250 ms: hosts return unused grants with reports, which an owner doesn't send to itself. withdraw now ends the reservation of a request of this host.

--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -204,14 +204,28 @@
 
     /// Removes a request whose caller has left from the queue. A repeat that arrives late does not enter the
     /// queue again.
-    pub fn withdraw(&mut self, host: &HostId, withdrawal: &AdmissionWithdrawal) {
-        let now = Instant::now();
-        if let Some(owned) = self.owned.get_mut(&withdrawal.group) {
-            owned.queue.withdraw(host, withdrawal.request_id);
+    ///
+    /// If a request of this host was granted a slot and hasn't received the grant yet, its reservation ends.
+    /// Other hosts return such slots with their next report.
+    pub fn withdraw(
+        &mut self,
+        placement: &mut PlacementTable,
+        host: &HostId,
+        withdrawal: &AdmissionWithdrawal,
+        now: Instant,
+    ) {
+        let AdmissionWithdrawal { group, request_id, .. } = *withdrawal;
+        if let Some(owned) = self.owned.get_mut(&group) {
+            owned.queue.withdraw(host, request_id);
         }
-        if self.cached_response(host, withdrawal.request_id, now).is_none() {
-            let response = SlotResponse { request_id: withdrawal.request_id, outcome: WITHDRAWN };
-            self.cache_response(host, response, now);
+        match self.cached_response(host, request_id, now).map(|response| response.outcome) {
+            Some(SlotOutcome::Granted { grant, .. }) if *host == self.me => {
+                self.take_grant(placement, group, grant, now);
+            }
+            Some(_) => {}
+            None => {
+                self.cache_response(host, SlotResponse { request_id, outcome: WITHDRAWN }, now);
+            }
         }
     }
 
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -62,7 +62,7 @@
 
     fn withdraw(&mut self, from: &str, request_id: u64) {
         let withdrawal = AdmissionWithdrawal { incarnation: 1, request_id, group: group().hash() };
-        self.ledger.withdraw(&host(from), &withdrawal);
+        self.ledger.withdraw(&mut self.placement, &host(from), &withdrawal, Instant::now());
     }
 
     fn expire(&mut self) {
@@ -335,6 +335,22 @@
     assert_eq!(owner.ledger.recorded_caller_grants(group().hash()), 1);
 }
 
+/// Guards against a slot that stays unused until its reservation expires: the caller of a request of the owner
+/// itself leaves after the slot was granted and before the request received the grant.
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_of_a_request_of_the_owner_frees_its_granted_slot() {
+    let mut owner = Owner::with_full_target();
+    owner.admit("o", &admission(1));
+    owner.report_busy(2, 7);
+    let granted = owner.serve_requests();
+    owner.admit("b", &admission(1));
+
+    owner.withdraw("o", 1);
+
+    assert_eq!(granted, [("o".to_owned(), 1)]);
+    assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
+}
+
 /// Guards against a repeat that overtakes the withdrawal or arrives late: queued again, the request would
 /// get a slot that nobody uses.
 #[tokio::test(start_paused = true)]
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -291,7 +291,9 @@
             group: self.group.hash(),
         };
         if owner == self.state.id() {
-            lock(&self.state.slots.ledger).withdraw(&owner, &withdrawal);
+            let mut placement = lock(&self.state.placement);
+            let mut ledger = lock(&self.state.slots.ledger);
+            ledger.withdraw(&mut placement, &owner, &withdrawal, Instant::now());
         } else {
             let message = HostMessage::AdmissionWithdrawal(withdrawal);
             try_send_to_host(self.state, &message, &owner.address);
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -126,8 +126,12 @@
     withdrawal: AdmissionWithdrawal,
 ) {
     let host = HostId { address: from.clone(), incarnation: withdrawal.incarnation };
-    lock(&state.slots.ledger).withdraw(&host, &withdrawal);
-    let group = lock(&state.placement).group_by_hash(withdrawal.group).cloned();
+    let group = {
+        let mut placement = lock(&state.placement);
+        let mut ledger = lock(&state.slots.ledger);
+        ledger.withdraw(&mut placement, &host, &withdrawal, Instant::now());
+        placement.group_by_hash(withdrawal.group).cloned()
+    };
     if let Some(group) = group {
         serve_waiting(state, &group).await;
         send_item_limits(state, &group).await;
