--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -67,6 +67,8 @@
         now: Instant,
     ) -> SlotResponse {
         self.record_ownership(request.group, now);
+        // Cached first: a repeat of a request that was just rejected must not enter the queue again.
+        self.cache_rejections(placement, request.group, now);
         if let Some(response) = self.cached_response(host, request.request_id, now) {
             return response;
         }
@@ -89,7 +91,6 @@
         now: Instant,
     ) -> SlotOutcome {
         let placed = place(placement, owned, &request.avoided, random, now);
-        let capacity = placement.group_capacity(owned.group, now);
         let Some(account) = self.owned.get_mut(&request.group) else {
             return SlotOutcome::NoTarget;
         };
@@ -104,17 +105,25 @@
                 let grant = self.grant_to_caller(placement, host, request.group, target, now);
                 SlotOutcome::Granted { target, grant }
             }
-            _ if request.may_wait => match queue.submit(host, request, capacity, random, now) {
-                QueueDecision::Waiting { wait } => {
-                    SlotOutcome::Waiting { wait_ms: to_millis(wait) }
+            _ if request.may_wait => {
+                let capacity = placement.group_capacity(owned.group, now);
+                match queue.submit(host, request, capacity, random, now) {
+                    QueueDecision::Waiting { wait } => {
+                        SlotOutcome::Waiting { wait_ms: to_millis(wait) }
+                    }
+                    QueueDecision::Rejected { retry_after, reason } => {
+                        let pace_age = placement.oldest_pace_age(request.group, now);
+                        let report = queue.report_share(request, pace_age, now);
+                        SlotOutcome::Rejected {
+                            retry_after_ms: to_millis(retry_after),
+                            reason,
+                            report,
+                        }
+                    }
                 }
-                QueueDecision::Rejected { retry_after, reason } => {
-                    let pace_age = placement.oldest_pace_age(request.group, now);
-                    let report = queue.report_share(request, pace_age, now);
-                    SlotOutcome::Rejected { retry_after_ms: to_millis(retry_after), reason, report }
-                }
-            },
+            }
             _ => {
+                let capacity = placement.group_capacity(owned.group, now);
                 let wait = queue.expected_wait(request, capacity, now);
                 SlotOutcome::Busy { wait_ms: to_millis(wait) }
             }
@@ -159,22 +168,37 @@
     fn expire_queue(&mut self, placement: &PlacementTable, group: u32, now: Instant) {
         let Some(owned) = self.owned.get_mut(&group) else { return };
         let rejected = owned.queue.expire(now);
+        self.cache_rejected(placement, group, rejected, now);
+    }
+
+    /// Caches the rejections of requests that have left the queue of a group, and keeps them for
+    /// [`serve_waiting`](Self::serve_waiting).
+    fn cache_rejections(&mut self, placement: &PlacementTable, group: u32, now: Instant) {
+        let Some(owned) = self.owned.get_mut(&group) else { return };
+        let rejected = owned.queue.take_rejected(now);
+        self.cache_rejected(placement, group, rejected, now);
+    }
+
+    fn cache_rejected(
+        &mut self,
+        placement: &PlacementTable,
+        group: u32,
+        rejected: Vec<RejectedRequest>,
+        now: Instant,
+    ) {
         if rejected.is_empty() {
             return;
         }
         let pace_age = placement.oldest_pace_age(group, now);
-        let mut rejections = Vec::new();
         for RejectedRequest { waiting, retry_after, reason } in rejected {
+            let Some(owned) = self.owned.get(&group) else { return };
             let report = owned.queue.report_share(&waiting.request, pace_age, now);
             let retry_after_ms = to_millis(retry_after);
             let outcome = SlotOutcome::Rejected { retry_after_ms, reason, report };
             let response = SlotResponse { request_id: waiting.request.request_id, outcome };
-            rejections.push((group, waiting.host, response));
-        }
-        for (_, host, response) in &rejections {
-            self.cache_response(host, *response, now);
+            self.cache_response(&waiting.host, response, now);
+            self.rejections.push((group, waiting.host, response));
         }
-        self.rejections.append(&mut rejections);
     }
 
     fn take_rejections(&mut self, group: u32) -> Vec<(HostId, SlotResponse)> {
@@ -216,14 +240,28 @@
 
     /// Removes a request whose caller has left from the queue. A repeat that arrives late does not enter the
     /// queue again.
-    pub fn withdraw(&mut self, host: &HostId, withdrawal: &AdmissionWithdrawal) {
-        let now = Instant::now();
-        if let Some(owned) = self.owned.get_mut(&withdrawal.group) {
-            owned.queue.withdraw(host, withdrawal.request_id);
+    ///
+    /// If a request of this host was granted a slot and hasn't received the grant yet, its reservation ends.
+    /// Other hosts return such slots with their next report.
+    pub fn withdraw(
+        &mut self,
+        placement: &mut PlacementTable,
+        host: &HostId,
+        withdrawal: &AdmissionWithdrawal,
+        now: Instant,
+    ) {
+        let AdmissionWithdrawal { group, request_id, .. } = *withdrawal;
+        if let Some(owned) = self.owned.get_mut(&group) {
+            owned.queue.withdraw(host, request_id);
         }
-        if self.cached_response(host, withdrawal.request_id, now).is_none() {
-            let response = SlotResponse { request_id: withdrawal.request_id, outcome: WITHDRAWN };
-            self.cache_response(host, response, now);
+        match self.cached_response(host, request_id, now).map(|response| response.outcome) {
+            Some(SlotOutcome::Granted { grant, .. }) if *host == self.me => {
+                self.take_grant(placement, group, grant, now);
+            }
+            Some(_) => {}
+            None => {
+                self.cache_response(host, SlotResponse { request_id, outcome: WITHDRAWN }, now);
+            }
         }
     }
 
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -60,7 +60,7 @@
 
     fn withdraw(&mut self, from: &str, request_id: u64) {
         let withdrawal = AdmissionWithdrawal { incarnation: 1, request_id, group: group().hash() };
-        self.ledger.withdraw(&host(from), &withdrawal);
+        self.ledger.withdraw(&mut self.placement, &host(from), &withdrawal, Instant::now());
     }
 
     fn expire(&mut self) {
@@ -291,6 +291,64 @@
     assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
 }
 
+/// Guards against a rejected request that enters the queue again with a repeat that was sent before its host
+/// received the rejection: it would then get a slot that nobody uses.
+#[tokio::test(start_paused = true)]
+async fn a_repeat_of_a_request_that_a_full_queue_rejected_is_not_queued() {
+    let mut owner = Owner::with_full_target();
+    let late_retry = |number| AdmissionRequest {
+        max_wait_ms: 0,
+        deadline_ms: 60_000,
+        is_retry: true,
+        ..admission(number)
+    };
+    (0..32).for_each(|number| {
+        owner.admit("a", &late_retry(number));
+    });
+    let urgent = owner.admit("b", &AdmissionRequest { team: name_hash("team-b"), ..admission(1) });
+
+    owner.withdraw("a", 0);
+    let repeated = owner.admit("a", &late_retry(31));
+
+    let queue_full = RejectionReason::QueueFull;
+    assert!(is_waiting(urgent), "{urgent:?}");
+    assert!(
+        matches!(repeated, SlotOutcome::Rejected { reason, .. } if reason == queue_full),
+        "{repeated:?}"
+    );
+    assert_eq!(owner.waiting(), 31);
+}
+
+/// Guards against memory that grows with each grant to a caller as long as no batch item waits.
+#[tokio::test(start_paused = true)]
+async fn grants_to_callers_are_not_recorded_for_ever() {
+    let mut owner = Owner::new(&["e1"]);
+
+    for number in 0..100 {
+        owner.admit("a", &admission(number));
+        advance(Duration::from_millis(300)).await;
+        owner.expire();
+    }
+
+    assert_eq!(owner.ledger.recorded_caller_grants(group().hash()), 1);
+}
+
+/// Guards against a slot that stays unused until its reservation expires: the caller of a request of the owner
+/// itself leaves after the slot was granted and before the request received the grant.
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_of_a_request_of_the_owner_frees_its_granted_slot() {
+    let mut owner = Owner::with_full_target();
+    owner.admit("o", &admission(1));
+    owner.report_busy(2, 7);
+    let granted = owner.serve_requests();
+    owner.admit("b", &admission(1));
+
+    owner.withdraw("o", 1);
+
+    assert_eq!(granted, [("o".to_owned(), 1)]);
+    assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
+}
+
 /// Guards against a repeat that overtakes the withdrawal or arrives late: queued again, the request would
 /// get a slot that nobody uses.
 #[tokio::test(start_paused = true)]
