--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -254,14 +254,12 @@
         if let Some(owned) = self.owned.get_mut(&group) {
             owned.queue.withdraw(host, request_id);
         }
-        match self.cached_response(host, request_id, now).map(|response| response.outcome) {
-            Some(SlotOutcome::Granted { grant, .. }) if *host == self.me => {
-                self.take_grant(placement, group, grant, now);
-            }
-            Some(_) => {}
-            None => {
-                self.cache_response(host, SlotResponse { request_id, outcome: WITHDRAWN }, now);
-            }
+        let Some(response) = self.cached_response(host, request_id, now) else {
+            self.cache_response(host, SlotResponse { request_id, outcome: WITHDRAWN }, now);
+            return;
+        };
+        if let Some(grant) = response.outcome.grant().filter(|_| *host == self.me) {
+            self.take_grant(placement, group, grant, now);
         }
     }
 
