Add the settings stream-buffer-mb and memory-mb

Cause: a gateway has no setting for the memory that it may hold for callers that don't read, and does not know the memory of its host.

Change: stream-buffer-mb sets the bound. With 0, it is an eighth of memory-mb if requirements lists pressure, else there is none.

Result: cargo test -p cuminramp-settings passes with tests of the derivation and of values out of bounds. Nothing reads the bound yet.

--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -64,6 +64,11 @@
     pub team_weights: Vec<TeamWeight>,
     /// Whether the paces that targets report are used: `auto`, for targets that report one, or `off`.
     pub target_pace: String,
+    /// Memory of the host in MB; 0 if it is unknown.
+    pub memory_mb: u64,
+    /// Maximum memory in MB that the host holds for callers that don't read their responses. With 0, it is an
+    /// eighth of `memory-mb` if `requirements` lists `pressure`, else there is no bound.
+    pub stream_buffer_mb: u64,
 }
 
 /// Value of a setting that uses a feature where it can.
@@ -76,6 +81,13 @@
 const QUEUE_VALUES: [&str; 3] = [AUTO, "on", OFF];
 /// Requirement that callers may compete for slots.
 const PRESSURE: &str = "pressure";
+/// Part of the host's memory that may be held for callers that don't read, as a divisor, where
+/// `stream-buffer-mb` does not set it.
+const STREAM_BUFFER_DIVISOR: u64 = 8;
+/// Number of bytes in one MB of a setting.
+const BYTES_PER_MB: u64 = 1 << 20;
+/// Maximum of a setting in MB: one TB. A larger number is a mistake of the unit, for example bytes.
+const MAX_MEMORY_MB: u64 = 1 << 20;
 
 /// Where the owners of slots queue requests while all slots are taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -131,6 +143,8 @@
             requirements: vec![],
             team_weights: vec![],
             target_pace: AUTO.into(),
+            memory_mb: 0,
+            stream_buffer_mb: 0,
         }
     }
 }
@@ -149,14 +163,34 @@
     /// assert_eq!(settings.queue_mode(), QueueMode::AllPools);
     /// ```
     pub fn queue_mode(&self) -> QueueMode {
-        let is_required = self.requirements.iter().any(|name| name == PRESSURE);
         match self.admission_queue.as_str() {
             OFF => QueueMode::Off,
-            AUTO if !is_required => QueueMode::PacedPools,
+            AUTO if !self.requires_pressure() => QueueMode::PacedPools,
             _ => QueueMode::AllPools,
         }
     }
 
+    fn requires_pressure(&self) -> bool {
+        self.requirements.iter().any(|name| name == PRESSURE)
+    }
+
+    /// Returns the maximum number of bytes that the host holds for callers that don't read their responses;
+    /// `None` if there is no bound.
+    ///
+    /// ```
+    /// use cuminramp_settings::parse_gateway_settings;
+    /// let text = r#"{ "requirements": ["pressure"], "memory-mb": 160 }"#;
+    /// assert_eq!(parse_gateway_settings(text).unwrap().stream_buffer_bytes(), Some(20 << 20));
+    /// assert_eq!(parse_gateway_settings("{}").unwrap().stream_buffer_bytes(), None);
+    /// ```
+    pub fn stream_buffer_bytes(&self) -> Option<u64> {
+        let bytes = match self.stream_buffer_mb {
+            0 if self.requires_pressure() => self.memory_mb * BYTES_PER_MB / STREAM_BUFFER_DIVISOR,
+            mb => mb * BYTES_PER_MB,
+        };
+        Some(bytes).filter(|bytes| *bytes > 0)
+    }
+
     /// Returns whether the paces that targets report are used.
     ///
     /// ```
@@ -237,6 +271,14 @@
         }
     }
     check_team_weights(&settings.team_weights, errors);
+    let memory =
+        [("memory-mb", settings.memory_mb), ("stream-buffer-mb", settings.stream_buffer_mb)];
+    for (place, mb) in memory {
+        if mb > MAX_MEMORY_MB {
+            let reason = format!("must be from 0 to {MAX_MEMORY_MB}, not {mb}");
+            errors.push(SettingsError::new(place, reason));
+        }
+    }
     let tolerances = [
         ("rate-tolerance-share", settings.rate_tolerance_share),
         ("rate-tolerance-requests", settings.rate_tolerance_requests),
--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -23,6 +23,11 @@
 #[test_case(r#"{ "admission-queue": "yes" }"#, "admission-queue"; "unknown mode")]
 #[test_case(r#"{ "admission-queue": true }"#, "admission-queue"; "mode of a wrong type")]
 #[test_case(r#"{ "target-pace": "on" }"#, "target-pace")]
+#[test_case(r#"{ "stream-buffer-mb": -1 }"#, "stream-buffer-mb"; "negative buffer")]
+#[test_case(r#"{ "stream-buffer-mb": 1.5 }"#, "stream-buffer-mb"; "part of an MB")]
+#[test_case(r#"{ "stream-buffer-mb": 20971520 }"#, "stream-buffer-mb"; "buffer in bytes")]
+#[test_case(r#"{ "memory-mb": "160" }"#, "memory-mb"; "memory as a text")]
+#[test_case(r#"{ "memory-mb": 18446744073709551615 }"#, "memory-mb"; "memory that overflows in bytes")]
 #[test_case(r#"{ "unknown": 0 }"#, "unknown")]
 #[test_case(r#"{ "name": "#, "line 1 column 10")]
 fn an_error_names_its_place(text: &str, place: &str) {
@@ -51,6 +56,28 @@
     assert!(format!("{}: {}", errors[0].place, errors[0].reason).contains(expected));
 }
 
+/// A deployment without the requirement must not get a bound from its memory alone, and a bound that is set must
+/// take precedence over the derived one.
+#[test_case("[]", 160, 0, None; "no requirement")]
+#[test_case(r#"["pressure"]"#, 0, 0, None; "unknown memory")]
+#[test_case(r#"["pressure"]"#, 160, 0, Some(20 << 20); "derived")]
+#[test_case(r#"["pressure"]"#, 160, 4, Some(4 << 20); "set beside the requirement")]
+#[test_case("[]", 0, 4, Some(4 << 20); "set alone")]
+fn the_stream_buffer_follows_from_the_settings(
+    requirements: &str,
+    memory_mb: u64,
+    buffer_mb: u64,
+    expected: Option<u64>,
+) {
+    let text = format!(
+        r#"{{ "requirements": {requirements}, "memory-mb": {memory_mb}, "stream-buffer-mb": {buffer_mb} }}"#
+    );
+
+    let settings = parse_gateway_settings(&text).unwrap();
+
+    assert_eq!(settings.stream_buffer_bytes(), expected);
+}
+
 #[test]
 fn weights_and_the_queue_are_read() {
     let text = r#"{ "admission-queue": "off", "team-weights": [{ "team": "a", "weight": 2 }] }"#;
