Bound what a gateway holds for callers that don't read

Cause: for one stalled stream, the kernel of a host held 4.2 to 4.6 MB (send buffer of the caller's connection, receive buffer of the target's; two runs on loopback). Forty such callers exceed the memory of a host of 160 MB.

Change: where the settings set a bound, both kernel buffers and the buffer for reads from targets get fixed sizes, and ReaderBudget counts what is held for connections whose writes have to wait.

--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -17,6 +17,7 @@
 use crate::interfaces::{CallHead, CallerKey, CallerOperation};
 use crate::jobs::{JobCaller, accept_job, end_job, read_item, read_results};
 use crate::online::{AdmittedRequest, RequestRecord, serve_request};
+use crate::readers::CallerReader;
 use crate::state::GatewayState;
 use crate::tokens::{acquire_token, limits_retries};
 
@@ -123,13 +124,18 @@
     }
     enforce_rate(state, head, &route, team.as_ref(), version).await?;
     let request = admit(state, parts, head, body, route, team.as_ref(), version)?;
-    let record = RequestRecord::new(
+    let mut record = RequestRecord::new(
         state,
         head.request_id.as_ref(),
         &request.route.name,
         request.team.as_ref(),
         version,
     );
+    let reader = request.parts.extensions.get::<Arc<CallerReader>>().cloned();
+    if let Some(reader) = reader {
+        reader.set_tag(head.request_id.as_ref(), request.team.as_ref(), &request.route);
+        record.watch_reader(reader);
+    }
     serve_request(state.clone(), request, record).await
 }
 
--- a/crates/cuminramp-gateway/src/entry/connections.rs
+++ b/crates/cuminramp-gateway/src/entry/connections.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{ResponseBody, answer_call};
+use crate::readers::{CallerReader, CallerSocket};
 use crate::state::GatewayState;
 
 /// Time by which idle connections outlive the idle timeout that callers apply. Without it, a caller could
@@ -34,13 +35,18 @@
 /// Serves one connection. On a drain, closes it once it is idle.
 async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream) {
     let limits = state.current_declarations().map(|declared| declared.limits()).unwrap_or_default();
-    let service_state = state.clone();
-    let service = service_fn(move |request| answer_request(service_state.clone(), request));
+    let reader = Arc::new(CallerReader::new());
+    let counted = state.readers.is_some().then(|| (reader.clone(), state.clone()));
+    let socket = CallerSocket::new(stream, counted);
+    let (service_state, service_reader) = (state.clone(), reader.clone());
+    let service = service_fn(move |request| {
+        answer_request(service_state.clone(), service_reader.clone(), request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let drain_idle = state.drain_idle.cancelled();
     tokio::pin!(drain_idle);
@@ -54,6 +60,7 @@
                 return;
             }
             () = state.stop.cancelled() => return,
+            () = reader.end().cancelled() => return,
             () = &mut drain_idle, if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -65,9 +72,14 @@
 /// Handles one request. While this host drains, asks the caller to close the connection.
 async fn answer_request(
     state: Arc<GatewayState>,
-    request: Request<Incoming>,
+    reader: Arc<CallerReader>,
+    mut request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let _token = state.tasks.token();
+    if state.readers.is_some() {
+        reader.reset_tag();
+        request.extensions_mut().insert(reader);
+    }
     let mut response = answer_call(&state, request).await;
     if state.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -28,12 +28,14 @@
     HostSocket, PeerClients, broadcast_heartbeat, detect_pauses, mark_silent_hosts,
     receive_datagrams, send_heartbeats, send_join_request, serve_calls,
 };
+use crate::readers::{ReaderBudget, expire_unread};
 use crate::slots::{SlotState, log_pace_changes, maintain_owned_groups, send_reports};
 use crate::state::{GatewayState, lock};
 use crate::sync::{
     DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, discover_hosts,
     drop_missing_targets, follow_table, withdraw_host,
 };
+use crate::targets::TargetConnections;
 
 /// Minimum silence after which the jobs of a host are taken over. It is long enough for a process to be
 /// killed and started again, and for a host to be frozen briefly.
@@ -167,7 +169,8 @@
         directory: Default::default(),
         writers: Default::default(),
         running_items: Default::default(),
-        connections: Default::default(),
+        connections: TargetConnections::new(settings.stream_buffer_bytes().is_some()),
+        readers: settings.stream_buffer_bytes().map(|bytes| ReaderBudget::new(bytes).into()),
         updates: Default::default(),
         random: std::sync::Mutex::new(Box::new(SeededRandom::new(rand::rng().next_u64()))),
         metrics,
@@ -348,6 +351,7 @@
         drop_missing_targets(&state, Instant::now());
         log_pace_changes(&state);
         state.connections.close_expired();
+        expire_unread(&state);
         turn = turn.wrapping_add(1);
         if turn.is_multiple_of(LOAD_LOG_TURNS) {
             log_load(&state);
--- a/crates/cuminramp-gateway/src/lib.rs
+++ b/crates/cuminramp-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `entry` accepts connections, reads heads and bodies, and serves steering, readiness and metrics;
 //! - `online` serves a request from its admission to the end of its response;
 //! - `jobs` accepts jobs, runs their items, lists results and takes over jobs of lost hosts;
+//! - `readers` bounds the memory held for callers that don't read their responses;
 //! - `slots` requests slots from the owners of slot groups, and grants those of groups that this host owns;
 //! - `targets` pools connections to targets and sends requests over them;
 //! - `sync` follows declarations, targets and hosts in the store, and relays store calls through other hosts;
@@ -21,6 +22,7 @@
 mod metrics;
 mod online;
 mod peers;
+mod readers;
 mod slots;
 mod state;
 mod sync;
--- a/crates/cuminramp-gateway/src/metrics.rs
+++ b/crates/cuminramp-gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     waiting_requests: Gauge<u64>,
     team_labels: Mutex<TeamLabels>,
     slow_targets: Gauge<u64>,
+    ended_unread: Counter<u64>,
+    held_for_readers: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -82,6 +84,14 @@
             ),
             team_labels: Mutex::default(),
             slow_targets: gauge("cuminramp.targets.slow", "Targets whose work takes twice as long"),
+            ended_unread: counter(
+                "cuminramp.streams.ended.unread",
+                "Responses that ended because their callers did not read, by reason",
+            ),
+            held_for_readers: gauge(
+                "cuminramp.held.bytes",
+                "Most bytes held at a time for callers that did not read, in the last 100 ms",
+            ),
             registry,
             _provider: provider,
         })
@@ -152,6 +162,14 @@
         self.slow_targets.record(targets as u64, &[]);
     }
 
+    pub(crate) fn count_ended_unread(&self, reason: &'static str) {
+        self.ended_unread.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn record_held_for_readers(&self, bytes: u64) {
+        self.held_for_readers.record(bytes, &[]);
+    }
+
     /// Returns the metrics in the text format for scrapers.
     pub(crate) fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
+use crate::readers::CallerReader;
 use crate::slots::{AdmissionResult, PlacedBy};
 use crate::state::GatewayState;
 
@@ -22,6 +23,8 @@
     StreamBroken,
     /// The caller closed the connection.
     CallerLeft,
+    /// This host closed the connection, because the caller did not read.
+    EndedUnread,
 }
 
 impl RequestOutcome {
@@ -32,6 +35,7 @@
             RequestOutcome::TargetFailed => "target-failed",
             RequestOutcome::StreamBroken => "broken-off",
             RequestOutcome::CallerLeft => "caller-left",
+            RequestOutcome::EndedUnread => "ended-unread",
         }
     }
 }
@@ -96,6 +100,8 @@
     queue: Option<QueueRecord>,
     outcome: Option<RequestOutcome>,
     is_logged: bool,
+    /// The caller; `None` if it is not watched for reads.
+    reader: Option<Arc<CallerReader>>,
     /// Keeps a draining host running until the request ends or the grace period is over.
     _task_token: TaskTrackerToken,
 }
@@ -125,10 +131,22 @@
             queue: None,
             outcome: None,
             is_logged: false,
+            reader: None,
             _task_token: state.tasks.token(),
         }
     }
 
+    /// Sets the caller, which tells whether this host closed its connection.
+    pub(crate) fn watch_reader(&mut self, reader: Arc<CallerReader>) {
+        self.reader = Some(reader);
+    }
+
+    /// Returns the outcome of a request whose response was dropped before its end.
+    fn dropped_outcome(&self) -> RequestOutcome {
+        let is_ended = self.reader.as_ref().is_some_and(|reader| reader.end().is_cancelled());
+        if is_ended { RequestOutcome::EndedUnread } else { RequestOutcome::CallerLeft }
+    }
+
     /// Returns when the request was admitted.
     pub(crate) fn started_at(&self) -> Instant {
         self.started_at
@@ -232,8 +250,8 @@
         if self.is_logged {
             return;
         }
-        // Without an outcome, the response was dropped because the caller closed the connection.
-        let outcome = self.outcome.unwrap_or(RequestOutcome::CallerLeft);
+        // Without an outcome, the response was dropped because the connection was closed.
+        let outcome = self.outcome.unwrap_or_else(|| self.dropped_outcome());
         let elapsed = self.started_at.elapsed();
         self.state.metrics.count_request(outcome.as_str());
         self.state.metrics.record_answer(elapsed);
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use crate::jobs::{JobDirectory, JobWriters, RunningItems};
 use crate::metrics::GatewayMetrics;
 use crate::peers::{HostSocket, PeerClients};
+use crate::readers::ReaderBudget;
 use crate::slots::SlotState;
 use crate::sync::{RelayedStore, UpdateRows};
 use crate::targets::TargetConnections;
@@ -68,6 +69,8 @@
     pub(crate) updates: Mutex<UpdateRows>,
     pub(crate) random: Mutex<Box<dyn RandomSource>>,
     pub(crate) metrics: GatewayMetrics,
+    /// Memory held for callers that don't read; `None` if the settings set no bound.
+    pub(crate) readers: Option<Mutex<ReaderBudget>>,
     pub(crate) slots: SlotState,
     pub(crate) tokens: TokenState,
     pub(crate) socket: OnceLock<HostSocket>,
--- a/crates/cuminramp-gateway/src/targets/connections.rs
+++ b/crates/cuminramp-gateway/src/targets/connections.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::readers::{TARGET_READ_BYTES, bound_target_socket};
 use crate::state::lock;
 
 /// Timeout for connecting to a target. It leaves half of the usual objective to try another target.
@@ -74,9 +75,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetConnections {
     idle: Mutex<SortedMap<Name, Vec<IdleConnection>>>,
+    /// Whether the buffers of new connections have fixed sizes.
+    has_fixed_buffers: bool,
 }
 
 impl TargetConnections {
+    /// Creates an empty pool. With `has_fixed_buffers`, the kernel's receive buffer of each connection and the
+    /// buffer into which responses are read have fixed sizes.
+    pub(crate) fn new(has_fixed_buffers: bool) -> Self {
+        TargetConnections { idle: Mutex::default(), has_fixed_buffers }
+    }
+
     /// Returns a connection to a target: an idle one if there is any, or a new one.
     ///
     /// Requests that may run only once set `needs_new`, which forces a new connection. A target may close an
@@ -96,8 +105,13 @@
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         set_unacknowledged_timeout(&stream)?;
+        let mut builder = Builder::new();
+        if self.has_fixed_buffers {
+            bound_target_socket(&stream)?;
+            builder.max_buf_size(TARGET_READ_BYTES);
+        }
         let (sender, connection) =
-            Builder::new().handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         // Errors of the connection reach the request on it, which logs them.
         let task = tokio::spawn(async move {
             let _ = connection.await;
--- a/crates/cuminramp-gateway/src/targets/connections/tests.rs
+++ b/crates/cuminramp-gateway/src/targets/connections/tests.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
+use bytes::Bytes;
 use cuminramp_core::Name;
+use http::Request;
+use http_body_util::Full;
 use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
@@ -48,3 +51,24 @@
     let timeout_ms = sockopt::tcp_user_timeout(&stream).unwrap();
     assert!((1..OBJECTIVE.as_millis() as u32).contains(&timeout_ms), "{timeout_ms} ms");
 }
+
+/// A target accepts a connection and reads nothing of a large body. Guards against a request that holds its body,
+/// and a slot of the target, until its deadline.
+#[tokio::test]
+async fn a_body_that_its_target_does_not_read_breaks_the_connection() {
+    /// Size of a body that no kernel buffer takes whole.
+    const BODY_BYTES: usize = 64 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: Name = listener.local_addr().unwrap().to_string().into();
+    let connections = TargetConnections::new(true);
+    let mut connection = connections.acquire(&address, true).await.unwrap();
+    let _unread = listener.accept().await.unwrap();
+    let request = Request::new(Full::new(Bytes::from(vec![0; BODY_BYTES])));
+
+    let started_at = Instant::now();
+    let sending = connection.sender().unwrap().send_request(request);
+    let outcome = timeout(Duration::from_secs(5), sending).await;
+
+    println!("{outcome:?} after {:?}", started_at.elapsed());
+    assert!(matches!(outcome, Ok(Err(_))), "{outcome:?}");
+}
