--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -70,6 +70,7 @@
         // Cached first: a repeat of a request that was just rejected must not enter the queue again.
         self.cache_rejections(request.group, now);
         if let Some(response) = self.cached_response(host, request.request_id, now) {
+            self.renew_grant(host, request.group, response, now);
             return response;
         }
         let outcome = self.decide_admission(placement, host, owned, request, random, now);
@@ -284,6 +285,15 @@
         SlotOutcome::Granted { target, grant }
     }
 
+    /// Keeps the slot of a grant that is sent again reserved for as long as that of a new one: its host may use it
+    /// when the response arrives. A grant that a report has confirmed stays so.
+    fn renew_grant(&mut self, host: &HostId, group: u32, response: SlotResponse, now: Instant) {
+        let SlotOutcome::Granted { grant, .. } = response.outcome else { return };
+        let Some(account) = self.accounts.get_mut(&(host.clone(), group)) else { return };
+        let renewed = account.pending.iter_mut().filter(|pending| pending.number == grant);
+        renewed.for_each(|pending| pending.granted_at = now);
+    }
+
     /// Returns the cached response to a request, and drops expired ones.
     pub(super) fn cached_response(
         &mut self,
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -351,6 +351,25 @@
     assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
 }
 
+/// Guards against a slot that two requests use: a host that receives its grant with a late repeat would use the slot
+/// after its reservation has expired.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_grant_keeps_its_slot_reserved() {
+    let mut owner = Owner::new(&["e1"]);
+    owner.receive("busy", report(1, vec![load("e1", 7, 0)]));
+    let first = owner.admit("a", &admission(1));
+    advance(Duration::from_millis(240)).await;
+    owner.report_busy(2, 7);
+
+    let repeated = owner.admit("a", &admission(1));
+    advance(Duration::from_millis(20)).await;
+    owner.expire();
+    let other = owner.admit("b", &admission(1));
+
+    assert!(is_granted(first) && repeated == first, "{repeated:?}");
+    assert!(is_waiting(other), "{other:?}");
+}
+
 /// Guards against a repeat that overtakes the withdrawal or arrives late: queued again, the request would
 /// get a slot that nobody uses.
 #[tokio::test(start_paused = true)]
