--- a/crates/cuminramp-fleet/src/admission.rs
+++ b/crates/cuminramp-fleet/src/admission.rs
@@ -5,7 +5,8 @@
 //! takes most of the slots. A group has a queue only if its targets report their pace: otherwise, the owner
 //! can't estimate when slots become free.
 //!
-//! - [`AdmissionQueue`] orders the waiting requests of a group and rejects those that can't be served in time;
+//! - [`AdmissionQueue`] orders the waiting requests of a group and rejects those that can't be served in
+//!   time;
 //! - [`ReturnSchedule`] spreads the retries of rejected requests over the capacity that becomes free.
 
 mod lanes;
--- a/crates/cuminramp-fleet/src/admission/lanes.rs
+++ b/crates/cuminramp-fleet/src/admission/lanes.rs
@@ -79,7 +79,7 @@
         lane.map_or(0, |lane| lane.partition_point(|other| other < position))
     }
 
-    /// Returns the number of requests that go before a request of the team of `own` with this due time and
+    /// Returns the number of requests that go before a request of the team of `own` with this position and
     /// rank.
     pub(super) fn count_before(
         &self,
@@ -106,17 +106,17 @@
             };
             let retries = lane.partition_point(|other| !other.is_first_attempt);
             let lower = |is_retry| share.grants_until(level, is_retry).max(0.0) as usize;
-            // Entries of which the whole part of the number of grants leaves no doubt are not compared.
-            let sure = if level > 0.0 { lower(false).max(lower(true).min(retries)) } else { 0 };
-            let sure = sure.min(lane.len());
-            let others = lane.iter().enumerate().skip(sure);
-            count += sure + others.take_while(goes_before).count();
+            // The entries below this index are at a lower level, so they are counted without a comparison.
+            let certain = if level > 0.0 { lower(false).max(lower(true).min(retries)) } else { 0 };
+            let certain = certain.min(lane.len());
+            let others = lane.iter().enumerate().skip(certain);
+            count += certain + others.take_while(goes_before).count();
         }
         count
     }
 
-    /// Returns whether a request of the team of `own` with this rank goes before the last request of all,
-    /// and the position of the latter.
+    /// Returns the position of the last request of all if a request of the team of `own` with this rank goes
+    /// before it.
     pub(super) fn last_after(
         &self,
         class: UrgencyClass,
--- a/crates/cuminramp-fleet/src/admission/queue.rs
+++ b/crates/cuminramp-fleet/src/admission/queue.rs
@@ -19,7 +19,8 @@
 /// Number of requests that are offered a free slot in vain before the search for one that can use it ends.
 /// Only requests that avoid different targets are offered the same slot.
 const MAX_OFFERS: usize = 64;
-/// Minimum part of the slots that become free which is expected to be left by later requests of other teams.
+/// Minimum part of the freed slots that is assumed to be left to a request by later ones that go before it.
+/// Without it, a burst of later requests would make the expected wait the maximum.
 const MIN_FREED_PART: f64 = 0.05;
 /// Number of slots of which one goes to a late request of a team far below its share. Without it, a flood of
 /// requests that can still be in time would keep the request of such a team waiting until its deadline.
@@ -126,10 +127,10 @@
 
 /// Requests that wait for a slot of one group.
 ///
-/// The most urgent priority goes first, then requests that can still be in time, then the team with the lowest
-/// usage relative to its weight. Within a team, second attempts go before first attempts, and the request with
-/// the earliest latest start goes first. One slot of 16 goes to the late requests of teams below half of
-/// their share.
+/// The most urgent priority goes first, then requests that can still be in time, then the team with the
+/// lowest usage relative to its weight. Within a team, second attempts go before first attempts, and the
+/// request with the earliest latest start goes first. One slot of 16 goes to the late requests of teams below
+/// half of their share.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
     entries: SortedMap<RequestKey, Box<QueueEntry>>,
@@ -204,8 +205,8 @@
     /// let host = HostId { address: "192.0.2.1:1".into(), incarnation: 1 };
     /// let capacity = GroupCapacity { slots: 8, freed_per_s: 10.0 };
     /// let request = AdmissionRequest {
-    ///     incarnation: 1, request_id: 1, group: 1, avoided: vec![], team: 1, weight_milli: 1_000, priority: 0,
-    ///     is_retry: false, max_wait_ms: 180, deadline_ms: 5_000, may_wait: true,
+    ///     incarnation: 1, request_id: 1, group: 1, avoided: vec![], team: 1, weight_milli: 1_000,
+    ///     priority: 0, is_retry: false, max_wait_ms: 180, deadline_ms: 5_000, may_wait: true,
     /// };
     /// let mut queue = AdmissionQueue::default();
     /// let decision = queue.submit(&host, &request, capacity, &mut random, now);
@@ -261,8 +262,8 @@
         QueueDecision::Waiting { wait }
     }
 
-    /// Applies a repeated request, and rejects it if it can no longer start before its deadline. Returns `None`
-    /// if the request does not wait.
+    /// Applies a repeated request, and rejects it if it can no longer start before its deadline. Returns
+    /// `None` if the request does not wait.
     fn repeat(
         &mut self,
         key: &RequestKey,
@@ -317,9 +318,9 @@
         self.returns.book(wait, capacity.freed_per_s, max_delay, random, now)
     }
 
-    /// Makes room for an entry if the queue is full, by rejecting the last request if the entry goes before it.
-    /// Without this, late requests of one team could fill the queue and keep other teams out. Returns whether
-    /// there is room.
+    /// Makes room for an entry if the queue is full, by rejecting the last request if the entry goes before
+    /// it. Without this, late requests of one team could fill the queue and keep other teams out. Returns
+    /// whether there is room.
     fn make_room(
         &mut self,
         entry: &QueueEntry,
@@ -359,8 +360,8 @@
         Some(entry)
     }
 
-    /// Moves requests that have passed their latest start to the late ones, and rejects those that have passed
-    /// their deadline.
+    /// Moves requests that have passed their latest start to the late ones, and rejects those that have
+    /// passed their deadline.
     fn advance(&mut self, now: Instant) {
         let due = self.dues.keys().take_while(|(due, _)| *due < now);
         let passed: Vec<RequestKey> = due.map(|(_, key)| key.clone()).collect();
@@ -443,7 +444,8 @@
     }
 
     /// Removes requests whose host stopped repeating them, and drops what no longer matters. Returns the
-    /// requests that left the queue since the last call because their deadline has passed or the queue is full.
+    /// requests that left the queue since the last call because their deadline has passed or the queue is
+    /// full.
     pub fn expire(&mut self, now: Instant) -> Vec<RejectedRequest> {
         self.remove_where(|waiting| {
             now.saturating_duration_since(waiting.received_at) >= REPEAT_TTL
--- a/crates/cuminramp-fleet/src/admission/shares.rs
+++ b/crates/cuminramp-fleet/src/admission/shares.rs
@@ -7,12 +7,16 @@
 
 /// Time constant with which a grant stops counting, about the time for which a request holds its slot.
 const USAGE_DECAY: Duration = Duration::from_secs(1);
-/// Usage that doesn't count against a second attempt. In small groups, one slot is more than the share of a small
-/// team, so that its second attempt would be late for the benefit of first attempts of teams far above their shares.
+/// Usage that doesn't count against a second attempt. In small groups, one slot is more than the share of a
+/// small team, so that its second attempt would be late for the benefit of first attempts of teams far above
+/// their shares.
 const FREE_RETRY_USAGE: f64 = 2.0;
-/// Number of intervals in which levels are counted. They reach from a sixteenth of the mean level to 16 times.
+/// Number of intervals in which levels are counted. They reach from a sixteenth of the mean level to 16
+/// times.
 const LEVEL_BUCKETS: usize = 32;
+/// Octaves of the range below the mean level; it has as many above.
 const LEVEL_OCTAVES: f64 = 4.0;
+/// Number of intervals in each octave: twice the octaves times this number is [`LEVEL_BUCKETS`].
 const BUCKETS_PER_OCTAVE: f64 = 4.0;
 /// Usage below which a team counts as not using the group, in slots.
 const MIN_USAGE: f64 = 0.01;
@@ -32,8 +36,8 @@
 }
 
 impl TeamShare {
-    /// Returns the usage relative to the weight after `grants` more grants, as it counts for a second attempt or
-    /// a first one.
+    /// Returns the usage relative to the weight after `grants` more grants, as it counts for a second attempt
+    /// or a first one.
     pub(super) fn level_after(&self, grants: usize, is_retry: bool) -> f64 {
         let counted = self.usage + grants as f64 - free_usage(is_retry);
         counted.max(0.0) / f64::from(self.weight_milli)
@@ -149,7 +153,7 @@
         self.based_arrivals[bucket] += 1.0 / self.remaining_part(now);
     }
 
-    /// Returns how many requests arrived in a second whose level was lower than `level`.
+    /// Returns the rate per second of arrivals whose level was lower than `level`.
     pub(super) fn arrivals_below(&self, level: f64, now: Instant) -> f64 {
         let lower = &self.based_arrivals[..self.level_bucket(level, now)];
         lower.iter().sum::<f64>() * self.remaining_part(now) / USAGE_DECAY.as_secs_f64()
@@ -162,7 +166,7 @@
         (bucket as usize).min(LEVEL_BUCKETS - 1)
     }
 
-    /// Returns the usage of all teams relative to their weight.
+    /// Returns the usage of all teams relative to the sum of their weights.
     pub(super) fn mean_level(&self, now: Instant) -> f64 {
         self.based_total * self.remaining_part(now) / self.total_weight.max(1.0)
     }
--- a/crates/cuminramp-fleet/src/admission/tests/fairness.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/fairness.rs
@@ -38,8 +38,8 @@
     assert!(without - arrival > 0.1, "the load doesn't show the failure: {figures}");
 }
 
-/// Guards against slots that stay free while requests wait, requests that wait past their deadline and a queue
-/// without bound, in a group of 64 slots with 3.6 times its load from three of nine teams.
+/// Guards against slots that stay free while requests wait, requests that wait past their deadline and a
+/// queue without bound, in a group of 64 slots with 3.6 times its load from three of nine teams.
 #[test]
 fn an_overloaded_queue_is_work_conserving_and_bounded() {
     let load =
@@ -55,8 +55,8 @@
     assert_eq!(overdue.count(), 0);
 }
 
-/// Guards against a team within its share whose late requests wait until the end of a flood: another team sends
-/// three times what the group can serve, all of which could still be in time.
+/// Guards against a team within its share whose late requests wait until the end of a flood: another team
+/// sends three times what the group can serve, all of which could still be in time.
 #[test]
 fn a_team_within_its_share_is_not_starved_by_requests_in_time() {
     let mut queue = AdmissionQueue::default();
@@ -83,7 +83,8 @@
     assert!(longest <= millis(400), "a late request waited for {longest:?}");
 }
 
-/// Guards against weights that have no effect: two teams with weights of 1 and 3 always have requests waiting.
+/// Guards against weights that have no effect: two teams with weights of 1 and 3 always have requests
+/// waiting.
 #[test]
 fn busy_teams_share_slots_by_weight() {
     let mut queue = AdmissionQueue::default();
--- a/crates/cuminramp-fleet/src/admission/tests/group.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/group.rs
@@ -18,8 +18,8 @@
 /// Number of teams that may flood the group, the largest ones.
 pub(super) const FLOODERS: usize = 3;
 
-/// Load of a group: troughs of 3 s at 0.378 times the mean rate and peaks of 2.2 s at 1.85 times. The rates of
-/// the teams follow a Zipf distribution, and their weights are their usual rates.
+/// Load of a group: troughs of 3 s at 0.378 times the mean rate and peaks of 2.2 s at 1.85 times. The rates
+/// of the teams follow a Zipf distribution, and their weights are their usual rates.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct GroupLoad {
     pub(super) hosts: usize,
@@ -50,8 +50,8 @@
 pub(super) enum SlotOrder {
     /// The admission queue.
     Fair(Box<AdmissionQueue>),
-    /// A queue in order of arrival, as at targets: first attempts that would wait too long are told to retry after
-    /// a random time, second attempts wait for any length of time.
+    /// A queue in order of arrival, as at targets: first attempts that would wait too long are told to retry
+    /// after a random time, second attempts wait for any length of time.
     Arrival(VecDeque<usize>),
 }
 
--- a/crates/cuminramp-fleet/src/admission/tests/limits.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/limits.rs
@@ -30,8 +30,8 @@
     assert!(queue.is_empty());
 }
 
-/// Guards against hosts that wait for an answer about a request whose deadline has passed, and against slots for
-/// it. A first attempt that has become late waits until then.
+/// Guards against hosts that wait for an answer about a request whose deadline has passed, and against slots
+/// for it. A first attempt that has become late waits until then.
 #[test]
 fn requests_leave_as_rejected_when_their_deadline_passes() {
     let mut queue = AdmissionQueue::default();
@@ -53,8 +53,8 @@
     assert_eq!(grant(&mut queue, start + millis(201)), None);
 }
 
-/// Guards against second attempts that wait although they can't start in time for their deadline: 100 requests
-/// wait already, and slots become free in 11 ms each.
+/// Guards against second attempts that wait although they can't start in time for their deadline: 100
+/// requests wait already, and slots become free in 11 ms each.
 #[test]
 fn second_attempts_wait_only_if_they_can_start_before_their_deadline() {
     let mut queue = AdmissionQueue::default();
@@ -143,8 +143,8 @@
     assert!(queue.is_empty());
 }
 
-/// Guards against memory that grows with the teams of a deployment: 43,000 teams ask one after the other within
-/// 43 s, and only those of the last 6 s are kept.
+/// Guards against memory that grows with the teams of a deployment: 43,000 teams ask one after the other
+/// within 43 s, and only those of the last 6 s are kept.
 #[test]
 fn teams_that_no_longer_ask_are_dropped() {
     let mut shares = ShareTable::default();
@@ -164,8 +164,9 @@
     assert_eq!(shares.highest(usize::MAX, start + millis(60_000)), []);
 }
 
-/// Guards against costs that grow with the square of the queue: 2,000 requests of 500 teams wait, and the slowest
-/// half of the decisions in an unoptimized build is not counted, since other processes interrupt them.
+/// Guards against costs that grow with the square of the queue: 2,000 requests of 500 teams wait, and the
+/// slowest half of the decisions in an unoptimized build is not counted, since other processes interrupt
+/// them.
 #[test]
 fn a_decision_in_a_long_queue_takes_less_than_a_millisecond() {
     let mut queue = AdmissionQueue::default();
--- a/crates/cuminramp-fleet/src/admission/tests/order.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/order.rs
@@ -85,8 +85,8 @@
     assert_eq!(second, Some(RejectionReason::NoRoom));
 }
 
-/// Guards against a slot that stays free since the first request avoids its target, and against a search of the
-/// whole queue if no slot is free.
+/// Guards against a slot that stays free since the first request avoids its target, and against a search of
+/// the whole queue if no slot is free.
 #[test]
 fn a_slot_that_the_first_request_avoids_goes_to_the_next() {
     let mut queue = AdmissionQueue::default();
--- a/crates/cuminramp-fleet/src/admission/tests/returns.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/returns.rs
@@ -6,8 +6,8 @@
 use super::millis;
 use crate::admission::ReturnSchedule;
 
-/// Guards against retries that are late or rejected again: peaks are 1.3 times the ceiling, and the mean load is
-/// 0.7 times, so that there is capacity for all that return.
+/// Guards against retries that are late or rejected again: peaks are 1.3 times the ceiling, and the mean load
+/// is 0.7 times, so that there is capacity for all that return.
 #[test_case(4, 64, 9, 8)]
 #[test_case(4, 64, 77, 8)]
 #[test_case(34, 568, 77, 2)]
@@ -39,8 +39,8 @@
     assert!(all(&fair) > all(&arrival) + 0.02, "the load doesn't show the failure: {figures}");
 }
 
-/// Guards against retries that return together: 400 requests are rejected at once in a group that frees 800 slots
-/// per second, of which 10 in each 50 ms may go to retries.
+/// Guards against retries that return together: 400 requests are rejected at once in a group that frees 800
+/// slots per second, of which 10 in each 50 ms may go to retries.
 #[test]
 fn retries_are_spread_over_the_buckets() {
     let mut schedule = ReturnSchedule::default();
--- a/crates/cuminramp-fleet/src/placement/pace.rs
+++ b/crates/cuminramp-fleet/src/placement/pace.rs
@@ -1,7 +1,7 @@
 //! Pace of targets: how long work takes at a target compared with the usual time.
 //!
-//! Targets have different speeds and share their machines, so the same number of free slots is worth less at
-//! some of them, and at others only for a while. Some targets report their pace in each response. A report
+//! Targets have different speeds and share their machines, so a free slot of some targets is worth less than
+//! one of others, all the time or for a while. Some targets report their pace in each response. A report
 //! describes a moment: as it ages, the expected pace returns to the average of the target's reports, and
 //! without further reports to the usual pace, so that a target that was slow is tried again.
 //!
@@ -227,7 +227,7 @@
     }
 
     /// Returns the paces that targets of a group reported to this host since the last call. Those that are
-    /// too old to be of use are left out.
+    /// too old to make their pool paced are left out.
     pub fn take_reported_paces(
         &mut self,
         group: &SlotGroup,
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -143,8 +143,8 @@
         }
     }
 
-    /// Sets whether scheduled retries may take only a part of each team's rate. Without the limit, a team that
-    /// sends more than its rate for long gets nearly all of its answers on the second attempt.
+    /// Sets whether scheduled retries may take only a part of each team's rate. Without the limit, a team
+    /// that sends more than its rate for long gets nearly all of its answers on the second attempt.
     pub fn limit_retries(&mut self, is_limited: bool) {
         if self.limits_retries != is_limited {
             self.limits_retries = is_limited;
--- a/crates/cuminramp-fleet/src/quota/account.rs
+++ b/crates/cuminramp-fleet/src/quota/account.rs
@@ -186,10 +186,10 @@
 
     /// Returns the level that an admitted request must leave; negative if it may cause debt.
     fn min_level_after(&self, attempt: AttemptKind) -> f64 {
-        let is_scheduled = !self.limits_retries() || self.retry_tokens >= 1.0;
+        let has_retry_token = !self.limits_retries() || self.retry_tokens >= 1.0;
         match attempt {
             AttemptKind::First => 0.0,
-            AttemptKind::Retry if is_scheduled => {
+            AttemptKind::Retry if has_retry_token => {
                 -(self.burst * MAX_RETRY_DEBT.0).min(MAX_RETRY_DEBT.1)
             }
             AttemptKind::Retry | AttemptKind::UnscheduledRetry => {
@@ -274,7 +274,8 @@
         Some(last.level.tokens)
     }
 
-    /// Returns the delay after which a request that is refused now should be retried.
+    /// Returns the delay after which a request that is refused now should be retried. Where scheduled retries
+    /// are limited, it is [`UNSCHEDULED_DELAY`] if too many are scheduled already.
     pub(super) fn schedule_retry(&mut self) -> Duration {
         let missing = (1.0 - self.available()).max(0.0) + self.expected;
         let retry_rate = self.rate * self.retry_part;
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Clears all accounts, queues, ownerships and cached responses after a pause of this process, during which
-    /// other hosts may have used another owner.
+    /// Clears all accounts, queues, ownerships and cached responses after a pause of this process, during
+    /// which other hosts may have used another owner.
     pub fn reset(&mut self, placement: &mut PlacementTable) {
         let accounts = std::mem::take(&mut self.accounts);
         accounts.keys().for_each(|(host, _)| placement.forget_host(host));
--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -14,8 +14,8 @@
 use crate::placement::{GroupPlacement, GroupRequest, PlacementTable};
 use crate::slots::{SlotOutcome, SlotResponse};
 
-/// Maximum number of requests that one call of [`SlotLedger::serve_waiting`] grants a slot, so that many slots
-/// that become free at once do not block the owner.
+/// Maximum number of requests that one call of [`SlotLedger::serve_waiting`] grants a slot, so that many
+/// slots that become free at once do not block the owner.
 const MAX_SERVED: usize = 64;
 
 /// Outcome for a repeat of a request that was withdrawn, which its host no longer waits for.
@@ -92,10 +92,10 @@
         now: Instant,
     ) -> SlotOutcome {
         let placed = place(placement, owned, &request.avoided, random, now);
-        let Some(account) = self.owned.get_mut(&request.group) else {
+        let Some(owned_group) = self.owned.get_mut(&request.group) else {
             return SlotOutcome::NoTarget;
         };
-        let queue = &mut account.queue;
+        let queue = &mut owned_group.queue;
         match placed {
             GroupPlacement::NoTarget => {
                 queue.withdraw(host, request.request_id);
@@ -300,9 +300,9 @@
         self.owned.get(&group).map(|owned| owned.queue.status(now))
     }
 
-    /// Grants a slot to an online request and returns the number of the grant. Unlike the slots of [`respond`](Self::respond), that of a request
-    /// of this host is reserved as well: otherwise, all waiting requests of this host would get the same
-    /// slot before the first of them begins.
+    /// Grants a slot to an online request and returns the number of the grant. Unlike the slots of
+    /// [`respond`](Self::respond), that of a request of this host is reserved as well: otherwise, all waiting
+    /// requests of this host would get the same slot before the first of them begins.
     fn grant_to_caller(
         &mut self,
         placement: &mut PlacementTable,
@@ -319,8 +319,8 @@
         grant
     }
 
-    /// Keeps the slot of a grant that is sent again reserved for as long as that of a new one: its host may use it
-    /// when the response arrives. A grant that a report has confirmed stays so.
+    /// Keeps the slot of a grant that is sent again reserved for as long as that of a new one: its host may
+    /// use it when the response arrives. A grant that a report has confirmed stays so.
     fn renew_grant(&mut self, host: &HostId, group: u32, response: SlotResponse, now: Instant) {
         let SlotOutcome::Granted { grant, .. } = response.outcome else { return };
         let Some(account) = self.accounts.get_mut(&(host.clone(), group)) else { return };
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -257,8 +257,8 @@
     assert_eq!((repeated, owner.waiting()), (first, 0));
 }
 
-/// Guards against a caller that waits for its rejection until the next repeat of its request, after the request
-/// can no longer start before its deadline.
+/// Guards against a caller that waits for its rejection until the next repeat of its request, after the
+/// request can no longer start before its deadline.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_passes_its_deadline_in_the_queue_is_rejected_at_once() {
     let mut owner = Owner::with_full_target();
@@ -333,8 +333,8 @@
     assert_eq!(owner.ledger.recorded_caller_grants(group().hash()), 1);
 }
 
-/// Guards against a slot that stays unused until its reservation expires: the caller of a request of the owner
-/// itself leaves after the slot was granted and before the request received the grant.
+/// Guards against a slot that stays unused until its reservation expires: the caller of a request of the
+/// owner itself leaves after the slot was granted and before the request received the grant.
 #[tokio::test(start_paused = true)]
 async fn a_withdrawal_of_a_request_of_the_owner_frees_its_granted_slot() {
     let mut owner = Owner::with_full_target();
@@ -349,8 +349,8 @@
     assert_eq!(owner.serve_requests(), [("b".to_owned(), 1)]);
 }
 
-/// Guards against a slot that two requests use: a host that receives its grant with a late repeat would use the slot
-/// after its reservation has expired.
+/// Guards against a slot that two requests use: a host that receives its grant with a late repeat would use
+/// the slot after its reservation has expired.
 #[tokio::test(start_paused = true)]
 async fn a_repeated_grant_keeps_its_slot_reserved() {
     let mut owner = Owner::new(&["e1"]);
@@ -510,8 +510,8 @@
     assert!(is_granted(owner.admit("a", &admission(1))));
 }
 
-/// Guards against log lines that show another team's figures, or figures that contradict the reason: a team that
-/// is rejected for its share has a usage above it, and a grant after waiting counts.
+/// Guards against log lines that show another team's figures, or figures that contradict the reason: a team
+/// that is rejected for its share has a usage above it, and a grant after waiting counts.
 #[tokio::test(start_paused = true)]
 async fn decisions_carry_the_usage_and_the_share_of_the_team() {
     let mut owner = Owner::new(&["e1"]);
--- a/crates/cuminramp-fleet/src/slots/tests/owners.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/owners.rs
@@ -148,8 +148,8 @@
     assert_eq!(owners[0], owners[1]);
 }
 
-/// Guards against one owner of a team in each zone when all hosts were killed and the owner is cut off as they
-/// settle: the others then receive that they are settled at different times, and never for the owner.
+/// Guards against one owner of a team in each zone when all hosts were killed and the owner is cut off as
+/// they settle: the others then receive that they are settled at different times, and never for the owner.
 #[tokio::test(start_paused = true)]
 async fn hosts_that_started_together_agree_on_the_owner_while_they_settle() {
     let others = [("a", "z1"), ("b", "z2"), ("c", "z2")];
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -29,8 +29,8 @@
 /// Maximum Retry-After for a team above its rate.
 const MAX_RATE_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Delay after which a caller returns at the latest that was told when a token is expected for it: the maximum
-/// Retry-After and the time to connect again.
+/// Maximum time from the first attempt of a caller to its scheduled retry: the maximum Retry-After and the
+/// time to connect again.
 const MAX_SCHEDULED_RETURN: Duration = Duration::from_millis(1_600);
 
 /// Share of the route's objective that a request may wait for its team's rate. A caller should receive a
@@ -76,8 +76,8 @@
     log_call_refusal!(head, route.map_or("-", |route| &*route.name), version, refusal);
 }
 
-/// Returns the value of `reason_kind` for a team above its rate where retries are limited. A retry after more than
-/// [`MAX_RATE_RETRY_AFTER`] counts as one that no token is expected for.
+/// Returns the value of `reason_kind` for a team above its rate where retries are limited. A retry after more
+/// than [`MAX_RATE_RETRY_AFTER`] counts as one that no token is expected for.
 fn rate_reason_kind(wait: Duration) -> &'static str {
     if wait > MAX_RATE_RETRY_AFTER { "rate-no-token-expected" } else { "rate" }
 }
--- a/crates/cuminramp-gateway/src/metrics/labels.rs
+++ b/crates/cuminramp-gateway/src/metrics/labels.rs
@@ -30,10 +30,10 @@
 
 /// Chooses the teams that metrics list by name, from all requests.
 ///
-/// Requests are counted by the space-saving algorithm: a team without a count replaces the one with the lowest
-/// and continues from its figure, so that any number of teams is counted in bounded memory and teams with many
-/// requests keep their counts. A team that was named once stays named, since a series that ends and starts
-/// again would look like a restart. Once all places are taken, nothing is counted any more.
+/// Requests are counted by the space-saving algorithm: a team without a count replaces the one with the
+/// lowest and continues from its figure, so that any number of teams is counted in bounded memory and teams
+/// with many requests keep their counts. A team that was named once stays named, since a series that ends and
+/// starts again would look like a restart. Once all places are taken, nothing is counted any more.
 #[derive(Debug)]
 pub(crate) struct TeamLabels {
     /// Label of each named team.
--- a/crates/cuminramp-gateway/src/metrics/labels/tests.rs
+++ b/crates/cuminramp-gateway/src/metrics/labels/tests.rs
@@ -38,6 +38,7 @@
     assert!(labels.named.is_empty());
 }
 
+/// Guards against a small team that stays in `other` although there are places for all teams.
 #[test]
 fn a_small_team_and_requests_without_one_are_named_where_all_teams_have_a_place() {
     let mut labels = TeamLabels::default();
--- a/crates/cuminramp-gateway/src/metrics/tests.rs
+++ b/crates/cuminramp-gateway/src/metrics/tests.rs
@@ -10,6 +10,7 @@
     String::from_utf8(metrics.render().unwrap()).unwrap()
 }
 
+/// Guards against metrics that scrapers do not see, or that have other names or labels than documented.
 #[test]
 fn admissions_and_waiting_requests_are_exported() {
     let text = render_after_admissions("parish");
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -318,8 +318,8 @@
     if runs > 0 { Execution::MayHaveRun } else { Execution::NotRun }
 }
 
-/// Returns the refusal of a request that gets no slot in time. `runs` is the number of its sends that a target
-/// may have run: a second attempt is rejected as well if it can't start before its deadline.
+/// Returns the refusal of a request that gets no slot in time. `runs` is the number of its sends that a
+/// target may have run: a second attempt is rejected as well if it can't start before its deadline.
 fn refuse_full(rejection: Option<RejectionReason>, runs: u32, retry_after: Duration) -> Refusal {
     let reason = match rejection {
         Some(rejection) => format!("no slot was available in time: {}", rejection.as_str()),
--- a/crates/cuminramp-gateway/src/online/serve/tests.rs
+++ b/crates/cuminramp-gateway/src/online/serve/tests.rs
@@ -6,8 +6,8 @@
 
 use super::refuse_full;
 
-/// Guards against a refusal that says "not run" after a target may have run the request: the queue also rejects a
-/// request whose first target failed.
+/// Guards against a refusal that says "not run" after a target may have run the request: the queue also
+/// rejects a request whose first target failed.
 #[test_case(0, Execution::NotRun; "not sent")]
 #[test_case(1, Execution::MayHaveRun; "sent once")]
 fn a_rejected_request_that_was_sent_may_have_run(runs: u32, expected: Execution) {
--- a/crates/cuminramp-gateway/src/readers/connection.rs
+++ b/crates/cuminramp-gateway/src/readers/connection.rs
@@ -13,8 +13,9 @@
 use super::{EndedReader, ReaderTag};
 use crate::state::{GatewayState, lock};
 
-/// Number of event gaps of a route after which callers give up a stream, and the minimum of that time.
+/// Number of event gaps of a route after which callers give up a stream.
 const GIVE_UP_GAPS: u32 = 8;
+/// Minimum time without a read after which callers give up a stream.
 const MIN_GIVE_UP: Duration = Duration::from_secs(2);
 
 /// Returns the time without a read after which a caller of `route` has given up.
@@ -34,6 +35,7 @@
 }
 
 impl CallerReader {
+    /// Creates the reader of a new connection, without a response yet.
     pub(crate) fn new() -> Self {
         static NEXT_ID: AtomicU64 = AtomicU64::new(0);
         CallerReader {
--- a/crates/cuminramp-gateway/src/readers/socket.rs
+++ b/crates/cuminramp-gateway/src/readers/socket.rs
@@ -23,15 +23,15 @@
 /// The kernel doubles the requested size of a buffer, for its own overhead.
 const KERNEL_FACTOR: usize = 2;
 
-/// Size in bytes of the largest segment that the kernel adds to a send buffer that is not full yet: a buffer may
-/// exceed its size by one.
+/// Size in bytes of the largest segment that the kernel adds to a send buffer that is not full yet: a buffer
+/// may exceed its size by one.
 const KERNEL_SEGMENT_BYTES: usize = 64 << 10;
 
 /// Bytes held for a caller that reads no more, in addition to those that wait in this process.
 pub(super) const RESPONSE_FIXED_BYTES: u64 =
     (KERNEL_FACTOR * CALLER_SEND_BYTES + KERNEL_SEGMENT_BYTES) as u64;
-/// Bytes held for a stream that is not read: its caller's send buffer, its target's receive buffer, and what was
-/// read from the target but not passed on (the read buffer, and as much again that was taken out of it).
+/// Bytes held for a stream that is not read: its caller's send buffer, its target's receive buffer, and what
+/// was read from the target but not passed on (the read buffer, and as much again that was taken out of it).
 pub(super) const STREAM_FIXED_BYTES: u64 =
     RESPONSE_FIXED_BYTES + (KERNEL_FACTOR * TARGET_RECEIVE_BYTES + 2 * TARGET_READ_BYTES) as u64;
 
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -133,7 +133,7 @@
     may_wait: bool,
     responses: UnboundedReceiver<OwnerResponse>,
     /// Owner whose queue may hold the request.
-    queued_at: Option<HostId>,
+    queue_owner: Option<HostId>,
 }
 
 impl<'a> PendingAdmission<'a> {
@@ -141,7 +141,7 @@
         let request_id = state.slots.next_request_id.fetch_add(1, Ordering::Relaxed);
         let (sender, responses) = mpsc::unbounded_channel();
         lock(&state.slots.pending_admissions).insert(request_id, sender);
-        PendingAdmission { state, group, request_id, may_wait, responses, queued_at: None }
+        PendingAdmission { state, group, request_id, may_wait, responses, queue_owner: None }
     }
 
     /// Sends the request to owners until one of them grants a slot or declines the request.
@@ -180,11 +180,11 @@
 
     /// Withdraws the request from the queue of another owner that it was sent to before.
     fn turn_to(&mut self, owner: &HostId) {
-        if self.queued_at.as_ref().is_some_and(|previous| previous != owner) {
+        if self.queue_owner.as_ref().is_some_and(|previous| previous != owner) {
             self.withdraw();
         }
         if self.may_wait {
-            self.queued_at = Some(owner.clone());
+            self.queue_owner = Some(owner.clone());
         }
     }
 
@@ -242,8 +242,8 @@
 
     /// Takes over the granted slot, or returns the other outcome.
     fn finish(&mut self, (from, outcome): OwnerResponse) -> (SlotOutcome, PlacedBy) {
-        if self.queued_at.as_ref().is_some_and(|owner| owner.address == from) {
-            self.queued_at = None;
+        if self.queue_owner.as_ref().is_some_and(|owner| owner.address == from) {
+            self.queue_owner = None;
         }
         let is_local = from == self.state.local_host.address;
         let placed_by = if is_local { PlacedBy::LocalOwner } else { PlacedBy::Owner };
@@ -295,7 +295,7 @@
     /// Withdraws the request from the queue that may hold it. The datagram is sent without waiting, since the
     /// request's task may be ending.
     fn withdraw(&mut self) {
-        let Some(owner) = self.queued_at.take() else { return };
+        let Some(owner) = self.queue_owner.take() else { return };
         let withdrawal = AdmissionWithdrawal {
             incarnation: self.state.local_host.incarnation,
             request_id: self.request_id,
--- a/crates/cuminramp-gateway/src/slots/crowding.rs
+++ b/crates/cuminramp-gateway/src/slots/crowding.rs
@@ -30,12 +30,9 @@
 
 impl CrowdState {
     fn update(&mut self, waiting: usize, now: Instant) -> Option<CrowdChange> {
-        let is_due = |last: Option<Instant>| {
-            last.is_none_or(|last| now.duration_since(last) >= CHANGE_INTERVAL)
-        };
         if waiting == 0 {
             self.waiting_since = None;
-            if self.is_crowded && is_due(self.relieved_at) {
+            if self.is_crowded && is_due(self.relieved_at, now) {
                 self.is_crowded = false;
                 self.relieved_at = Some(now);
                 return Some(CrowdChange::Relieved);
@@ -43,7 +40,10 @@
             return None;
         }
         let since = *self.waiting_since.get_or_insert(now);
-        if !self.is_crowded && now.duration_since(since) > MIN_CROWDED && is_due(self.crowded_at) {
+        if !self.is_crowded
+            && now.duration_since(since) > MIN_CROWDED
+            && is_due(self.crowded_at, now)
+        {
             self.is_crowded = true;
             self.crowded_at = Some(now);
             return Some(CrowdChange::Crowded);
@@ -53,16 +53,18 @@
 
     /// Returns whether an empty state would give the same changes from now on.
     fn is_idle(&self, now: Instant) -> bool {
-        let is_past = |last: Option<Instant>| {
-            last.is_none_or(|last| now.duration_since(last) >= CHANGE_INTERVAL)
-        };
         self.waiting_since.is_none()
             && !self.is_crowded
-            && is_past(self.crowded_at)
-            && is_past(self.relieved_at)
+            && is_due(self.crowded_at, now)
+            && is_due(self.relieved_at, now)
     }
 }
 
+/// Returns whether an equal change of the group, last logged at `last`, may be logged again.
+fn is_due(last: Option<Instant>, now: Instant) -> bool {
+    last.is_none_or(|last| now.duration_since(last) >= CHANGE_INTERVAL)
+}
+
 /// Detects which groups become crowded or relieved.
 #[derive(Debug, Default)]
 pub(super) struct CrowdDetector {
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -58,8 +58,8 @@
     respond_to_request(state, &host, &group, &request).await;
 }
 
-/// Responds to a request of this host or another for a slot of a group with an admission queue, and serves the
-/// requests that wait: a slot may have become free since.
+/// Responds to a request of this host or another for a slot of a group with an admission queue, and serves
+/// the requests that wait: a slot may have become free since.
 pub(super) async fn respond_to_admission(
     state: &Arc<GatewayState>,
     host: &HostId,
@@ -288,8 +288,8 @@
     );
 }
 
-/// Returns the teams with the highest usage of a group, such as `team-a=12.5/1.00,team-b=3.0/1.00`: the usage in
-/// slots and the weight. A team that the declarations don't name is given by its hash.
+/// Returns the teams with the highest usage of a group, such as `team-a=12.5/1.00,team-b=3.0/1.00`: the usage
+/// in slots and the weight. A team that the declarations don't name is given by its hash.
 fn describe_usage(state: &GatewayState, status: &QueueStatus) -> String {
     let declarations = state.current_declarations();
     let name_of = |hash: u32| {
--- a/crates/cuminramp-gateway/src/targets/connections.rs
+++ b/crates/cuminramp-gateway/src/targets/connections.rs
@@ -80,8 +80,8 @@
 }
 
 impl TargetConnections {
-    /// Creates an empty pool. With `has_fixed_buffers`, the kernel's receive buffer of each connection and the
-    /// buffer into which responses are read have fixed sizes.
+    /// Creates an empty pool. With `has_fixed_buffers`, the kernel's receive buffer of each connection and
+    /// the buffer into which responses are read have fixed sizes.
     pub(crate) fn new(has_fixed_buffers: bool) -> Self {
         TargetConnections { idle: Mutex::default(), has_fixed_buffers }
     }
--- a/crates/cuminramp-gateway/src/targets/connections/tests.rs
+++ b/crates/cuminramp-gateway/src/targets/connections/tests.rs
@@ -52,8 +52,8 @@
     assert!((1..OBJECTIVE.as_millis() as u32).contains(&timeout_ms), "{timeout_ms} ms");
 }
 
-/// A target accepts a connection and reads nothing of a large body. Guards against a request that holds its body,
-/// and a slot of the target, until its deadline.
+/// A target accepts a connection and reads nothing of a large body. Guards against a request that holds its
+/// body, and a slot of the target, until its deadline.
 #[tokio::test]
 async fn a_body_that_its_target_does_not_read_breaks_the_connection() {
     /// Size of a body that no kernel buffer takes whole.
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -56,11 +56,11 @@
     /// With `auto` it does so for pools whose targets report their pace, and for all pools if `requirements`
     /// lists `pressure`.
     pub admission_queue: String,
-    /// Requirements of the platform on the deployment. `pressure` means that callers may compete for slots. Other
-    /// names are ignored.
+    /// Requirements of the platform on the deployment. `pressure` means that callers may compete for slots.
+    /// Other names are ignored.
     pub requirements: Vec<String>,
-    /// Weights of teams in the shares of crowded pools. A team that is not listed has its declared rate as its
-    /// weight. Must be the same on all hosts.
+    /// Weights of teams in the shares of crowded pools. A team that is not listed has its declared rate as
+    /// its weight. Must be the same on all hosts.
     pub team_weights: Vec<TeamWeight>,
     /// Whether the paces that targets report are used: `auto`, for targets that report one, or `off`.
     pub target_pace: String,
@@ -75,8 +75,8 @@
 const AUTO: &str = "auto";
 /// Value of a setting that turns a feature off.
 const OFF: &str = "off";
-/// Values of a setting that turns a feature off.
-const SWITCH_VALUES: [&str; 2] = [AUTO, OFF];
+/// Values of `target-pace`.
+const PACE_VALUES: [&str; 2] = [AUTO, OFF];
 /// Values of `admission-queue`.
 const QUEUE_VALUES: [&str; 3] = [AUTO, "on", OFF];
 /// Requirement that callers may compete for slots.
@@ -262,7 +262,7 @@
     }
     let switches = [
         ("admission-queue", &settings.admission_queue, &QUEUE_VALUES[..]),
-        ("target-pace", &settings.target_pace, &SWITCH_VALUES[..]),
+        ("target-pace", &settings.target_pace, &PACE_VALUES[..]),
     ];
     for (place, value, valid) in switches {
         if !valid.contains(&value.as_str()) {
--- a/crates/cuminramp-settings/src/gateway/tests.rs
+++ b/crates/cuminramp-settings/src/gateway/tests.rs
@@ -36,8 +36,8 @@
     assert_eq!(errors[0].place, place);
 }
 
-/// An operator who makes a mistake in one of many entries must see which one, and what is expected. JSON has no
-/// infinity, but a number beyond the range of a double could become one.
+/// An operator who makes a mistake in one of many entries must see which one, and what is expected. JSON has
+/// no infinity, but a number beyond the range of a double could become one.
 #[test_case("3", "[1]: must be a section, not a whole number from 0")]
 #[test_case(r#"{ "team": "b", "wieght": 1, "weight": 1 }"#, "[1].wieght: is not a setting")]
 #[test_case(r#"{ "team": "b" }"#, "[1].weight: is missing")]
@@ -56,8 +56,8 @@
     assert!(format!("{}: {}", errors[0].place, errors[0].reason).contains(expected));
 }
 
-/// A deployment without the requirement must not get a bound from its memory alone, and a bound that is set must
-/// take precedence over the derived one.
+/// A deployment without the requirement must not get a bound from its memory alone, and a bound that is set
+/// must take precedence over the derived one.
 #[test_case("[]", 160, 0, None; "no requirement")]
 #[test_case(r#"["pressure"]"#, 0, 0, None; "unknown memory")]
 #[test_case(r#"["pressure"]"#, 160, 0, Some(40 << 20); "derived")]
@@ -78,6 +78,7 @@
     assert_eq!(settings.stream_buffer_bytes(), expected);
 }
 
+/// Guards against settings of the queue that are accepted and ignored.
 #[test]
 fn weights_and_the_queue_are_read() {
     let text = r#"{ "admission-queue": "off", "team-weights": [{ "team": "a", "weight": 2 }] }"#;
