--- a/crates/cuminramp-gateway/src/readers/connection.rs
+++ b/crates/cuminramp-gateway/src/readers/connection.rs
@@ -13,15 +13,20 @@
 use super::{EndedReader, ReaderTag};
 use crate::state::{GatewayState, lock};
 
-/// Number of event gaps of a route after which callers give up a stream.
+/// Number of event gaps of a route without an event after which callers give up a stream. They wait for the
+/// longest of this, [`GIVE_UP_OBJECTIVES`] and [`MIN_GIVE_UP`].
 const GIVE_UP_GAPS: u32 = 8;
-/// Minimum time without a read after which callers give up a stream.
+/// Number of objectives of a route without an event after which callers give up a stream.
+const GIVE_UP_OBJECTIVES: u32 = 4;
+/// Minimum time without an event after which callers give up a stream.
 const MIN_GIVE_UP: Duration = Duration::from_secs(2);
 
 /// Returns the time without a read after which a caller of `route` has given up.
 fn give_up_after(route: &RouteRule) -> Duration {
     match route.max_event_gap {
-        Some(gap) if route.kind == RouteKind::Stream => (gap * GIVE_UP_GAPS).max(MIN_GIVE_UP),
+        Some(gap) if route.kind == RouteKind::Stream => {
+            (gap * GIVE_UP_GAPS).max(route.objective * GIVE_UP_OBJECTIVES).max(MIN_GIVE_UP)
+        }
         _ => route.timeout,
     }
 }
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -9,7 +9,6 @@
     AdmissionRequest, AdmissionWithdrawal, HostMessage, PlacementRequest, RejectionReason,
     ShareReport, SlotGroup, SlotOutcome, name_hash,
 };
-use cuminramp_settings::QueueMode;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::{Instant, timeout};
 
@@ -83,11 +82,7 @@
 
 /// Returns whether the owners of a pool's groups queue requests.
 pub(super) fn is_queue_active(state: &GatewayState, pool: &str) -> bool {
-    match state.queue_mode {
-        QueueMode::Off => false,
-        QueueMode::PacedPools => lock(&state.placement).is_paced(pool, Instant::now()),
-        QueueMode::AllPools => true,
-    }
+    state.queue_mode.queues(lock(&state.placement).is_paced(pool, Instant::now()))
 }
 
 /// Requests a slot from the owner of a group, and from the next owner if that one is silent. With `may_wait`,
--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -8,7 +8,6 @@
 use cuminramp_fleet::{
     AttemptKind, HostMessage, LocalReadiness, QuotaDecision, TokenRequest, TokenResponse, name_hash,
 };
-use cuminramp_settings::QueueMode;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
@@ -68,11 +67,7 @@
 
 /// Returns whether scheduled retries may take only a part of each team's rate: where requests may be queued.
 pub(crate) fn limits_retries(state: &GatewayState) -> bool {
-    match state.queue_mode {
-        QueueMode::Off => false,
-        QueueMode::PacedPools => lock(&state.placement).is_any_paced(Instant::now()),
-        QueueMode::AllPools => true,
-    }
+    state.queue_mode.queues(lock(&state.placement).is_any_paced(Instant::now()))
 }
 
 /// Returns the owner of a team as seen by this host; `None` if no host may own it.
--- a/crates/cuminramp-settings/src/gateway.rs
+++ b/crates/cuminramp-settings/src/gateway.rs
@@ -100,6 +100,23 @@
     AllPools,
 }
 
+impl QueueMode {
+    /// Returns whether requests for a pool are queued. `is_paced` tells whether its targets report their pace.
+    ///
+    /// ```
+    /// use cuminramp_settings::QueueMode;
+    /// assert!(QueueMode::AllPools.queues(false));
+    /// assert!(!QueueMode::PacedPools.queues(false));
+    /// ```
+    pub fn queues(self, is_paced: bool) -> bool {
+        match self {
+            QueueMode::Off => false,
+            QueueMode::PacedPools => is_paced,
+            QueueMode::AllPools => true,
+        }
+    }
+}
+
 /// Region of one availability zone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ZoneRegion {
