Requests wait in a queue no longer than their callers do

Cause: a late request waited until its deadline of 5 s, but callers of streams give up after 2.4 s without an event.

Change: the owner is told the time at which the caller gives up; what can't start before it is rejected with the time to return. The host limits that time to a third of the time that the caller has left.

--- a/crates/cuminramp-fleet/src/admission/queue.rs
+++ b/crates/cuminramp-fleet/src/admission/queue.rs
@@ -250,7 +250,7 @@
             None
         };
         if let Some(reason) = reason {
-            let retry_after = self.book_return(request, wait, capacity, random, now);
+            let retry_after = self.book_return(wait, capacity, random, now);
             return QueueDecision::Rejected { retry_after, reason };
         }
         if !entry.class.is_late {
@@ -292,7 +292,7 @@
             return Some(QueueDecision::Waiting { wait });
         }
         self.remove(key);
-        let retry_after = self.book_return(request, wait, capacity, random, now);
+        let retry_after = self.book_return(wait, capacity, random, now);
         Some(QueueDecision::Rejected { retry_after, reason: RejectionReason::Deadline })
     }
 
@@ -308,14 +308,12 @@
 
     fn book_return(
         &mut self,
-        request: &AdmissionRequest,
         wait: Duration,
         capacity: GroupCapacity,
         random: &mut dyn RandomSource,
         now: Instant,
     ) -> Duration {
-        let max_delay = Duration::from_millis(u64::from(request.deadline_ms)) / 3;
-        self.returns.book(wait, capacity.freed_per_s, max_delay, random, now)
+        self.returns.book(wait, capacity.freed_per_s, MAX_DELAY, random, now)
     }
 
     /// Makes room for an entry if the queue is full, by rejecting the last request if the entry goes before
@@ -340,8 +338,7 @@
         let Some(last) = last.map(|last| last.key.clone()).and_then(|key| self.remove(&key)) else {
             return false;
         };
-        let request = &last.waiting.request;
-        let retry_after = self.book_return(request, wait, capacity, random, now);
+        let retry_after = self.book_return(wait, capacity, random, now);
         let reason = RejectionReason::QueueFull;
         self.rejected.push(RejectedRequest { waiting: last.waiting, retry_after, reason });
         true
--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -7,6 +7,14 @@
 
 use crate::placement::ColdRule;
 
+/// Number of event gaps of a route without an event after which callers give up a stream. They wait for the
+/// longest of this, [`GIVE_UP_OBJECTIVES`] and [`MIN_GIVE_UP`].
+const GIVE_UP_GAPS: u32 = 8;
+/// Number of objectives of a route without an event after which callers give up a stream.
+const GIVE_UP_OBJECTIVES: u32 = 4;
+/// Minimum time without an event after which callers give up a stream.
+const MIN_GIVE_UP: Duration = Duration::from_secs(2);
+
 /// Whether the requests of a route may run more than once, and how they are answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -77,6 +85,17 @@
         }
     }
 
+    /// Returns the time after which a caller gives up: without an event for streams with a maximum event gap,
+    /// without an answer for other routes.
+    pub fn give_up_after(&self) -> Duration {
+        match self.max_event_gap {
+            Some(gap) if self.kind == RouteKind::Stream => {
+                (gap * GIVE_UP_GAPS).max(self.objective * GIVE_UP_OBJECTIVES).max(MIN_GIVE_UP)
+            }
+            _ => self.timeout,
+        }
+    }
+
     /// Returns the pool for a request. Evenly distributed values of `spread` distribute requests over
     /// the pools by weight; if all weights are 0, the first pool is used.
     pub fn pick_pool(&self, spread: u64) -> Option<&Name> {
--- a/crates/cuminramp-fleet/src/declarations/tests.rs
+++ b/crates/cuminramp-fleet/src/declarations/tests.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use test_case::test_case;
+
 use super::{
     CallerLimits, DeclarationStore, FleetDeclarations, PoolShare, RouteKind, RouteRule, TeamRule,
 };
@@ -80,3 +82,19 @@
 
     assert_eq!(to_q.count(), 10);
 }
+
+/// Guards against requests that wait in a queue for longer than their callers do, and against streams that end as
+/// unread while their callers still wait.
+#[test_case(RouteKind::Stream, Some(100), 300 => 2_000; "at least two seconds")]
+#[test_case(RouteKind::Stream, Some(300), 300 => 2_400; "eight event gaps")]
+#[test_case(RouteKind::Stream, Some(300), 1_000 => 4_000; "four objectives")]
+#[test_case(RouteKind::Stream, None, 300 => 5_000; "stream without a maximum gap")]
+#[test_case(RouteKind::Idempotent, Some(300), 300 => 5_000; "no stream")]
+fn a_caller_gives_up_after(kind: RouteKind, gap_ms: Option<u64>, objective_ms: u64) -> u128 {
+    let max_event_gap = gap_ms.map(Duration::from_millis);
+    let objective = Duration::from_millis(objective_ms);
+
+    let route = RouteRule { kind, max_event_gap, objective, ..route("/a/") };
+
+    route.give_up_after().as_millis()
+}
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -238,6 +238,11 @@
         }
     }
 
+    /// Returns whether an event was passed on to the caller.
+    pub(crate) fn has_first_event(&self) -> bool {
+        self.first_event.is_some()
+    }
+
     /// Records the outcome; the log line is written on drop.
     pub(crate) fn end(&mut self, outcome: RequestOutcome) {
         self.outcome = Some(outcome);
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -28,6 +28,8 @@
 /// target. Callers abandon a stream after two seconds without an event; this leaves the other target
 /// time to send the next one.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Part of the time left until a caller's deadline that it waits at most before a retry, as a divisor.
+const MAX_RETRY_DELAY_DIVISOR: u32 = 3;
 /// Time subtracted from a caller's deadline, so that the final response still arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
@@ -164,7 +166,9 @@
             team: self.request.team.as_ref(),
             priority: self.request.route.priority,
             started_at: self.record.started_at(),
-            deadline: self.deadline,
+            deadline: self.deadline.min(self.give_up_at()),
+            max_retry_delay: self.deadline.saturating_duration_since(Instant::now())
+                / MAX_RETRY_DELAY_DIVISOR,
             queued_at: &self.queued_at,
         };
         let started_at = Instant::now();
@@ -177,6 +181,13 @@
         placement.decision
     }
 
+    /// Returns the time at which the caller gives up if it receives no further event.
+    fn give_up_at(&self) -> Instant {
+        let waits_since =
+            if self.record.has_first_event() { Instant::now() } else { self.record.started_at() };
+        waits_since + self.request.route.give_up_after()
+    }
+
     /// Records that the deadline passed, as a decision of the queue if the request was waiting in one.
     fn record_deadline(&mut self) {
         if let Some(queued_at) = self.queued_at.take() {
--- a/crates/cuminramp-gateway/src/readers/connection.rs
+++ b/crates/cuminramp-gateway/src/readers/connection.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use cuminramp_core::Name;
 use cuminramp_fleet::{RouteKind, RouteRule};
@@ -13,24 +12,6 @@
 use super::{EndedReader, ReaderTag};
 use crate::state::{GatewayState, lock};
 
-/// Number of event gaps of a route without an event after which callers give up a stream. They wait for the
-/// longest of this, [`GIVE_UP_OBJECTIVES`] and [`MIN_GIVE_UP`].
-const GIVE_UP_GAPS: u32 = 8;
-/// Number of objectives of a route without an event after which callers give up a stream.
-const GIVE_UP_OBJECTIVES: u32 = 4;
-/// Minimum time without an event after which callers give up a stream.
-const MIN_GIVE_UP: Duration = Duration::from_secs(2);
-
-/// Returns the time without a read after which a caller of `route` has given up.
-fn give_up_after(route: &RouteRule) -> Duration {
-    match route.max_event_gap {
-        Some(gap) if route.kind == RouteKind::Stream => {
-            (gap * GIVE_UP_GAPS).max(route.objective * GIVE_UP_OBJECTIVES).max(MIN_GIVE_UP)
-        }
-        _ => route.timeout,
-    }
-}
-
 /// The caller of one connection, as the reader of its responses.
 #[derive(Debug)]
 pub(crate) struct CallerReader {
@@ -70,7 +51,7 @@
         let mut tag = unknown_tag();
         tag.request_id = request_id.cloned().unwrap_or(tag.request_id);
         tag.team = team.cloned().unwrap_or(tag.team);
-        tag.give_up_after = Some(give_up_after(route));
+        tag.give_up_after = Some(route.give_up_after());
         if route.kind == RouteKind::Stream {
             tag.fixed_bytes = STREAM_FIXED_BYTES;
         }
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -34,8 +34,10 @@
     pub(crate) priority: u8,
     /// Time at which the request arrived.
     pub(crate) started_at: Instant,
-    /// Time by which the caller receives its final response.
+    /// Time by which the caller receives its final response or gives up.
     pub(crate) deadline: Instant,
+    /// Maximum delay after which the caller retries if the request is rejected.
+    pub(crate) max_retry_delay: Duration,
     /// Set when an owner queues the request, to the time at which it did.
     pub(crate) queued_at: &'a OnceLock<Instant>,
 }
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -118,7 +118,7 @@
             return place_without_owner(state, request);
         };
         // Ignores a grant for a target that is unknown here or that accepts no new work.
-        if let Some(decision) = to_decision(state, outcome) {
+        if let Some(decision) = to_decision(state, outcome, terms) {
             let waited = if may_queue { asked_at.elapsed() } else { Duration::ZERO };
             let admission = has_queue.then(|| AdmissionResult::new(waited, outcome));
             return SlotPlacement { decision, placed_by, admission };
@@ -128,7 +128,11 @@
 }
 
 /// Returns the decision that follows from an owner's outcome, or `None` if the search continues.
-fn to_decision(state: &GatewayState, outcome: SlotOutcome) -> Option<PlacementDecision> {
+fn to_decision(
+    state: &GatewayState,
+    outcome: SlotOutcome,
+    terms: &AdmissionTerms<'_>,
+) -> Option<PlacementDecision> {
     match outcome {
         SlotOutcome::Granted { target, .. } | SlotOutcome::GrantedAfterWait { target, .. } => {
             let placement = lock(&state.placement);
@@ -136,7 +140,7 @@
         }
         SlotOutcome::Rejected { retry_after_ms, .. } => {
             let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-            Some(PlacementDecision::Full(retry_after))
+            Some(PlacementDecision::Full(retry_after.min(terms.max_retry_delay)))
         }
         SlotOutcome::Busy { .. } | SlotOutcome::NoTarget | SlotOutcome::Waiting { .. } => None,
     }
