Load tests of the queue shorten a retry's delay as hosts do

The owner no longer limits the delay by the caller's deadline, so the emulated caller returned after its deadline and a check failed. Hosts shorten the delay; the emulation does so now for rejections of the queue, and every check stays as it was.

--- a/crates/cuminramp-fleet/src/admission/tests/group.rs
+++ b/crates/cuminramp-fleet/src/admission/tests/group.rs
@@ -166,7 +166,8 @@
         }
         if let SlotOrder::Fair(queue) = &mut self.order {
             for rejected in queue.expire(self.now) {
-                self.reject(rejected.waiting.request.request_id as usize, rejected.retry_after);
+                let attempt = rejected.waiting.request.request_id as usize;
+                self.reject_by_queue(attempt, rejected.retry_after);
             }
         }
         self.max_waiting = self.max_waiting.max(self.waiting());
@@ -220,7 +221,7 @@
                         self.events.push(Reverse((self.now + millis(100), event)));
                     }
                     QueueDecision::Rejected { retry_after, .. } => {
-                        self.reject(attempt, retry_after);
+                        self.reject_by_queue(attempt, retry_after);
                     }
                 }
             }
@@ -236,6 +237,12 @@
         }
     }
 
+    /// Rejects an attempt as its host does, which shortens the delay to a third of the time left.
+    fn reject_by_queue(&mut self, attempt: usize, retry_after: Duration) {
+        let left = self.attempts[attempt].deadline.saturating_duration_since(self.now);
+        self.reject(attempt, retry_after.min(left / 3));
+    }
+
     fn reject(&mut self, attempt: usize, retry_after: Duration) {
         self.attempts[attempt].ended_at = Some(self.now);
         if !self.attempts[attempt].is_retry {
