--- a/crates/cuminramp-fleet/src/quota/account.rs
+++ b/crates/cuminramp-fleet/src/quota/account.rs
@@ -18,7 +18,7 @@
 /// These requests return after the delay that they were given, and a second refusal would make them fail
 /// for their callers.
 const MAX_RETRY_DEBT: (f64, f64) = (0.06, 4.0);
-/// Maximum delay for which refused requests that will be retried are expected. Callers are given no longer
+/// Maximum delay for which refused requests that will be retried are expected. Scheduled retries get no longer
 /// delays.
 const MAX_EXPECTED_SECONDS: f64 = 1.5;
 /// Part of a team's rate that scheduled retries may take where they are limited. The rest is left to first
