Log how the body of a stream ended

Callers got broken streams as complete ones. The logs could not tell whether the response of the target had a frame at all, nor whether it ended inside an event. request-ended now names what marked the end of the last response and the number of bytes after its last complete event. No logic changes.

--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -11,6 +11,7 @@
 use crate::readers::CallerReader;
 use crate::slots::{AdmissionResult, PlacedBy};
 use crate::state::GatewayState;
+use crate::targets::ResponseFraming;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -87,6 +88,14 @@
     format!("{:.2}", f64::from(centi) / 100.0)
 }
 
+/// How the body of a stream's last response ended.
+#[derive(Clone, Copy, Debug)]
+struct StreamEndRecord {
+    framing: ResponseFraming,
+    /// Number of bytes after the last complete event.
+    rest_bytes: usize,
+}
+
 /// Writes the log line of a refused request, with more keys in pools with admission queues.
 macro_rules! log_refusal {
     ($record:ident, $refusal:ident $(, $key:ident = $value:expr)*) => {
@@ -116,6 +125,8 @@
     declarations: u64,
     started_at: Instant,
     first_event: Option<Duration>,
+    /// End of the body; `None` if it was not read to its end, or is no stream.
+    stream_end: Option<StreamEndRecord>,
     sends: u32,
     target: Option<Name>,
     placed_by: Option<PlacedBy>,
@@ -151,6 +162,7 @@
             declarations,
             started_at,
             first_event: None,
+            stream_end: None,
             sends: 0,
             target: None,
             placed_by: None,
@@ -240,6 +252,11 @@
         }
     }
 
+    /// Records the end of a stream's body, with the number of bytes after its last complete event.
+    pub(crate) fn record_stream_end(&mut self, framing: ResponseFraming, rest_bytes: usize) {
+        self.stream_end = Some(StreamEndRecord { framing, rest_bytes });
+    }
+
     /// Returns whether an event was passed on to the caller.
     pub(crate) fn has_first_event(&self) -> bool {
         self.first_event.is_some()
@@ -301,6 +318,8 @@
             placed_by = self.placed_by.map_or("-", PlacedBy::as_str),
             placing_us = self.placement_time.as_micros() as u64, outcome = outcome.as_str(),
             first_event_ms = self.first_event.map_or(0, |elapsed| elapsed.as_millis() as u64),
+            framing = self.stream_end.map_or("-", |end| end.framing.as_str()),
+            rest_bytes = self.stream_end.map_or(0, |end| end.rest_bytes),
             took_ms = elapsed.as_millis() as u64;
             "request-ended"
         );
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -13,7 +13,7 @@
 
 use super::RequestOutcome;
 use super::serve::RequestDispatch;
-use crate::targets::{EventSplitter, TargetResponse};
+use crate::targets::{EventSplitter, ResponseFraming, TargetResponse};
 
 /// Body frames of the caller's response.
 pub(crate) type EventFrames = BoxStream<'static, Result<Frame<Bytes>, io::Error>>;
@@ -118,6 +118,8 @@
                 }
                 Ok(None) => {
                     let rest = Bytes::copy_from_slice(self.splitter.rest());
+                    let framing = ResponseFraming::of(&response.parts);
+                    self.dispatch.record.record_stream_end(framing, rest.len());
                     return StreamStep::End(rest);
                 }
             }
