A stream that ends inside an event has been broken off

What callers saw: status 200, a target's signature and a body that is framed as complete and lacks events; on routes whose streams may be resumed as well as on others. Cause: the end of a body without an error counted as the end of the stream, whatever the splitter still held, and the incomplete event was passed on. A response that has neither a length nor chunks ends so whenever its target closes the connection, also when it fails. Why this works: one rule, in the splitter, says whether a stream that ended is complete: nothing but line ends may follow its last event. Online streams and items of jobs both ask it, so such a stream is resumed where the route allows that, and the caller's response is broken off where it does not.

--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -17,7 +17,8 @@
 use crate::slots::request_item_slots;
 use crate::state::{GatewayState, lock};
 use crate::targets::{
-    EventOrder, EventSplitter, SendFailure, TargetRequest, TargetResponse, TargetRun, send_request,
+    EventOrder, EventSplitter, SendFailure, StreamEnd, TargetRequest, TargetResponse, TargetRun,
+    send_request,
 };
 
 /// Maximum interval between two checks for items that expire or can be retried.
@@ -357,14 +358,7 @@
                 return broken(error.to_string());
             }
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if splitter.rest().is_empty() && progress.last_event.is_some() => {
-                response.run.end_complete(response.head.keep_alive);
-                return RunEnd::Complete;
-            }
-            Ok(None) => {
-                response.run.end_failed();
-                return broken("the stream ended without a complete last event");
-            }
+            Ok(None) => return end_stream(response, splitter.end(), progress),
         };
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
@@ -389,6 +383,20 @@
     }
 }
 
+/// Ends the run of an item whose response was read to its end.
+fn end_stream(response: TargetResponse, end: StreamEnd, progress: &ItemProgress) -> RunEnd {
+    let reason = match end {
+        StreamEnd::Complete(_) if progress.last_event.is_some() => {
+            response.run.end_complete(response.head.keep_alive);
+            return RunEnd::Complete;
+        }
+        StreamEnd::Complete(_) => "the stream ended without an event".to_owned(),
+        StreamEnd::BrokenOff(reason) => reason,
+    };
+    response.run.end_failed();
+    broken(reason)
+}
+
 /// Records a running item's progress in the job table, at most once per [`PROGRESS_INTERVAL`].
 struct ProgressRecorder {
     state: Arc<GatewayState>,
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -13,7 +13,7 @@
 
 use super::RequestOutcome;
 use super::serve::RequestDispatch;
-use crate::targets::{EventSplitter, ResponseFraming, TargetResponse};
+use crate::targets::{EventSplitter, ResponseFraming, StreamEnd, TargetResponse};
 
 /// Body frames of the caller's response.
 pub(crate) type EventFrames = BoxStream<'static, Result<Frame<Bytes>, io::Error>>;
@@ -34,7 +34,7 @@
 enum StreamStep {
     /// Complete events.
     Events(Bytes),
-    /// The stream ended without an error; holds the bytes after the last complete event.
+    /// The stream is complete; holds the bytes after its last event.
     End(Bytes),
     /// The stream was interrupted, for this reason.
     Interrupted(String),
@@ -104,28 +104,34 @@
                         timeout.as_millis()
                     ));
                 }
-                Ok(Some(Err(error))) => {
-                    // If the response has brought a new event, its interruption doesn't count as a crash.
-                    if self.dispatch.last_event == self.resumed_after {
-                        self.dispatch.record_crash();
-                    }
-                    return StreamStep::Interrupted(error.to_string());
-                }
+                Ok(Some(Err(error))) => return self.break_off(error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
                         self.splitter.push(&bytes);
                     }
                 }
                 Ok(None) => {
-                    let rest = Bytes::copy_from_slice(self.splitter.rest());
                     let framing = ResponseFraming::of(&response.parts);
-                    self.dispatch.record.record_stream_end(framing, rest.len());
-                    return StreamStep::End(rest);
+                    let rest_bytes = self.splitter.rest().len();
+                    self.dispatch.record.record_stream_end(framing, rest_bytes);
+                    return match self.splitter.end() {
+                        StreamEnd::Complete(rest) => StreamStep::End(rest),
+                        StreamEnd::BrokenOff(reason) => self.break_off(reason),
+                    };
                 }
             }
         }
     }
 
+    /// Records that the target broke the response off. It counts as a crash unless the response has brought a new
+    /// event.
+    fn break_off(&self, reason: String) -> StreamStep {
+        if self.dispatch.last_event == self.resumed_after {
+            self.dispatch.record_crash();
+        }
+        StreamStep::Interrupted(reason)
+    }
+
     /// Ends the stream as complete.
     fn end_complete(&mut self) {
         if let Some(response) = self.response.take() {
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -64,6 +64,15 @@
     pub(crate) stop_reason: Option<String>,
 }
 
+/// Whether a stream is complete whose body ended without an error.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamEnd {
+    /// The stream is complete; holds the line ends after its last event.
+    Complete(Bytes),
+    /// The target broke the stream off, for this reason.
+    BrokenOff(String),
+}
+
 /// Maximum size of an event in bytes. Targets send events of a few hundred bytes. A target that never ended
 /// an event would fill the memory of the host, which is 160 MB in total on the smallest hosts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -143,6 +152,18 @@
         is_too_long.then(|| format!("an event of over {MAX_EVENT_BYTES} bytes"))
     }
 
+    /// Returns whether the stream is complete if its body ends here.
+    ///
+    /// A body without a length and chunks ends without an error also when the target fails, since closing the
+    /// connection is what marks its end.
+    pub(crate) fn end(&self) -> StreamEnd {
+        if self.buffer.iter().all(|byte| matches!(byte, b'\n' | b'\r')) {
+            return StreamEnd::Complete(Bytes::copy_from_slice(&self.buffer));
+        }
+        let rest_bytes = self.buffer.len();
+        StreamEnd::BrokenOff(format!("the stream ended {rest_bytes} bytes into an event"))
+    }
+
     /// Returns the bytes that form no complete event yet.
     pub(crate) fn rest(&self) -> &[u8] {
         &self.buffer
--- a/crates/cuminramp-gateway/src/targets/mod.rs
+++ b/crates/cuminramp-gateway/src/targets/mod.rs
@@ -6,6 +6,6 @@
 mod send;
 
 pub(crate) use connections::{TargetConnection, TargetConnections};
-pub(crate) use events::{EventOrder, EventSplitter};
+pub(crate) use events::{EventOrder, EventSplitter, StreamEnd};
 pub(crate) use framing::ResponseFraming;
 pub(crate) use send::{SendFailure, TargetRequest, TargetResponse, TargetRun, send_request};
