A stream without a frame that brings no event has been broken off

The same class of fault as the stream that ends inside an event, found by reading: a target that fails before it sends an event of a response without a length and chunks leaves an empty body that ends in order. The caller got an empty stream as complete, or one that ends where an earlier target broke off, if this one was to resume it. Why this works: closing the connection shows the end of a stream only after an event. Such a stream is resumed or broken off like any other. With chunks or a length an empty stream stays complete. What this costs: a caller that has all events and resumes the stream at a target that marks no end is told that it is broken off.

--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -17,8 +17,8 @@
 use crate::slots::request_item_slots;
 use crate::state::{GatewayState, lock};
 use crate::targets::{
-    EventOrder, EventSplitter, SendFailure, StreamEnd, TargetRequest, TargetResponse, TargetRun,
-    send_request,
+    EventOrder, EventSplitter, ResponseFraming, SendFailure, StreamEnd, TargetRequest,
+    TargetResponse, TargetRun, send_request,
 };
 
 /// Maximum interval between two checks for items that expire or can be retried.
@@ -358,7 +358,10 @@
                 return broken(error.to_string());
             }
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return end_stream(response, splitter.end(), progress),
+            Ok(None) => {
+                let end = splitter.end(ResponseFraming::of(&response.parts));
+                return end_stream(response, end, progress);
+            }
         };
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -114,7 +114,7 @@
                     let framing = ResponseFraming::of(&response.parts);
                     let rest_bytes = self.splitter.rest().len();
                     self.dispatch.record.record_stream_end(framing, rest_bytes);
-                    return match self.splitter.end() {
+                    return match self.splitter.end(framing) {
                         StreamEnd::Complete(rest) => StreamStep::End(rest),
                         StreamEnd::BrokenOff(reason) => self.break_off(reason),
                     };
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::ResponseFraming;
+
 /// A complete event of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct StreamEvent {
@@ -87,6 +89,8 @@
     buffer: BytesMut,
     /// Number of bytes of `buffer` that were searched for the end of an event.
     scanned: usize,
+    /// Whether a complete event was returned.
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -99,6 +103,7 @@
     pub(crate) fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
         self.scanned = 0;
+        self.has_events = true;
         let raw = self.buffer.split_to(end).freeze();
         let id = parse_id(&raw);
         Some(StreamEvent { raw, id })
@@ -152,16 +157,21 @@
         is_too_long.then(|| format!("an event of over {MAX_EVENT_BYTES} bytes"))
     }
 
-    /// Returns whether the stream is complete if its body ends here.
+    /// Returns whether the stream is complete if its body ends here without an error.
     ///
-    /// A body without a length and chunks ends without an error also when the target fails, since closing the
-    /// connection is what marks its end.
-    pub(crate) fn end(&self) -> StreamEnd {
-        if self.buffer.iter().all(|byte| matches!(byte, b'\n' | b'\r')) {
-            return StreamEnd::Complete(Bytes::copy_from_slice(&self.buffer));
-        }
+    /// With [`ResponseFraming::Connection`] that is also how a target ends that fails, so such a stream has to bring
+    /// at least one event.
+    pub(crate) fn end(&self, framing: ResponseFraming) -> StreamEnd {
         let rest_bytes = self.buffer.len();
-        StreamEnd::BrokenOff(format!("the stream ended {rest_bytes} bytes into an event"))
+        if self.buffer.iter().any(|byte| !matches!(byte, b'\n' | b'\r')) {
+            return StreamEnd::BrokenOff(format!(
+                "the stream ended {rest_bytes} bytes into an event"
+            ));
+        }
+        if framing == ResponseFraming::Connection && !self.has_events {
+            return StreamEnd::BrokenOff("the connection was closed before an event".to_owned());
+        }
+        StreamEnd::Complete(Bytes::copy_from_slice(&self.buffer))
     }
 
     /// Returns the bytes that form no complete event yet.
--- a/crates/cuminramp-gateway/src/targets/events/tests.rs
+++ b/crates/cuminramp-gateway/src/targets/events/tests.rs
@@ -2,6 +2,7 @@
 use test_case::test_case;
 
 use super::{EventSplitter, MAX_EVENT_BYTES, StreamEnd};
+use crate::targets::ResponseFraming::{self, Chunks, Connection};
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata:b\r\ndata: c\r\n\r\nid: 3\ndata: half";
 
@@ -30,19 +31,26 @@
     assert_eq!(rest, b"id: 3\ndata: half");
 }
 
-/// A stream that ended inside an event must not count as complete, and line ends after the last event are no event.
-#[test_case("id: 1\ndata: a\n\n", true)]
-#[test_case("id: 1\ndata: a\n\n\r\n\n", true; "empty lines after the last event")]
-#[test_case("id: 1\ndata: a\n", false; "without the empty line that ends the event")]
-#[test_case("id: 1\ndata: a\n\nid", false)]
-#[test_case("id: 1\ndata: a\n\n: comment", false)]
-fn a_stream_is_complete_at_the_end_of_an_event(stream: &str, is_complete: bool) {
+/// A stream that was broken off must not count as complete, and line ends after the last event are no event.
+#[test_case("id: 1\ndata: a\n\n", Connection, true)]
+#[test_case("id: 1\ndata: a\n\n\r\n\n", Connection, true; "empty lines after the last event")]
+#[test_case("id: 1\ndata: a\n", Chunks, false; "without the empty line that ends the event")]
+#[test_case("id: 1\ndata: a\n\nid", Chunks, false)]
+#[test_case("id: 1\ndata: a\n\n: comment", Connection, false)]
+#[test_case("", Chunks, true; "no event, ended by a chunk")]
+#[test_case("", Connection, false; "no event, ended by the connection")]
+#[test_case("\n", Connection, false; "a line end, ended by the connection")]
+fn a_stream_is_complete_at_the_end_of_an_event(
+    stream: &str,
+    framing: ResponseFraming,
+    is_complete: bool,
+) {
     let mut splitter = EventSplitter::default();
     splitter.push(stream.as_bytes());
 
     while splitter.next_event().is_some() {}
 
-    assert_eq!(matches!(splitter.end(), StreamEnd::Complete(_)), is_complete);
+    assert_eq!(matches!(splitter.end(framing), StreamEnd::Complete(_)), is_complete);
 }
 
 /// One read returns events 5, 6 and 8. The stream is cancelled because of the gap and resumed at another
