Log who takes up a stream, and the software version of targets

The logs could not tell whether a caller or a host resumed the streams that hold events of two versions, since no line named either. Rows of targets hold the version of their software; it is read now, and logged with sends and ends of requests. stream-taken-up names the request that began the stream, as the caller states it in Resumes. No logic changes.

--- a/crates/cuminramp-fleet/src/outliers/tests.rs
+++ b/crates/cuminramp-fleet/src/outliers/tests.rs
@@ -98,6 +98,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         started_at_ms: 1,
+        version: "v1".into(),
         cold_remaining: Duration::ZERO,
     }
 }
--- a/crates/cuminramp-fleet/src/placement.rs
+++ b/crates/cuminramp-fleet/src/placement.rs
@@ -63,6 +63,8 @@
     pub phase: TargetPhase,
     /// Start of this run in milliseconds of Unix time; 0 if the target doesn't report it.
     pub started_at_ms: u64,
+    /// Version of the target's software; empty if the target doesn't report it.
+    pub version: Name,
     /// Remaining time for which the target is cold, as it last reported it.
     pub cold_remaining: Duration,
 }
@@ -80,6 +82,7 @@
     ///     slots: 8,
     ///     phase: TargetPhase::Serving,
     ///     started_at_ms: 1,
+    ///     version: "v1".into(),
     ///     cold_remaining: std::time::Duration::ZERO,
     /// };
     /// assert_eq!(&*target.group().zone, "z");
--- a/crates/cuminramp-fleet/src/placement/pace.rs
+++ b/crates/cuminramp-fleet/src/placement/pace.rs
@@ -182,6 +182,7 @@
     ///     slots: 8,
     ///     phase: TargetPhase::Serving,
     ///     started_at_ms: 1,
+    ///     version: "v1".into(),
     ///     cold_remaining: std::time::Duration::ZERO,
     /// };
     /// let mut host = PlacementTable::new("z".into(), PlacementPolicy::default());
@@ -352,6 +353,7 @@
     ///     slots: 8,
     ///     phase: TargetPhase::Serving,
     ///     started_at_ms: 1,
+    ///     version: "v1".into(),
     ///     cold_remaining: Duration::ZERO,
     /// });
     /// let now = Instant::now();
--- a/crates/cuminramp-fleet/src/placement/tests.rs
+++ b/crates/cuminramp-fleet/src/placement/tests.rs
@@ -26,6 +26,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         started_at_ms: 1,
+        version: "v1".into(),
         cold_remaining: Duration::ZERO,
     }
 }
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -37,6 +37,7 @@
         slots: 8,
         phase: TargetPhase::Serving,
         started_at_ms: 1,
+        version: "v1".into(),
         cold_remaining: Duration::ZERO,
     }
 }
--- a/crates/cuminramp-gateway/src/interfaces.rs
+++ b/crates/cuminramp-gateway/src/interfaces.rs
@@ -42,6 +42,8 @@
     pub deadline: Option<Duration>,
     /// Number of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Request ID of the call that brought the first event of the stream that the caller resumes.
+    pub first_request_id: Option<Name>,
     /// API key of the call.
     pub key: CallerKey,
     /// Host name that the call is addressed to, without a port.
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminramp_core::{Name, Refusal};
-use cuminramp_fleet::{RejectionReason, ShareReport};
+use cuminramp_fleet::{FleetTarget, RejectionReason, ShareReport};
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -129,6 +129,8 @@
     stream_end: Option<StreamEndRecord>,
     sends: u32,
     target: Option<Name>,
+    /// Software version of the target.
+    target_version: Option<Name>,
     placed_by: Option<PlacedBy>,
     /// Total time of the searches for slots.
     placement_time: Duration,
@@ -165,6 +167,7 @@
             stream_end: None,
             sends: 0,
             target: None,
+            target_version: None,
             placed_by: None,
             placement_time: Duration::ZERO,
             queue: None,
@@ -214,9 +217,19 @@
     }
 
     /// Records a send to a target.
-    pub(crate) fn record_send(&mut self, target: &Name) {
+    pub(crate) fn record_send(&mut self, target: &FleetTarget) {
         self.sends += 1;
-        self.target = Some(target.clone());
+        self.target = Some(target.id.clone());
+        self.target_version = Some(target.version.clone());
+    }
+
+    /// Logs that the request resumes a stream for its caller, and which request began it.
+    pub(crate) fn log_resumption(&self, last_event: u64, first_request_id: Option<&Name>) {
+        log::info!(
+            request_id = &*self.request_id, route = &*self.route, last_event = last_event,
+            first_request_id = first_request_id.map_or("-", |id| &**id);
+            "stream-taken-up"
+        );
     }
 
     /// Returns whether the request was sent to any target.
@@ -228,7 +241,7 @@
     pub(crate) fn record_failure(&self, failure: &str, detail: &str, next: &str) {
         log::info!(
             request_id = &*self.request_id, target_id = self.target.as_deref().unwrap_or("-"),
-            failure = failure, detail = detail, sends = self.sends,
+            target_version = self.target_version.as_deref().unwrap_or("-"), failure = failure, detail = detail, sends = self.sends,
             after_ms = self.started_at.elapsed().as_millis() as u64, next = next;
             "attempt-failed"
         );
@@ -315,6 +328,7 @@
             request_id = &*self.request_id, route = &*self.route, team = &*self.team,
             declarations = self.declarations, sends = self.sends,
             target_id = self.target.as_deref().unwrap_or("-"),
+            target_version = self.target_version.as_deref().unwrap_or("-"),
             placed_by = self.placed_by.map_or("-", PlacedBy::as_str),
             placing_us = self.placement_time.as_micros() as u64, outcome = outcome.as_str(),
             first_event_ms = self.first_event.map_or(0, |elapsed| elapsed.as_millis() as u64),
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -198,7 +198,7 @@
 
     /// Sends the request to `target` and waits for the head of the response.
     async fn send(&mut self, target: FleetTarget) -> Result<TargetResponse, SendFailure> {
-        self.record.record_send(&target.id);
+        self.record.record_send(&target);
         let head = TargetHead {
             deadline: Some(self.deadline.saturating_duration_since(Instant::now())),
             team: self.request.team.as_deref(),
@@ -358,6 +358,9 @@
     request: AdmittedRequest,
     record: RequestRecord,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    if let Some(last_event) = request.head.last_event {
+        record.log_resumption(last_event, request.head.first_request_id.as_ref());
+    }
     let mut dispatch = RequestDispatch::new(state, request, record);
     let deadline = dispatch.deadline();
     let result = match tokio::time::timeout_at(deadline, dispatch.send_until_answered()).await {
--- a/crates/cuminramp-replay/src/world.rs
+++ b/crates/cuminramp-replay/src/world.rs
@@ -123,6 +123,7 @@
             slots: plan.slots,
             phase: TargetPhase::Serving,
             started_at_ms: 1,
+            version: "v1".into(),
             cold_remaining: Duration::ZERO,
         });
     }
