A host resumes a stream only at the software that began it

What callers saw: streams with events of two software versions of their targets in one response. Cause: a host that resumed a stream after its target broke off placed it like a new request; no placement looked at the version that a target registers. Why this works: the first event that is passed on binds the request to the pool and version of its target. Placement with and without an owner considers such targets only, the owner by a slot request of a new kind that names the software, and the host checks the granted target by its own row. If no such target takes work, the caller's stream is broken off, as before without any target. Hosts of earlier versions do not understand the new request; plain requests have the same bytes.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -41,6 +41,7 @@
 mod row_cache;
 mod schedule;
 mod slots;
+mod software;
 mod start_view;
 mod steering;
 mod table_mirror;
@@ -87,7 +88,9 @@
     BorrowedTargets, GrantSequence, GroupShare, ItemGrant, ItemLimit, OwnerFailure, OwnerTable,
     PaceReport, ReportTimer, SearchLimits, SearchStep, SlotCommand, SlotGroup, SlotLedger,
     SlotOutcome, SlotReport, SlotRequest, SlotResponse, SlotSearch, TargetPaceReport,
+    VersionedSlotRequest,
 };
+pub use software::SoftwareVersion;
 pub use start_view::{FleetKnowledge, StartView, StartWait};
 pub use steering::{SteeringArea, SteeringBounds};
 pub use table_mirror::TableMirror;
--- a/crates/cuminramp-fleet/src/message.rs
+++ b/crates/cuminramp-fleet/src/message.rs
@@ -7,7 +7,10 @@
 use crate::peers::{StatusRequest, StatusResponse};
 use crate::placement::FleetTarget;
 use crate::quota::{TokenRequest, TokenResponse};
-use crate::slots::{OwnerFailure, PaceReport, SlotCommand, SlotReport, SlotRequest, SlotResponse};
+use crate::slots::{
+    OwnerFailure, PaceReport, SlotCommand, SlotReport, SlotRequest, SlotResponse,
+    VersionedSlotRequest,
+};
 
 /// Content of one datagram. A lost, repeated or late datagram of any kind does no harm.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -40,6 +43,8 @@
     StatusRequest(StatusRequest),
     /// Response to a request for statuses.
     StatusResponse(StatusResponse),
+    /// Slot request for an online request that resumes a stream, sent to the owner.
+    VersionedRequest(VersionedSlotRequest),
 }
 
 impl HostMessage {
@@ -50,7 +55,9 @@
             HostMessage::Heartbeat(heartbeat) if heartbeat.is_probe => "probe",
             HostMessage::Heartbeat(_) => "heartbeat",
             HostMessage::Report(_) => "slot-report",
-            HostMessage::Request(_) | HostMessage::AdmissionRequest(_) => "slot-request",
+            HostMessage::Request(_)
+            | HostMessage::AdmissionRequest(_)
+            | HostMessage::VersionedRequest(_) => "slot-request",
             HostMessage::Response(_) => "slot-response",
             HostMessage::Command(_) => "slot-command",
             HostMessage::OwnerFailure(_) => "owner-failure",
--- a/crates/cuminramp-fleet/src/outliers/tests.rs
+++ b/crates/cuminramp-fleet/src/outliers/tests.rs
@@ -135,7 +135,14 @@
 fn send(placement: &mut PlacementTable, random: &mut SeededRandom) -> Option<Name> {
     let objective = Duration::from_millis(300);
     let zones = &ZoneLimit::none();
-    let request = PlacementRequest { pool: "p", objective, is_retry: false, tried: &[], zones };
+    let request = PlacementRequest {
+        pool: "p",
+        objective,
+        is_retry: false,
+        tried: &[],
+        zones,
+        software: None,
+    };
     match placement.place(&request, &ColdShare::Owner, random, Instant::now()) {
         PlacementDecision::Send(target) => Some(target.id),
         _ => None,
--- a/crates/cuminramp-fleet/src/placement.rs
+++ b/crates/cuminramp-fleet/src/placement.rs
@@ -22,6 +22,7 @@
 use crate::homes::ZoneLimit;
 use crate::outliers::{OutlierChange, OutlierDetector, TargetOutcomes};
 use crate::slots::SlotGroup;
+use crate::software::SoftwareVersion;
 
 mod cold;
 mod group;
@@ -153,6 +154,8 @@
     pub tried: &'a [Name],
     /// Zones in which the request may run.
     pub zones: &'a ZoneLimit,
+    /// Software that the target must have; `None` for any.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Result of placing a request.
@@ -178,6 +181,7 @@
     hash: u32,
     /// Hash of the target's group.
     group_hash: u32,
+    software: SoftwareVersion,
     /// Online requests that this host has in flight at the target.
     own_online: u32,
     /// Batch items that this host has in flight at the target.
@@ -233,6 +237,10 @@
         self.own_online + self.own_batch
     }
 
+    fn has_software(&self, software: Option<SoftwareVersion>) -> bool {
+        software.is_none_or(|software| self.software == software)
+    }
+
     fn accepts_work(&self) -> bool {
         self.target.phase == TargetPhase::Serving && !self.is_drained
     }
@@ -311,6 +319,7 @@
                 self.outliers.forget(name_hash(&target.id));
             }
             entry.extend_cold(target.cold_remaining, now);
+            entry.software = target.software();
             entry.target = target;
             let earlier_group = std::mem::replace(&mut entry.group_hash, group_hash);
             entry.is_drained = is_drained;
@@ -325,6 +334,7 @@
         let mut entry = PlacementEntry {
             hash,
             group_hash,
+            software: target.software(),
             own_online: 0,
             own_batch: 0,
             others_online,
--- a/crates/cuminramp-fleet/src/placement/group.rs
+++ b/crates/cuminramp-fleet/src/placement/group.rs
@@ -9,6 +9,7 @@
 use crate::heartbeat::TargetLoad;
 use crate::outliers::TargetOutcomes;
 use crate::slots::SlotGroup;
+use crate::software::SoftwareVersion;
 
 /// Maximum number of targets that are compared for a request while some of them have free slots. The best of so
 /// many is hardly worse than the best of all.
@@ -25,6 +26,15 @@
     pub(crate) may_queue: bool,
     /// Share of the rate of cold targets that may be granted.
     pub(crate) share: &'a ColdShare,
+    /// Software that the target must have; `None` for any.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+impl GroupRequest<'_> {
+    /// Returns whether the request may be sent to a target, as far as it is about the target itself.
+    fn allows(&self, entry: &PlacementEntry) -> bool {
+        !self.avoided.contains(&entry.hash) && entry.has_software(self.software)
+    }
 }
 
 /// Result of placing a request in a group.
@@ -53,10 +63,8 @@
         if let Some(target) = self.pick_from_sample(request, hash, random, now) {
             return GroupPlacement::Slot(target);
         }
-        let usable = self.usable_targets(
-            |entry| entry.group_hash == hash && !request.avoided.contains(&entry.hash),
-            now,
-        );
+        let usable =
+            self.usable_targets(|entry| entry.group_hash == hash && request.allows(entry), now);
         let has_rate =
             |entry: &&PlacementEntry| self.remaining_sends(entry, request.share, now) > 0;
         let available: Vec<&PlacementEntry> = usable.iter().copied().filter(has_rate).collect();
@@ -94,7 +102,7 @@
         let in_turn = after.chain(self.entries.values().take(start));
         let available = in_turn
             .filter(|entry| entry.group_hash == hash && entry.is_available(now))
-            .filter(|entry| !request.avoided.contains(&entry.hash));
+            .filter(|entry| request.allows(entry));
         let sample = self.without_outliers(available.take(MAX_COMPARED_TARGETS).collect());
         let has_rate =
             |entry: &&PlacementEntry| self.remaining_sends(entry, request.share, now) > 0;
--- a/crates/cuminramp-fleet/src/placement/pace/tests.rs
+++ b/crates/cuminramp-fleet/src/placement/pace/tests.rs
@@ -180,7 +180,13 @@
     let mut table = PlacementTable::new("z1".into(), PlacementPolicy::default());
     (0..targets).for_each(|index| table.put(target(&format!("e{index}"), "z1")));
     let (group, share) = (target("e0", "z1").group(), ColdShare::Owner);
-    let request = GroupRequest { group: &group, avoided: &[], may_queue: false, share: &share };
+    let request = GroupRequest {
+        group: &group,
+        avoided: &[],
+        may_queue: false,
+        share: &share,
+        software: None,
+    };
     let mut random = SeededRandom::new(1);
     let (start, mut in_time, mut counted) = (Instant::now(), 0, 0);
     let mut events: BTreeMap<(Instant, usize), (Name, Option<u16>, Duration)> = BTreeMap::new();
--- a/crates/cuminramp-fleet/src/placement/placing.rs
+++ b/crates/cuminramp-fleet/src/placement/placing.rs
@@ -33,6 +33,7 @@
             &*entry.target.pool == request.pool
                 && !request.tried.contains(&entry.target.id)
                 && request.zones.allows(&entry.target.zone)
+                && entry.has_software(request.software)
         };
         let usable = self.usable_targets(of_pool, now);
         let has_rate = |entry: &&PlacementEntry| self.remaining_sends(entry, share, now) > 0;
--- a/crates/cuminramp-fleet/src/placement/tests.rs
+++ b/crates/cuminramp-fleet/src/placement/tests.rs
@@ -45,7 +45,14 @@
 
 pub(super) fn request<'a>(is_retry: bool, tried: &'a [Name]) -> PlacementRequest<'a> {
     let zones = ANYWHERE.get_or_init(ZoneLimit::none);
-    PlacementRequest { pool: "p", objective: Duration::from_millis(300), is_retry, tried, zones }
+    PlacementRequest {
+        pool: "p",
+        objective: Duration::from_millis(300),
+        is_retry,
+        tried,
+        zones,
+        software: None,
+    }
 }
 
 fn try_place(placement: &PlacementTable) -> PlacementDecision {
@@ -179,8 +186,13 @@
         placement.put(target(&format!("t{index:05}"), "z1"));
     }
     let group = target("t", "z1").group();
-    let request =
-        GroupRequest { group: &group, avoided: &[], may_queue: false, share: &ColdShare::Owner };
+    let request = GroupRequest {
+        group: &group,
+        avoided: &[],
+        may_queue: false,
+        share: &ColdShare::Owner,
+        software: None,
+    };
     let mut random = CountingRandom { random: SeededRandom::new(1), draws: 0 };
 
     let placed = placement.place_in_group(&request, &mut random, Instant::now());
@@ -208,8 +220,13 @@
         (0..busy).for_each(|_| placement.begin(&id, super::WorkKind::Online));
     }
     let group = target("t", "z1").group();
-    let request =
-        GroupRequest { group: &group, avoided: &[], may_queue: false, share: &ColdShare::Owner };
+    let request = GroupRequest {
+        group: &group,
+        avoided: &[],
+        may_queue: false,
+        share: &ColdShare::Owner,
+        software: None,
+    };
 
     let placed = placement.place_in_group(&request, &mut SeededRandom::new(1), Instant::now());
 
--- a/crates/cuminramp-fleet/src/slots.rs
+++ b/crates/cuminramp-fleet/src/slots.rs
@@ -26,7 +26,7 @@
 pub use ledger::{GroupShare, ItemGrant, ItemLimit, SlotLedger};
 pub use message::{
     OwnerFailure, PaceReport, SlotCommand, SlotGroup, SlotOutcome, SlotReport, SlotRequest,
-    SlotResponse, TargetPaceReport,
+    SlotResponse, TargetPaceReport, VersionedSlotRequest,
 };
 pub use owners::OwnerTable;
 pub use reports::ReportTimer;
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 use crate::placement::WorkKind;
 use crate::placement::{ColdShare, GroupPlacement, GroupRequest, PlacementTable};
+use crate::software::SoftwareVersion;
 
 mod account;
 mod admission;
@@ -40,13 +41,15 @@
 /// one more second.
 const COLD_TARGET_DELAY: Duration = Duration::from_millis(2_200);
 
-/// A group with the share of its cold targets' rate that this host may hand out.
+/// A group, with what this host may hand out of it to a request.
 #[derive(Clone, Copy, Debug)]
 pub struct GroupShare<'a> {
     /// The group.
     pub group: &'a SlotGroup,
-    /// The share of the rate.
+    /// The share of the rate of cold targets.
     pub share: &'a ColdShare,
+    /// Software that the target of the request must have; `None` for any.
+    pub software: Option<SoftwareVersion>,
 }
 
 #[derive(Debug)]
@@ -270,9 +273,9 @@
         if let Some(response) = self.cached_response(host, request.request_id, now) {
             return response;
         }
-        let GroupShare { group, share } = owned;
-        let group_request =
-            GroupRequest { group, avoided: &request.avoided, may_queue: request.may_queue, share };
+        let GroupShare { group, share, software } = owned;
+        let SlotRequest { avoided, may_queue, .. } = request;
+        let group_request = GroupRequest { group, avoided, may_queue: *may_queue, share, software };
         let outcome = match placement.place_in_group(&group_request, random, now) {
             GroupPlacement::Slot(target) => {
                 let load = TargetLoad { target, online: 1, batch: 0 };
--- a/crates/cuminramp-fleet/src/slots/ledger/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger/admission.rs
@@ -52,7 +52,7 @@
     ///     deadline_ms: 4_700,
     ///     may_wait: true,
     /// };
-    /// let owned = GroupShare { group: &group, share: &ColdShare::Owner };
+    /// let owned = GroupShare { group: &group, share: &ColdShare::Owner, software: None };
     /// let (mut random, now) = (SeededRandom::new(1), tokio::time::Instant::now());
     /// let response = ledger.admit(&mut placement, &host, owned, &request, &mut random, now);
     /// assert_eq!(response.outcome, SlotOutcome::NoTarget);
@@ -354,8 +354,9 @@
     random: &mut dyn RandomSource,
     now: Instant,
 ) -> GroupPlacement {
-    let GroupShare { group, share } = owned;
-    placement.place_in_group(&GroupRequest { group, avoided, may_queue: false, share }, random, now)
+    let GroupShare { group, share, software } = owned;
+    let request = GroupRequest { group, avoided, may_queue: false, share, software };
+    placement.place_in_group(&request, random, now)
 }
 
 fn is_slot(placed: GroupPlacement) -> bool {
--- a/crates/cuminramp-fleet/src/slots/message.rs
+++ b/crates/cuminramp-fleet/src/slots/message.rs
@@ -7,6 +7,7 @@
 use crate::demand::ItemDemand;
 use crate::heartbeat::{ReportedLoad, TargetLoad, name_hash};
 use crate::outliers::TargetOutcomes;
+use crate::software::SoftwareVersion;
 
 /// The targets of one pool in one availability zone.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -100,6 +101,15 @@
     pub may_queue: bool,
 }
 
+/// Slot request for a target with the software that began the request's stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionedSlotRequest {
+    /// The slot request.
+    pub slot_request: SlotRequest,
+    /// Software that the target must have.
+    pub software: SoftwareVersion,
+}
+
 /// Decision of an owner on a slot request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SlotOutcome {
--- a/crates/cuminramp-fleet/src/slots/tests.rs
+++ b/crates/cuminramp-fleet/src/slots/tests.rs
@@ -91,7 +91,7 @@
     fn respond(&mut self, from: &str, slot_request: &SlotRequest) -> SlotResponse {
         let (placement, random) = (&mut self.placement, &mut self.random);
         let now = Instant::now();
-        let owned = GroupShare { group: &group(), share: &ColdShare::Owner };
+        let owned = GroupShare { group: &group(), share: &ColdShare::Owner, software: None };
         self.ledger.respond(placement, &host(from), owned, slot_request, random, now)
     }
 
--- a/crates/cuminramp-fleet/src/slots/tests/admission.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/admission.rs
@@ -40,14 +40,14 @@
 
     fn admit(&mut self, from: &str, request: &AdmissionRequest) -> SlotOutcome {
         let (placement, random) = (&mut self.placement, &mut self.random);
-        let owned = GroupShare { group: &group(), share: &ColdShare::Owner };
+        let owned = GroupShare { group: &group(), share: &ColdShare::Owner, software: None };
         let now = Instant::now();
         self.ledger.admit(placement, &host(from), owned, request, random, now).outcome
     }
 
     fn serve(&mut self) -> Vec<(HostId, SlotResponse)> {
         let (placement, random) = (&mut self.placement, &mut self.random);
-        let owned = GroupShare { group: &group(), share: &ColdShare::Owner };
+        let owned = GroupShare { group: &group(), share: &ColdShare::Owner, software: None };
         self.ledger.serve_waiting(placement, owned, random, Instant::now())
     }
 
--- a/crates/cuminramp-fleet/src/slots/tests/cold.rs
+++ b/crates/cuminramp-fleet/src/slots/tests/cold.rs
@@ -47,7 +47,7 @@
         let slot_request = make_request(owner.requests, true);
         let (placement, random) = (&mut owner.placement, &mut owner.random);
         let now = Instant::now();
-        let owned = GroupShare { group: &group(), share };
+        let owned = GroupShare { group: &group(), share, software: None };
         let response =
             owner.ledger.respond(placement, &host("a"), owned, &slot_request, random, now);
         if let SlotOutcome::Granted { grant, .. } = response.outcome {
@@ -188,6 +188,7 @@
         is_retry: true,
         tried: &[],
         zones: &zones,
+        software: None,
     };
     let random = &mut SeededRandom::new(1);
     let decision = owner.placement.place(&request, &ColdShare::Owner, random, Instant::now());
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -7,7 +7,7 @@
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{
     FleetTarget, PlacementDecision, PlacementRequest, RejectionReason, RouteKind, RouteRule,
-    WorkKind, ZoneLimit,
+    SoftwareVersion, WorkKind, ZoneLimit,
 };
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
@@ -58,6 +58,9 @@
     tried: Vec<Name>,
     /// Last event that was passed on to the caller.
     pub(crate) last_event: Option<u64>,
+    /// Software of the targets at which the request may run: that of the events that the caller has. `None` before
+    /// the first one.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Time by which the caller receives its final response.
     deadline: Instant,
     /// Set while the request waits in an owner's queue, to the time at which it was queued.
@@ -83,6 +86,7 @@
             not_run_sends: 0,
             tried: Vec::new(),
             last_event,
+            software: None,
             deadline,
             queued_at: OnceLock::new(),
             fingerprint: OnceLock::new(),
@@ -161,6 +165,7 @@
             is_retry: is_retry(&self.request.head, &self.request.route) || self.runs > 0,
             tried: &self.tried,
             zones: &self.request.zones,
+            software: self.software,
         };
         let terms = AdmissionTerms {
             team: self.request.team.as_ref(),
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -70,6 +70,7 @@
             }
             match self.read_step().await {
                 StreamStep::Events(bytes) => {
+                    self.bind_software();
                     self.dispatch.record.record_first_event();
                     return Ok(Some(bytes));
                 }
@@ -82,6 +83,15 @@
         }
     }
 
+    /// Lets the stream go on only at targets with the software that its events are of.
+    fn bind_software(&mut self) {
+        if let Some(response) = &self.response
+            && self.dispatch.software.is_none()
+        {
+            self.dispatch.software = Some(response.run.target.software());
+        }
+    }
+
     /// Reads from the current response until there are events to pass on, or the response ends.
     async fn read_step(&mut self) -> StreamStep {
         loop {
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -112,7 +112,12 @@
     match message {
         HostMessage::Heartbeat(heartbeat) => handle_heartbeat(state, heartbeat, address).await,
         HostMessage::Report(report) => handle_report(state, &address, report).await,
-        HostMessage::Request(slot_request) => handle_request(state, &address, slot_request).await,
+        HostMessage::Request(slot_request) => {
+            handle_request(state, &address, slot_request, None).await;
+        }
+        HostMessage::VersionedRequest(request) => {
+            handle_request(state, &address, request.slot_request, Some(request.software)).await;
+        }
         HostMessage::Response(response) => handle_response(state, &address, response),
         HostMessage::Command(command) => handle_command(state, &address, command),
         HostMessage::Target(target) => handle_target(state, target),
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -2,8 +2,9 @@
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, AttemptKind, HostHeartbeat, HostMessage, ItemDemand,
     KnownHost, OwnerFailure, PaceReport, RejectionReason, ReportedLoad, ShareReport, SlotCommand,
-    SlotOutcome, SlotReport, SlotRequest, SlotResponse, TargetLoad, TargetPaceReport, TeamUsage,
-    TokenOutcome, TokenRequest, TokenResponse, name_hash,
+    SlotOutcome, SlotReport, SlotRequest, SlotResponse, SoftwareVersion, TargetLoad,
+    TargetPaceReport, TeamUsage, TokenOutcome, TokenRequest, TokenResponse, VersionedSlotRequest,
+    name_hash,
 };
 use proptest::prelude::*;
 
@@ -80,7 +81,11 @@
     vec![
         HostMessage::Heartbeat(heartbeat()),
         HostMessage::Report(report()),
-        HostMessage::Request(slot_request),
+        HostMessage::Request(slot_request.clone()),
+        HostMessage::VersionedRequest(VersionedSlotRequest {
+            slot_request,
+            software: SoftwareVersion::new("p", "v1"),
+        }),
         HostMessage::Response(SlotResponse { request_id: 1, outcome }),
         HostMessage::Command(SlotCommand::Limit { target: 1, items: 2 }),
         HostMessage::OwnerFailure(OwnerFailure { group: 1, failed_address, failed_incarnation: 4 }),
--- a/crates/cuminramp-gateway/src/slots/owner.rs
+++ b/crates/cuminramp-gateway/src/slots/owner.rs
@@ -7,7 +7,7 @@
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, GroupShare, HostMessage, ItemGrant, ItemLimit,
     OwnerFailure, PlacementTable, SlotCommand, SlotGroup, SlotLedger, SlotOutcome, SlotReport,
-    SlotRequest, SlotResponse,
+    SlotRequest, SlotResponse, SoftwareVersion,
 };
 use tokio::time::Instant;
 
@@ -43,7 +43,7 @@
     let mut placement = lock(&state.placement);
     let mut ledger = lock(&state.slots.ledger);
     let mut random = lock(&state.random);
-    let owned = GroupShare { group, share: &share };
+    let owned = GroupShare { group, share: &share, software: None };
     decision(&mut ledger, &mut placement, owned, &mut **random)
 }
 
@@ -54,9 +54,11 @@
     host: &HostId,
     group: &SlotGroup,
     request: &SlotRequest,
+    software: Option<SoftwareVersion>,
 ) -> SlotResponse {
     let now = Instant::now();
     let response = decide(state, group, now, |ledger, placement, owned, random| {
+        let owned = GroupShare { software, ..owned };
         ledger.respond(placement, host, owned, request, random, now)
     });
     if *host != state.id() {
@@ -86,12 +88,17 @@
     lock(&state.placement).group_by_hash(group).cloned()
 }
 
-/// Handles a slot request from another host.
-pub(crate) async fn handle_request(state: &Arc<GatewayState>, from: &Name, request: SlotRequest) {
+/// Handles a slot request from another host, for a target with `software` if that is given.
+pub(crate) async fn handle_request(
+    state: &Arc<GatewayState>,
+    from: &Name,
+    request: SlotRequest,
+    software: Option<SoftwareVersion>,
+) {
     let host = HostId { address: from.clone(), incarnation: request.incarnation };
     let group = group_to_serve(state, &host, request.request_id, request.group).await;
     let Some(group) = group else { return };
-    respond_to_request(state, &host, &group, &request).await;
+    respond_to_request(state, &host, &group, &request, software).await;
 }
 
 /// Responds to a request of this host or another for a slot of a group with an admission queue, and serves
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -7,7 +7,8 @@
 use cuminramp_core::{AvailabilityZone, HostId, Name};
 use cuminramp_fleet::{
     HostMessage, OwnerFailure, PlacementDecision, PlacementRequest, SearchLimits, SearchStep,
-    SlotGroup, SlotOutcome, SlotRequest, SlotResponse, SlotSearch, StartWait, name_hash,
+    SlotGroup, SlotOutcome, SlotRequest, SlotResponse, SlotSearch, SoftwareVersion, StartWait,
+    VersionedSlotRequest, name_hash,
 };
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
@@ -125,7 +126,8 @@
         let mut random = lock(&state.random);
         SlotSearch::new(groups, &state.local_host.zone, &mut **random).after_failures(&failed)
     };
-    let has_queue = is_queue_active(state, request.pool);
+    // A stream that has begun does not wait behind those that have not.
+    let has_queue = request.software.is_none() && is_queue_active(state, request.pool);
     let search_limits = SearchLimits {
         max_wait: request.objective.mul_f64(lock(&state.placement).wait_share()),
         // The owner of a queue decides for how long a request may wait.
@@ -144,7 +146,7 @@
         let reply = if has_queue {
             request_admission(state, &group, may_queue, request, terms).await
         } else {
-            request_from_group(state, &group, may_queue, request.tried).await
+            request_from_group(state, &group, may_queue, request).await
         };
         let Some((outcome, placed_by)) = reply else {
             return place_without_owner(state, request);
@@ -152,8 +154,7 @@
         if let Some(hash) = granted_hash(outcome) {
             await_target(state, hash).await;
         }
-        // Ignores a grant for a target that is unknown here or that accepts no new work.
-        if let Some(decision) = to_decision(state, outcome, terms) {
+        if let Some(decision) = to_decision(state, outcome, request.software, terms) {
             let waited = if may_queue { asked_at.elapsed() } else { Duration::ZERO };
             let admission = has_queue.then(|| AdmissionResult::new(waited, outcome));
             return SlotPlacement { decision, placed_by, admission };
@@ -162,16 +163,21 @@
     }
 }
 
-/// Returns the decision that follows from an owner's outcome, or `None` if the search continues.
+/// Returns the decision that follows from an owner's outcome, or `None` if the search continues. Ignores a grant for a
+/// target that, as far as this host knows, is not there, accepts no new work or has other software: the owner may
+/// have read its row earlier or later.
 fn to_decision(
     state: &GatewayState,
     outcome: SlotOutcome,
+    software: Option<SoftwareVersion>,
     terms: &AdmissionTerms<'_>,
 ) -> Option<PlacementDecision> {
     match outcome {
         SlotOutcome::Granted { target, .. } | SlotOutcome::GrantedAfterWait { target, .. } => {
             let placement = lock(&state.placement);
-            placement.granted_target(target).cloned().map(PlacementDecision::Send)
+            let target = placement.granted_target(target)?;
+            let is_usable = software.is_none_or(|software| target.software() == software);
+            is_usable.then(|| PlacementDecision::Send(target.clone()))
         }
         SlotOutcome::Rejected { retry_after_ms, .. } => {
             let retry_after = Duration::from_millis(u64::from(retry_after_ms));
@@ -223,9 +229,10 @@
     state: &Arc<GatewayState>,
     group: &SlotGroup,
     may_queue: bool,
-    tried: &[Name],
+    placement_request: &PlacementRequest<'_>,
 ) -> Option<(SlotOutcome, PlacedBy)> {
-    let request = build_slot_request(state, group, may_queue, tried);
+    let request = build_slot_request(state, group, may_queue, placement_request.tried);
+    let software = placement_request.software;
     let local_id = state.id();
     for _ in 0..MAX_OWNERS {
         let owner = owner_of(state, group)?;
@@ -233,10 +240,10 @@
             if state.borrows_targets() {
                 return Some((SlotOutcome::NoTarget, PlacedBy::LocalOwner));
             }
-            let response = respond_to_request(state, &local_id, group, &request).await;
+            let response = respond_to_request(state, &local_id, group, &request, software).await;
             return Some((response.outcome, PlacedBy::LocalOwner));
         }
-        match request_from_owner(state, &owner, &request).await {
+        match request_from_owner(state, &owner, &request, software).await {
             OwnerReply::Outcome(outcome) => return Some((outcome, PlacedBy::Owner)),
             OwnerReply::Silent => report_owner_failure(state, group, &owner).await,
             OwnerReply::LocalDelay => return None,
@@ -278,13 +285,21 @@
     state: &GatewayState,
     owner: &HostId,
     request: &SlotRequest,
+    software: Option<SoftwareVersion>,
 ) -> OwnerReply {
+    let message = match software {
+        Some(software) => HostMessage::VersionedRequest(VersionedSlotRequest {
+            slot_request: request.clone(),
+            software,
+        }),
+        None => HostMessage::Request(request.clone()),
+    };
     let (sender, mut receiver) = oneshot::channel();
     lock(&state.slots.pending_requests).insert(request.request_id, sender);
     let mut reply = OwnerReply::Silent;
     for _ in 0..MAX_SENDS_PER_OWNER {
         let sent_at = Instant::now();
-        send_to_host(state, HostMessage::Request(request.clone()), &owner.address).await;
+        send_to_host(state, message.clone(), &owner.address).await;
         match timeout(RESPONSE_TIMEOUT, &mut receiver).await {
             Ok(Ok(response)) => {
                 reply = OwnerReply::Outcome(check_grant(state, &owner.address, response.outcome));
--- a/crates/cuminramp-replay/src/world/arrivals.rs
+++ b/crates/cuminramp-replay/src/world/arrivals.rs
@@ -115,6 +115,7 @@
                 objective: OBJECTIVE,
                 is_retry: !may_retry,
                 tried: &tried,
+                software: None,
             };
             match self.find_slot(host, &request) {
                 PlacementDecision::Send(target) => {
--- a/crates/cuminramp-replay/src/world/slots.rs
+++ b/crates/cuminramp-replay/src/world/slots.rs
@@ -104,7 +104,7 @@
         };
         let owner = &mut self.owner;
         let random = &mut self.random;
-        let owned = GroupShare { group: &group, share: &ColdShare::Owner };
+        let owned = GroupShare { group: &group, share: &ColdShare::Owner, software: None };
         let response = owner.ledger.respond(
             &mut owner.placement,
             &requester.id,
