An item goes on only at the software that began it

What readers of results got: texts whose events are of two software versions, which don't fit together. Cause: the progress of an item did not say which software produced it, and the next free slot of any target resumed it. Why this works: progress names its pool and version, in memory and in the saved rows. At a target with other software the item starts anew, after those of its job that can go on there; nothing of it has been listed yet.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -17,6 +17,7 @@
 use checkpoint::SavedProgress;
 
 use crate::demand::{ItemDemand, MAX_DEMAND_GROUPS};
+use crate::software::SoftwareVersion;
 
 /// Retry delays and run time estimates for items.
 #[derive(Clone, Copy, Debug)]
@@ -262,27 +263,36 @@
     /// Items of jobs that are due sooner run first, so that some jobs complete instead of all jobs
     /// being half done. An item that can no longer finish in time waits behind those that can:
     /// run first, it would only make another one late as well.
+    ///
+    /// The item is to run at a target with `software`. One that other software has begun starts anew there, since
+    /// the two texts would not fit together, and waits behind the other items of its job.
     pub fn start_next(
         &mut self,
         accepts: impl Fn(&JobSpec) -> bool,
+        software: SoftwareVersion,
         now: Instant,
     ) -> Option<ItemStart> {
-        let mut best: Option<((bool, Instant, usize), Name)> = None;
+        let mut best: Option<((bool, Instant, bool, usize), Name)> = None;
         for (id, job) in self.jobs.iter().filter(|(_, job)| accepts(&job.spec)) {
             for (index, entry) in job.items.iter().enumerate() {
                 if !is_ready(entry, now) {
                     continue;
                 }
-                let rank = (self.is_late(&job.spec, entry, now), job.spec.due, index);
+                let starts_anew = !entry.progress.can_resume(software);
+                let rank = (self.is_late(&job.spec, entry, now), job.spec.due, starts_anew, index);
                 if best.as_ref().is_none_or(|(best_rank, _)| rank < *best_rank) {
                     best = Some((rank, id.clone()));
                 }
             }
         }
-        let ((_, _, index), id) = best?;
+        let ((.., starts_anew, index), id) = best?;
         let entry = &mut self.jobs.get_mut(&id)?.items[index];
         entry.phase = ItemPhase::Running;
-        let progress = std::mem::take(&mut entry.progress);
+        let mut progress = std::mem::take(&mut entry.progress);
+        if starts_anew {
+            progress = ItemProgress::default();
+        }
+        progress.software = Some(software);
         entry.resumed_after = progress.last_event;
         entry.first_started = entry.first_started.or(Some((now, progress.run_time)));
         Some(ItemStart { job: id, index, item: entry.item.clone(), progress })
--- a/crates/cuminramp-fleet/src/jobs/item.rs
+++ b/crates/cuminramp-fleet/src/jobs/item.rs
@@ -7,6 +7,8 @@
 use cuminramp_core::Name;
 use tokio::time::Instant;
 
+use crate::software::SoftwareVersion;
+
 /// An item as its caller submitted it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ItemSpec {
@@ -52,6 +54,15 @@
     pub text: String,
     /// Time that targets worked to produce `text`.
     pub run_time: Duration,
+    /// Software that produced `text`; `None` if that is not known.
+    pub software: Option<SoftwareVersion>,
+}
+
+impl ItemProgress {
+    /// Returns whether a target with `software` can go on with the item.
+    pub(super) fn can_resume(&self, software: SoftwareVersion) -> bool {
+        self.last_event.is_none() || self.software == Some(software)
+    }
 }
 
 /// An item to send to a target, with the progress to resume from.
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -4,6 +4,7 @@
 use tokio::time::{Instant, advance};
 
 use crate::demand::MAX_DEMAND_GROUPS;
+use crate::software::SoftwareVersion;
 
 use super::{
     FinishedItem, ItemFailure, ItemOutcome, ItemProgress, ItemSpec, JobPolicy, JobSpec, JobTable,
@@ -41,13 +42,40 @@
     table
 }
 
+fn software(version: &str) -> SoftwareVersion {
+    SoftwareVersion::new("p", version)
+}
+
 fn start_next(table: &mut JobTable) -> Option<(String, usize, ItemProgress)> {
-    let start = table.start_next(|_| true, Instant::now())?;
+    let start = table.start_next(|_| true, software("v1"), Instant::now())?;
     Some((start.job.to_string(), start.index, start.progress))
 }
 
 fn progress(last: u64) -> ItemProgress {
-    ItemProgress { last_event: Some(last), text: "x".into(), run_time: Duration::from_secs(1) }
+    ItemProgress {
+        last_event: Some(last),
+        text: "x".into(),
+        run_time: Duration::from_secs(1),
+        software: Some(software("v1")),
+    }
+}
+
+/// The text of an item must not join what two versions wrote. Items that can go on at a target run there before those
+/// that would lose their text.
+#[tokio::test(start_paused = true)]
+async fn an_item_begun_by_other_software_starts_anew_after_the_others() {
+    let mut table = JobTable::new(JobPolicy::default());
+    let unknown = ItemProgress { software: None, ..progress(3) };
+    let partial = vec![("a".into(), progress(5)), ("b".into(), unknown)];
+    table.add(job("j", 10, &["a", "b", "c"]), &[], partial);
+
+    let starts: Vec<(usize, Option<u64>)> = std::iter::from_fn(|| {
+        let start = table.start_next(|_| true, software("v2"), Instant::now())?;
+        Some((start.index, start.progress.last_event))
+    })
+    .collect();
+
+    assert_eq!(starts, [(2, None), (0, None), (1, None)]);
 }
 
 /// Many jobs wait and some can no longer finish in time. If their items ran first, the jobs that still
--- a/crates/cuminramp-gateway/src/jobs/checkpoint.rs
+++ b/crates/cuminramp-gateway/src/jobs/checkpoint.rs
@@ -12,7 +12,7 @@
 use cuminramp_fleet::{ItemProgress, UnsavedProgress};
 use cuminramp_platform::Transaction;
 use cuminramp_wire::encode_row;
-use cuminramp_wire::fleet::ProgressRow;
+use cuminramp_wire::fleet::{ProgressRow, ProgressSoftware};
 
 use super::names::progress_key;
 use crate::state::{GatewayState, lock};
@@ -49,6 +49,10 @@
             last_event: progress.last_event.unwrap_or(0),
             text: progress.text.clone(),
             ran_ms: progress.run_time.as_millis() as u64,
+            software: progress.software.map(|software| ProgressSoftware {
+                pool: software.pool,
+                version: software.version,
+            }),
         };
         transaction = transaction.put(progress_key(team, job, item), encode_row(&row));
         written.push(index);
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -182,7 +182,9 @@
     let now = Instant::now();
     for started in 0..max_items {
         let accepts = |spec: &JobSpec| may_run_in(state, spec, pool, &target.zone);
-        let Some(start) = lock(&state.jobs).start_next(accepts, now) else { return started };
+        let Some(start) = lock(&state.jobs).start_next(accepts, target.software(), now) else {
+            return started;
+        };
         start_item(state, start, target.clone());
     }
     max_items
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cuminramp_core::{HostId, Name, rank_by_score};
-use cuminramp_fleet::{ItemProgress, ItemSpec};
+use cuminramp_fleet::{ItemProgress, ItemSpec, SoftwareVersion};
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
 use cuminramp_wire::fleet::{JobInput, JobRow, ProgressRow, ResultRow};
 use cuminramp_wire::{decode_row, encode_row};
@@ -182,6 +182,9 @@
             last_event: Some(decoded.last_event),
             text: decoded.text,
             run_time: Duration::from_millis(decoded.ran_ms),
+            software: decoded
+                .software
+                .map(|software| SoftwareVersion { pool: software.pool, version: software.version }),
         };
         saved.push((Name::from(decoded.item), progress));
     }
--- a/crates/cuminramp-replay/src/world.rs
+++ b/crates/cuminramp-replay/src/world.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::{HostId, Name, SeededRandom};
 use cuminramp_fleet::{
     FleetTarget, ItemFailure, ItemProgress, JobPolicy, JobSpec, JobTable, PlacementPolicy,
-    PlacementTable, SlotGroup, SlotLedger, TargetPhase, WorkKind,
+    PlacementTable, SlotGroup, SlotLedger, SoftwareVersion, TargetPhase, WorkKind,
 };
 use tokio::time::Instant;
 
@@ -28,6 +28,7 @@
 /// frequent if this is not a multiple of the report interval.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_millis(1_100);
 const POOL: &str = "pool";
+const VERSION: &str = "v1";
 const ZONE: &str = "z";
 
 mod arrivals;
@@ -123,7 +124,7 @@
             slots: plan.slots,
             phase: TargetPhase::Serving,
             started_at_ms: 1,
-            version: "v1".into(),
+            version: VERSION.into(),
             cold_remaining: Duration::ZERO,
         });
     }
@@ -333,7 +334,9 @@
 
     fn start_item(&mut self, host: usize, target: Name) {
         let now = self.now;
-        let Some(start) = self.hosts[host].jobs.start_next(|_| true, now) else { return };
+        let Some(start) = self.hosts[host].jobs.start_next(|_| true, software(), now) else {
+            return;
+        };
         let Some(due) = self.hosts[host].jobs.get(&start.job).map(|job| job.spec().due) else {
             return;
         };
@@ -404,7 +407,17 @@
     }
 }
 
+/// Returns the software of all targets.
+fn software() -> SoftwareVersion {
+    SoftwareVersion::new(POOL, VERSION)
+}
+
 fn progress_of(ran: Duration) -> ItemProgress {
     // One event per millisecond: the job table only checks whether a run made progress.
-    ItemProgress { last_event: Some(ran.as_millis() as u64), text: String::new(), run_time: ran }
+    ItemProgress {
+        last_event: Some(ran.as_millis() as u64),
+        text: String::new(),
+        run_time: ran,
+        software: Some(software()),
+    }
 }
