A stream that its caller takes up goes on only at the software that began it

Cause: a request with Last-Event-Id was placed like a new one. No host but the one that was gone could know at which version the stream began, and that one did not know it either. Why this works: the host that passes on the first event sends a record of the pool and version to three hosts that the stream's key selects, before the event leaves. The host at which the stream is taken up asks the four that may hold it, and the request is bound to that software as one that a host resumes itself. Without a record it goes on only if the pool has had a single version for two time-outs of the route, as seen by a host that watched it all the while; for callers that name no first request, if it has a single version now. Otherwise the answer is 503 with code 1308, at once, and nothing has run. A target that starts again under its identity with other software makes its streams unknown. Records are kept for 60 s, 16,384 at most. New datagrams: hosts of earlier versions drop them.

--- a/crates/cuminramp-core/src/code.rs
+++ b/crates/cuminramp-core/src/code.rs
@@ -114,6 +114,8 @@
     /// A gateway refuses the request until its quarantine ends, because it crashed targets before; the
     /// response states when to retry.
     RequestHeldBack = 1307, 503, "service_unavailable";
+    /// It is not known at which version of its targets' software the resumed stream began.
+    StreamVersionUnknown = 1308, 503, "service_unavailable";
     /// The platform's table or object store is unreachable.
     StoreUnavailable = 1400, 503, "service_unavailable";
     /// The host is draining and accepts no new requests.
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //!   other hosts follow in turn;
 //! - [`SteeringArea`] selects the hosts that callers are steered to, and [`HeartbeatSchedule`] derives the
 //!   intervals of heartbeats from the number of hosts;
+//! - [`StreamRecords`] tells which software began a stream, and [`OriginSearch`] decides from what several hosts know;
 //! - [`AcceptanceView`] returns the next step after each attempt to make a job durable;
 //! - [`allocate_slots`] decides whose items run first when fewer slots are free than items wait;
 //! - [`JobTable`] orders the items of the jobs that this host holds.
@@ -44,6 +45,7 @@
 mod software;
 mod start_view;
 mod steering;
+mod streams;
 mod table_mirror;
 mod table_source;
 
@@ -93,5 +95,9 @@
 pub use software::SoftwareVersion;
 pub use start_view::{FleetKnowledge, StartView, StartWait};
 pub use steering::{SteeringArea, SteeringBounds};
+pub use streams::{
+    KnownOrigin, OriginRequest, OriginResponse, OriginSearch, RECORD_RENEWAL, StreamOrigin,
+    StreamRecords, stream_key,
+};
 pub use table_mirror::TableMirror;
 pub use table_source::TableSource;
--- a/crates/cuminramp-fleet/src/message.rs
+++ b/crates/cuminramp-fleet/src/message.rs
@@ -11,6 +11,7 @@
     OwnerFailure, PaceReport, SlotCommand, SlotReport, SlotRequest, SlotResponse,
     VersionedSlotRequest,
 };
+use crate::streams::{OriginRequest, OriginResponse, StreamOrigin};
 
 /// Content of one datagram. A lost, repeated or late datagram of any kind does no harm.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -45,6 +46,12 @@
     StatusResponse(StatusResponse),
     /// Slot request for an online request that resumes a stream, sent to the owner.
     VersionedRequest(VersionedSlotRequest),
+    /// Record of the software that began a stream, sent to the hosts that hold it.
+    StreamOrigin(StreamOrigin),
+    /// Request for the software that began a stream, sent to the hosts that may hold its record.
+    OriginRequest(OriginRequest),
+    /// Response to such a request.
+    OriginResponse(OriginResponse),
 }
 
 impl HostMessage {
@@ -68,6 +75,9 @@
             HostMessage::Target(_) => "target",
             HostMessage::StatusRequest(_) => "status-request",
             HostMessage::StatusResponse(_) => "status-response",
+            HostMessage::StreamOrigin(_) => "stream-origin",
+            HostMessage::OriginRequest(_) => "origin-request",
+            HostMessage::OriginResponse(_) => "origin-response",
         }
     }
 }
--- a/crates/cuminramp-fleet/src/placement.rs
+++ b/crates/cuminramp-fleet/src/placement.rs
@@ -30,6 +30,7 @@
 mod pace;
 mod placing;
 mod reachability;
+mod versions;
 
 pub use cold::{ColdRule, ColdShare, ColdTolerance};
 pub(crate) use group::{GroupPlacement, GroupRequest};
@@ -37,6 +38,7 @@
 pub use pace::{PaceChange, TARGET_PACE_RANGE};
 use pace::{PaceState, TargetPace};
 use reachability::ReachabilityTable;
+use versions::VersionHistory;
 
 /// Whether a target accepts new work.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -274,6 +276,7 @@
     drained: Vec<AvailabilityZone>,
     cold_rules: SortedMap<Name, ColdRule>,
     reachability: ReachabilityTable,
+    versions: VersionHistory,
 }
 
 /// Weight of a new sample in the moving average of the time for which a request holds a slot.
@@ -296,6 +299,7 @@
             drained: Vec::new(),
             cold_rules: SortedMap::new(),
             reachability: ReachabilityTable::default(),
+            versions: VersionHistory::default(),
         }
     }
 
@@ -319,7 +323,10 @@
                 self.outliers.forget(name_hash(&target.id));
             }
             entry.extend_cold(target.cold_remaining, now);
-            entry.software = target.software();
+            let earlier_software = std::mem::replace(&mut entry.software, target.software());
+            if earlier_software != entry.software {
+                self.versions.note_left(earlier_software, now);
+            }
             entry.target = target;
             let earlier_group = std::mem::replace(&mut entry.group_hash, group_hash);
             entry.is_drained = is_drained;
@@ -358,6 +365,7 @@
     /// Removes a target that is gone.
     pub fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
+            self.versions.note_left(entry.software, Instant::now());
             self.change_group_size(entry.group_hash, -1);
             self.hashes.remove(&name_hash(id));
             self.outliers.forget(name_hash(id));
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -172,6 +172,7 @@
         team_weights: TeamWeights::new(weights),
         slots: SlotState::new(id),
         tokens: Default::default(),
+        streams: Default::default(),
         crashes: CrashTable::new(MAX_REQUEST_CRASHES, QUARANTINE_TTL).into(),
         peers: PeerTable::new(local_host.clone(), PEER_POLICY).into(),
         jobs: JobTable::new(JobPolicy::default()).into(),
--- a/crates/cuminramp-gateway/src/lib.rs
+++ b/crates/cuminramp-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod readers;
 mod slots;
 mod state;
+mod streams;
 mod sync;
 mod targets;
 mod tokens;
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -7,7 +7,7 @@
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{
     FleetTarget, PlacementDecision, PlacementRequest, RejectionReason, RouteKind, RouteRule,
-    SoftwareVersion, WorkKind, ZoneLimit,
+    SoftwareVersion, WorkKind, ZoneLimit, name_hash, stream_key,
 };
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
@@ -19,6 +19,7 @@
 use crate::interfaces::{CallHead, TargetHead};
 use crate::slots::{AdmissionResult, AdmissionTerms, find_slot};
 use crate::state::{GatewayState, lock};
+use crate::streams::{StreamQuery, find_origin};
 use crate::targets::{SendFailure, TargetRequest, TargetResponse, TargetRun, send_request};
 
 /// Maximum number of sends, for one call of a caller, that targets don't run because they are full or
@@ -56,6 +57,8 @@
     not_run_sends: u32,
     /// IDs of the targets that the request was sent to. Cleared once all usable targets have failed.
     tried: Vec<Name>,
+    /// Key of the stream, by the request that brought its first event.
+    pub(crate) stream: u64,
     /// Last event that was passed on to the caller.
     pub(crate) last_event: Option<u64>,
     /// Software of the targets at which the request may run: that of the events that the caller has. `None` before
@@ -78,6 +81,7 @@
         }
         let deadline = record.started_at() + timeout;
         let last_event = request.head.last_event;
+        let stream = stream_of(&request);
         RequestDispatch {
             state,
             request,
@@ -85,6 +89,7 @@
             runs: 0,
             not_run_sends: 0,
             tried: Vec::new(),
+            stream,
             last_event,
             software: None,
             deadline,
@@ -332,6 +337,14 @@
     }
 }
 
+/// Returns the key of a request's stream: that of the request which the caller says began it, or its own.
+fn stream_of(request: &AdmittedRequest) -> u64 {
+    let head = &request.head;
+    let first = head.first_request_id.as_ref().filter(|_| head.last_event.is_some());
+    let request_id = first.or(head.request_id.as_ref());
+    stream_key(request.team.as_deref().unwrap_or_default(), request_id.map_or("", |id| id))
+}
+
 /// Returns whether a request may have run, given the number of its sends that a target may have run.
 fn execution_after(runs: u32) -> Execution {
     if runs > 0 { Execution::MayHaveRun } else { Execution::NotRun }
@@ -357,6 +370,40 @@
         .with_execution(execution_after(runs))
 }
 
+/// Binds a request that resumes a stream to the software that began it. Returns a refusal if that is not known, or if
+/// the route no longer leads to the pool.
+async fn bind_to_origin(dispatch: &mut RequestDispatch) -> Result<(), Refusal> {
+    /// Retry delay while the host that knows the version may be out of this host's reach.
+    const UNKNOWN_VERSION_RETRY_DELAY: Duration = Duration::from_millis(150);
+    /// Number of time-outs of a route in which a stream begins and its caller takes it up.
+    const STREAM_TIMEOUTS: u32 = 2;
+    let request = &dispatch.request;
+    if request.head.last_event.is_none() || !dispatch.is_stream() {
+        return Ok(());
+    }
+    let query = StreamQuery {
+        stream: dispatch.stream,
+        is_named: request.head.first_request_id.is_some(),
+        pool: &request.pool,
+        window: request.route.timeout * STREAM_TIMEOUTS,
+    };
+    let Some(software) = find_origin(&dispatch.state, &query).await else {
+        let reason = "no host knows the version at which the stream began; begin a new stream";
+        return Err(Refusal::not_run(ResultCode::StreamVersionUnknown, reason)
+            .with_retry_after(UNKNOWN_VERSION_RETRY_DELAY));
+    };
+    let shares = &request.route.pools;
+    let share = shares.iter().find(|share| name_hash(&share.pool) == software.pool);
+    let Some(share) = share else {
+        let reason = "the route no longer leads to the pool at which the stream began";
+        return Err(Refusal::not_run(ResultCode::TargetsUnavailable, reason)
+            .with_retry_after(UNKNOWN_VERSION_RETRY_DELAY));
+    };
+    dispatch.request.pool = share.pool.clone();
+    dispatch.software = Some(software);
+    Ok(())
+}
+
 /// Serves one admitted request, within its deadline.
 pub(crate) async fn serve_request(
     state: Arc<GatewayState>,
@@ -368,7 +415,11 @@
     }
     let mut dispatch = RequestDispatch::new(state, request, record);
     let deadline = dispatch.deadline();
-    let result = match tokio::time::timeout_at(deadline, dispatch.send_until_answered()).await {
+    let serving = async {
+        bind_to_origin(&mut dispatch).await?;
+        dispatch.send_until_answered().await
+    };
+    let result = match tokio::time::timeout_at(deadline, serving).await {
         Ok(result) => result,
         Err(_) => {
             dispatch.record_deadline();
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use bytes::Bytes;
-use cuminramp_fleet::RouteKind;
+use cuminramp_fleet::{RECORD_RENEWAL, RouteKind};
 use cuminramp_targets::FailureStage;
 use futures_util::StreamExt;
 use futures_util::stream::{BoxStream, unfold};
@@ -13,6 +13,7 @@
 
 use super::RequestOutcome;
 use super::serve::RequestDispatch;
+use crate::streams::record_stream;
 use crate::targets::{EventSplitter, ResponseFraming, StreamEnd, TargetResponse};
 
 /// Body frames of the caller's response.
@@ -28,6 +29,8 @@
     read_error: Option<String>,
     /// Last event that the caller had when the current response started.
     resumed_after: Option<u64>,
+    /// When the record of the stream's software was sent last.
+    recorded_at: Option<Instant>,
 }
 
 /// Result of a read from the current response.
@@ -49,6 +52,7 @@
         response: Some(response),
         splitter: EventSplitter::default(),
         read_error: None,
+        recorded_at: None,
     };
     unfold(Some(forwarder), |forwarder| async move {
         let mut forwarder = forwarder?;
@@ -70,7 +74,7 @@
             }
             match self.read_step().await {
                 StreamStep::Events(bytes) => {
-                    self.bind_software();
+                    self.bind_software().await;
                     self.dispatch.record.record_first_event();
                     return Ok(Some(bytes));
                 }
@@ -83,13 +87,15 @@
         }
     }
 
-    /// Lets the stream go on only at targets with the software that its events are of.
-    fn bind_software(&mut self) {
-        if let Some(response) = &self.response
-            && self.dispatch.software.is_none()
-        {
-            self.dispatch.software = Some(response.run.target.software());
-        }
+    /// Lets the stream go on only at targets with the software that its events are of, at this host and at those where
+    /// its caller may take it up. The record is sent before the first event leaves.
+    async fn bind_software(&mut self) {
+        let is_recorded = self.recorded_at.is_some_and(|at| at.elapsed() < RECORD_RENEWAL);
+        let Some(response) = self.response.as_ref().filter(|_| !is_recorded) else { return };
+        self.recorded_at = Some(Instant::now());
+        let target = &response.run.target;
+        self.dispatch.software = Some(target.software());
+        record_stream(&self.dispatch.state, self.dispatch.stream, target).await;
     }
 
     /// Reads from the current response until there are events to pass on, or the response ends.
--- a/crates/cuminramp-gateway/src/peers/socket.rs
+++ b/crates/cuminramp-gateway/src/peers/socket.rs
@@ -16,6 +16,7 @@
     handle_pace_report, handle_report, handle_request, handle_response, handle_target,
 };
 use crate::state::GatewayState;
+use crate::streams::{handle_origin_request, handle_origin_response, handle_stream_origin};
 use crate::tokens::{handle_token_request, handle_token_response};
 
 /// Size of the receive buffer in bytes. A longer datagram is truncated and rejected as unreadable.
@@ -131,6 +132,11 @@
         HostMessage::AdmissionWithdrawal(withdrawal) => {
             handle_admission_withdrawal(state, &address, withdrawal).await;
         }
+        HostMessage::StreamOrigin(origin) => handle_stream_origin(state, origin),
+        HostMessage::OriginRequest(request) => {
+            handle_origin_request(state, &address, request).await;
+        }
+        HostMessage::OriginResponse(response) => handle_origin_response(state, &address, response),
         HostMessage::StatusRequest(request) => {
             handle_status_request(state, &address, request).await;
         }
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -1,10 +1,10 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{
     AdmissionRequest, AdmissionWithdrawal, AttemptKind, HostHeartbeat, HostMessage, ItemDemand,
-    KnownHost, OwnerFailure, PaceReport, RejectionReason, ReportedLoad, ShareReport, SlotCommand,
-    SlotOutcome, SlotReport, SlotRequest, SlotResponse, SoftwareVersion, TargetLoad,
-    TargetPaceReport, TeamUsage, TokenOutcome, TokenRequest, TokenResponse, VersionedSlotRequest,
-    name_hash,
+    KnownHost, KnownOrigin, OriginRequest, OriginResponse, OwnerFailure, PaceReport,
+    RejectionReason, ReportedLoad, ShareReport, SlotCommand, SlotOutcome, SlotReport, SlotRequest,
+    SlotResponse, SoftwareVersion, StreamOrigin, TargetLoad, TargetPaceReport, TeamUsage,
+    TokenOutcome, TokenRequest, TokenResponse, VersionedSlotRequest, name_hash,
 };
 use proptest::prelude::*;
 
@@ -86,6 +86,21 @@
             slot_request,
             software: SoftwareVersion::new("p", "v1"),
         }),
+        HostMessage::StreamOrigin(StreamOrigin {
+            stream: 1,
+            software: SoftwareVersion::new("p", "v1"),
+            target: 2,
+        }),
+        HostMessage::OriginRequest(OriginRequest {
+            request_id: 1,
+            stream: 1,
+            pool: 2,
+            window_ms: 10_000,
+        }),
+        HostMessage::OriginResponse(OriginResponse {
+            request_id: 1,
+            origin: KnownOrigin::Recorded(SoftwareVersion::new("p", "v1")),
+        }),
         HostMessage::Response(SlotResponse { request_id: 1, outcome }),
         HostMessage::Command(SlotCommand::Limit { target: 1, items: 2 }),
         HostMessage::OwnerFailure(OwnerFailure { group: 1, failed_address, failed_incarnation: 4 }),
--- a/crates/cuminramp-gateway/src/slots/borrowed.rs
+++ b/crates/cuminramp-gateway/src/slots/borrowed.rs
@@ -67,6 +67,7 @@
 pub(crate) fn stop_borrowing(state: &GatewayState, listed: Vec<Name>) {
     let mut borrowed = lock(&state.slots.borrowed);
     state.holds_targets.store(true, Ordering::Relaxed);
+    lock(&state.placement).begin_watch(Instant::now());
     for id in borrowed.end(listed) {
         lock(&state.placement).remove(&id);
     }
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::peers::{HostSocket, PeerClients};
 use crate::readers::ReaderBudget;
 use crate::slots::SlotState;
+use crate::streams::StreamState;
 use crate::sync::{RelayedStore, TableMirrors, UpdateRows};
 use crate::targets::TargetConnections;
 use crate::tokens::TokenState;
@@ -75,6 +76,7 @@
     pub(crate) readers: Option<Mutex<ReaderBudget>>,
     pub(crate) slots: SlotState,
     pub(crate) tokens: TokenState,
+    pub(crate) streams: StreamState,
     pub(crate) socket: OnceLock<HostSocket>,
     pub(crate) heartbeat_sequence: AtomicU64,
     /// Whether this host's row has been written since the start.
--- a/crates/cuminramp-gateway/src/sync/updates.rs
+++ b/crates/cuminramp-gateway/src/sync/updates.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use cuminramp_core::{Name, SortedMap};
 use cuminramp_fleet::{
-    HeartbeatSchedule, HostHeartbeat, KnownRow, RowAction, RowCache, TableSource,
+    FleetTarget, HeartbeatSchedule, HostHeartbeat, KnownRow, RowAction, RowCache, TableSource,
+    name_hash,
 };
 use cuminramp_platform::{Row, RowChange, TableSnapshot};
 use cuminramp_wire::fleet::{NewsReply, NewsRequest, NewsRow};
@@ -249,7 +250,15 @@
                 row_version = row.version, source = source;
                 "target-known"
             );
-            lock(&state.placement).put(target);
+            let hash = name_hash(&target.id);
+            let software = target.software();
+            let mut placement = lock(&state.placement);
+            let earlier = placement.target_by_hash(hash).map(FleetTarget::software);
+            placement.put(target);
+            drop(placement);
+            if earlier.is_some_and(|earlier| earlier != software) {
+                state.streams.forget_target(hash, software);
+            }
         }
         Err(error) => {
             let reason = error.to_string();
--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -143,7 +143,7 @@
         other_owner_level: lock(&state.quota).other_owner_level(team, owner, Instant::now()),
         attempt,
     };
-    let response_timeout = response_timeout(state, owner);
+    let response_timeout = response_timeout(state, &owner.address);
     let (_pending, mut receiver) = PendingRequest::insert(&state.tokens, request.request_id);
     for _ in 0..MAX_SENDS_PER_OWNER {
         let sent_at = Instant::now();
@@ -166,9 +166,10 @@
     OwnerReply::Silent
 }
 
-fn response_timeout(state: &GatewayState, owner: &HostId) -> Duration {
+/// Returns the timeout for the response of another host, by its distance.
+pub(crate) fn response_timeout(state: &GatewayState, host: &Name) -> Duration {
     let peers = lock(&state.peers);
-    let is_near = peers.get(&owner.address).is_some_and(|record| {
+    let is_near = peers.get(host).is_some_and(|record| {
         state.regions.is_same_region(&record.host.zone, &state.local_host.zone)
     });
     if is_near { NEAR_RESPONSE_TIMEOUT } else { FAR_RESPONSE_TIMEOUT }
