--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -153,9 +153,11 @@
     zones.map(|zone| SlotGroup { pool: pool.into(), zone: zone.into() }).collect()
 }
 
-/// Returns the host that owns the targets of a pool in this host's zone; `None` if no host may own them.
-pub(crate) fn group_owner(state: &GatewayState, pool: &Name) -> Option<HostId> {
-    owner_of(state, &SlotGroup { pool: pool.clone(), zone: state.local_host.zone.clone() })
+/// Returns the addresses of the hosts that own the groups of a pool.
+pub(crate) fn group_owners(state: &GatewayState, pool: &str) -> Vec<Name> {
+    let groups = groups_of(state, pool);
+    let owners = groups.iter().filter_map(|group| owner_of(state, group));
+    owners.map(|owner| owner.address).collect()
 }
 
 /// Returns the owner of a group as seen by this host; `None` if no host may own it.
--- a/crates/cuminramp-gateway/src/streams.rs
+++ b/crates/cuminramp-gateway/src/streams.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::peers::send_to_host;
-use crate::slots::group_owner;
+use crate::slots::group_owners;
 use crate::state::{GatewayState, lock};
 use crate::tokens::response_timeout;
 
@@ -108,17 +108,15 @@
     search.finish()
 }
 
-/// Returns the hosts that may have the record, and the one that owns the pool's targets in this zone: it knows the targets
-/// also in a large fleet.
+/// Returns the hosts that may have the record, and those that own the pool's targets: they know the targets also in a
+/// large fleet.
 fn hosts_to_ask(state: &GatewayState, query: &StreamQuery<'_>) -> Vec<Name> {
-    let now = Instant::now();
-    let mut hosts = if query.is_named {
-        lock(&state.peers).possible_stream_holders(query.stream, now)
-    } else {
-        vec![]
-    };
-    let owner = group_owner(state, query.pool).filter(|owner| *owner != state.id());
-    hosts.extend(owner.map(|owner| owner.address));
+    let mut hosts = group_owners(state, query.pool);
+    if query.is_named {
+        let peers = lock(&state.peers);
+        hosts.extend(peers.possible_stream_holders(query.stream, Instant::now()));
+    }
+    hosts.retain(|host| *host != state.local_host.address);
     hosts.sort();
     hosts.dedup();
     hosts
