Smaller modules: refusals, streams that are taken up, streams of items, responses and faults of stand-in targets

Refusals for lack of a slot, the software of streams that are taken up, and the reading of an item's stream have files of their own, and so do responses and faults of stand-in targets. Moved code; one text says that a pool has no target for the request.

--- /dev/null
+++ b/crates/cuminramp-gateway/src/jobs/item_stream.rs
@@ -0,0 +1,199 @@
+//! Sends an item to its target and reads the stream that the target responds with.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminramp_core::Name;
+use cuminramp_fleet::{ItemFailure, ItemProgress, ItemStart};
+use http::{Method, StatusCode, Uri};
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::interfaces::TargetHead;
+use crate::state::{GatewayState, lock};
+use crate::targets::{
+    EventOrder, EventSplitter, ResponseFraming, SendFailure, StreamEnd, TargetRequest,
+    TargetResponse, TargetRun, send_request,
+};
+
+/// Timeout after which an item whose target sends no byte is resumed on another target.
+const TARGET_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Minimum interval between two records of a running item's progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Deadline that a target receives with an item. It limits orphaned work of a host
+/// that is lost.
+const ITEM_DEADLINE: Duration = Duration::from_secs(15);
+
+/// How a run of an item on a target ended.
+pub(super) enum RunEnd {
+    /// The output is complete.
+    Complete,
+    /// The run failed or was cancelled, with the reason for the log.
+    Failed(ItemFailure, String),
+}
+
+/// Returns the end of a run that the target did not complete: it broke the connection, fell silent or sent an
+/// unusable response.
+fn broken(reason: impl Into<String>) -> RunEnd {
+    RunEnd::Failed(ItemFailure::Crashed, reason.into())
+}
+
+/// Sends an item to its target and reads the response.
+pub(super) async fn send_item(
+    state: &Arc<GatewayState>,
+    start: &ItemStart,
+    run: TargetRun,
+    progress: &mut ItemProgress,
+) -> RunEnd {
+    let Some(spec) = lock(&state.jobs).get(&start.job).map(|job| job.spec().clone()) else {
+        return RunEnd::Failed(ItemFailure::Preempted, "the job was released".into());
+    };
+    let head = TargetHead {
+        deadline: Some(ITEM_DEADLINE),
+        team: Some(&spec.team),
+        target: &run.target.id.clone(),
+        last_event: progress.last_event,
+    };
+    let headers = match state.call_format.item_headers(&start.item, &spec.host, &head) {
+        Ok(headers) => headers,
+        Err(error) => return RunEnd::Failed(ItemFailure::Failed, error.to_string()),
+    };
+    let Ok(path) = start.item.path.parse::<Uri>() else {
+        return RunEnd::Failed(ItemFailure::Failed, "the path is not a valid URI".into());
+    };
+    let request = TargetRequest {
+        method: Method::POST,
+        path,
+        headers,
+        body: start.item.body.clone(),
+        request_id: Some(start.item.id.clone()),
+        needs_new_connection: false,
+        head_timeout: TARGET_SILENCE_TIMEOUT,
+    };
+    match send_request(run, request).await {
+        Ok(response) => {
+            let recorder = ProgressRecorder::new(state, start, progress);
+            read_response(response, progress, recorder).await
+        }
+        Err(failure @ (SendFailure::NotSent(_) | SendFailure::Refused { .. })) => {
+            RunEnd::Failed(ItemFailure::Preempted, failure.as_str().into())
+        }
+        Err(failure) => broken(format!("{failure:?}")),
+    }
+}
+
+/// Checks the status of a target's response and reads its events.
+async fn read_response(
+    response: TargetResponse,
+    progress: &mut ItemProgress,
+    recorder: ProgressRecorder,
+) -> RunEnd {
+    let status = response.parts.status;
+    if status == StatusCode::UNPROCESSABLE_ENTITY {
+        return RunEnd::Failed(ItemFailure::Impossible, status.to_string());
+    }
+    if status == StatusCode::INTERNAL_SERVER_ERROR {
+        return RunEnd::Failed(ItemFailure::Failed, status.to_string());
+    }
+    if !status.is_success() {
+        return broken(status.to_string());
+    }
+    read_events(response, progress, recorder).await
+}
+
+/// Reads events into `progress` until the stream ends or fails.
+async fn read_events(
+    mut response: TargetResponse,
+    progress: &mut ItemProgress,
+    mut recorder: ProgressRecorder,
+) -> RunEnd {
+    let mut splitter = EventSplitter::default();
+    loop {
+        let frame = match tokio::time::timeout(TARGET_SILENCE_TIMEOUT, response.body.frame()).await
+        {
+            Err(_) => {
+                response.run.end_failed();
+                return broken("no data within the timeout");
+            }
+            Ok(Some(Err(error))) => {
+                response.run.end_failed();
+                return broken(error.to_string());
+            }
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => {
+                let end = splitter.end(ResponseFraming::of(&response.parts));
+                return end_stream(response, end, progress);
+            }
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        splitter.push(&bytes);
+        while let Some(event) = splitter.next_event() {
+            let Some(id) = event.id else { continue };
+            match EventOrder::of(Some(id), progress.last_event) {
+                EventOrder::Repeated => continue,
+                EventOrder::Gap(reason) => return broken(reason),
+                EventOrder::Next => {}
+            }
+            if progress.last_event.is_some() {
+                progress.text.push('\n');
+            }
+            progress.text.push_str(&event.data());
+            progress.last_event = Some(id);
+        }
+        recorder.record(progress);
+        if let Some(reason) = splitter.size_error() {
+            response.run.end_failed();
+            return broken(reason);
+        }
+    }
+}
+
+/// Ends the run of an item whose response was read to its end.
+fn end_stream(response: TargetResponse, end: StreamEnd, progress: &ItemProgress) -> RunEnd {
+    let reason = match end {
+        StreamEnd::Complete(_) if progress.last_event.is_some() => {
+            response.run.end_complete(response.head.keep_alive);
+            return RunEnd::Complete;
+        }
+        StreamEnd::Complete(_) => "the stream ended without an event".to_owned(),
+        StreamEnd::BrokenOff(reason) => reason,
+    };
+    response.run.end_failed();
+    broken(reason)
+}
+
+/// Records a running item's progress in the job table, at most once per [`PROGRESS_INTERVAL`].
+struct ProgressRecorder {
+    state: Arc<GatewayState>,
+    job: Name,
+    index: usize,
+    started_at: Instant,
+    /// Time that earlier runs of the item took.
+    run_time_before: Duration,
+    /// When progress was last recorded.
+    recorded: Instant,
+}
+
+impl ProgressRecorder {
+    fn new(state: &Arc<GatewayState>, start: &ItemStart, progress: &ItemProgress) -> Self {
+        let now = Instant::now();
+        ProgressRecorder {
+            state: state.clone(),
+            job: start.job.clone(),
+            index: start.index,
+            started_at: now,
+            run_time_before: progress.run_time,
+            recorded: now,
+        }
+    }
+
+    fn record(&mut self, progress: &ItemProgress) {
+        if self.recorded.elapsed() < PROGRESS_INTERVAL {
+            return;
+        }
+        self.recorded = Instant::now();
+        let run_time = self.run_time_before + self.started_at.elapsed();
+        let progress = ItemProgress { run_time, ..progress.clone() };
+        lock(&self.state.jobs).record_progress(&self.job, self.index, &progress);
+    }
+}
--- a/crates/cuminramp-gateway/src/online/mod.rs
+++ b/crates/cuminramp-gateway/src/online/mod.rs
@@ -1,7 +1,9 @@
 //! Online requests, from admission to the end of the response.
 
 mod forward;
+mod origin;
 mod record;
+mod refusals;
 mod serve;
 mod stream;
 
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{
-    FleetTarget, PlacementDecision, PlacementRequest, RejectionReason, RouteKind, RouteRule,
-    SoftwareVersion, WorkKind, ZoneLimit, name_hash, stream_key,
+    FleetTarget, PlacementDecision, PlacementRequest, RouteKind, RouteRule, SoftwareVersion,
+    WorkKind, ZoneLimit,
 };
 use cuminramp_targets::{AttemptFailure, FailureStage, RequestTraits, RetryDecision, decide_retry};
 use http::{Response, request};
@@ -15,11 +15,12 @@
 
 use super::RequestRecord;
 use super::forward::{forward_complete, forward_stream};
+use super::origin::{bind_to_origin, stream_of};
+use super::refusals::{execution_after, refuse_full, refuse_unreachable, refuse_without_target};
 use crate::entry::{ResponseBody, is_retry};
 use crate::interfaces::{CallHead, TargetHead};
 use crate::slots::{AdmissionResult, AdmissionTerms, find_slot};
 use crate::state::{GatewayState, lock};
-use crate::streams::{StreamQuery, find_origin};
 use crate::targets::{SendFailure, TargetRequest, TargetResponse, TargetRun, send_request};
 
 /// Maximum number of sends, for one call of a caller, that targets don't run because they are full or
@@ -246,7 +247,9 @@
                     self.tried.clear();
                     continue;
                 }
-                PlacementDecision::NoTarget => return Err(self.refuse_without_target()),
+                PlacementDecision::NoTarget => {
+                    return Err(refuse_without_target(&self.request.pool, self.runs));
+                }
             };
             let failure = match self.send(target).await {
                 Ok(response) => {
@@ -259,15 +262,6 @@
         }
     }
 
-    fn refuse_without_target(&self) -> Refusal {
-        /// Retry delay while a pool has no target. Targets register within about a second after they start.
-        const NO_TARGET_RETRY_DELAY: Duration = Duration::from_millis(700);
-        let reason = format!("pool {} has no target", self.request.pool);
-        Refusal::not_run(ResultCode::TargetsUnavailable, reason)
-            .with_retry_after(NO_TARGET_RETRY_DELAY)
-            .with_execution(execution_after(self.runs))
-    }
-
     /// Records a failed send and decides the next step. `Ok` means that the request is sent again.
     fn handle_failure(&mut self, failure: &SendFailure) -> Result<(), Refusal> {
         let stage = match failure {
@@ -337,73 +331,6 @@
     }
 }
 
-/// Returns the key of a request's stream: that of the request which the caller says began it, or its own.
-fn stream_of(request: &AdmittedRequest) -> u64 {
-    let head = &request.head;
-    let first = head.first_request_id.as_ref().filter(|_| head.last_event.is_some());
-    let request_id = first.or(head.request_id.as_ref());
-    stream_key(request.team.as_deref().unwrap_or_default(), request_id.map_or("", |id| id))
-}
-
-/// Returns whether a request may have run, given the number of its sends that a target may have run.
-fn execution_after(runs: u32) -> Execution {
-    if runs > 0 { Execution::MayHaveRun } else { Execution::NotRun }
-}
-
-/// Returns the refusal of a request that gets no slot in time. `runs` is the number of its sends that a
-/// target may have run: a second attempt is rejected as well if it can't start before its deadline.
-fn refuse_full(rejection: Option<RejectionReason>, runs: u32, retry_after: Duration) -> Refusal {
-    let reason = match rejection {
-        Some(rejection) => format!("no slot was available in time: {}", rejection.as_str()),
-        None => "all slots are in use and the shortest queue is too long".to_owned(),
-    };
-    Refusal::not_run(ResultCode::TargetsUnavailable, reason)
-        .with_retry_after(retry_after)
-        .with_execution(execution_after(runs))
-}
-
-/// Returns the refusal of a request that this host can send nowhere. `runs` is as in [`refuse_full`].
-fn refuse_unreachable(runs: u32, retry_after: Duration) -> Refusal {
-    let reason = "this host reaches no host that grants slots of the pool, and no target";
-    Refusal::not_run(ResultCode::TargetsUnavailable, reason)
-        .with_retry_after(retry_after)
-        .with_execution(execution_after(runs))
-}
-
-/// Binds a request that resumes a stream to the software that began it. Returns a refusal if that is not known, or if
-/// the route no longer leads to the pool.
-async fn bind_to_origin(dispatch: &mut RequestDispatch) -> Result<(), Refusal> {
-    /// Retry delay while the host that knows the version may be out of this host's reach.
-    const UNKNOWN_VERSION_RETRY_DELAY: Duration = Duration::from_millis(150);
-    /// Number of time-outs of a route in which a stream begins and its caller takes it up.
-    const STREAM_TIMEOUTS: u32 = 2;
-    let request = &dispatch.request;
-    if request.head.last_event.is_none() || !dispatch.is_stream() {
-        return Ok(());
-    }
-    let query = StreamQuery {
-        stream: dispatch.stream,
-        is_named: request.head.first_request_id.is_some(),
-        pool: &request.pool,
-        window: request.route.timeout * STREAM_TIMEOUTS,
-    };
-    let Some(software) = find_origin(&dispatch.state, &query).await else {
-        let reason = "no host knows the version at which the stream began; begin a new stream";
-        return Err(Refusal::not_run(ResultCode::StreamVersionUnknown, reason)
-            .with_retry_after(UNKNOWN_VERSION_RETRY_DELAY));
-    };
-    let shares = &request.route.pools;
-    let share = shares.iter().find(|share| name_hash(&share.pool) == software.pool);
-    let Some(share) = share else {
-        let reason = "the route no longer leads to the pool at which the stream began";
-        return Err(Refusal::not_run(ResultCode::TargetsUnavailable, reason)
-            .with_retry_after(UNKNOWN_VERSION_RETRY_DELAY));
-    };
-    dispatch.request.pool = share.pool.clone();
-    dispatch.software = Some(software);
-    Ok(())
-}
-
 /// Serves one admitted request, within its deadline.
 pub(crate) async fn serve_request(
     state: Arc<GatewayState>,
