A stream without a record goes on only on a route that leads to one pool

On a route that is split, a stream without a record may have begun at either pool; the single version of the one that was drawn for the request says nothing of it. Found by reading the change; callers that name no first request are served as before.

--- a/crates/cuminramp-fleet/src/streams.rs
+++ b/crates/cuminramp-fleet/src/streams.rs
@@ -55,8 +55,9 @@
     pub request_id: u64,
     /// The stream, as returned by [`stream_key`].
     pub stream: u64,
-    /// Pool that the request would be sent to, as returned by [`name_hash`](crate::name_hash).
-    pub pool: u32,
+    /// Pool at which a stream without a record began, as returned by [`name_hash`](crate::name_hash); `None` if it may
+    /// have been one of several.
+    pub pool: Option<u32>,
     /// Time before now in which the stream may have begun, in milliseconds.
     pub window_ms: u32,
 }
--- a/crates/cuminramp-gateway/src/online/origin.rs
+++ b/crates/cuminramp-gateway/src/online/origin.rs
@@ -28,10 +28,12 @@
     if request.head.last_event.is_none() || !dispatch.is_stream() {
         return Ok(());
     }
+    let is_named = request.head.first_request_id.is_some();
+    let has_one_pool = request.route.pools.len() == 1;
     let query = StreamQuery {
         stream: dispatch.stream,
-        is_named: request.head.first_request_id.is_some(),
-        pool: &request.pool,
+        is_named,
+        pool: Some(&request.pool).filter(|_| has_one_pool || !is_named),
         window: request.route.timeout * STREAM_TIMEOUTS,
     };
     let Some(software) = find_origin(&dispatch.state, &query).await else {
--- a/crates/cuminramp-gateway/src/peers/socket/tests.rs
+++ b/crates/cuminramp-gateway/src/peers/socket/tests.rs
@@ -94,7 +94,7 @@
         HostMessage::OriginRequest(OriginRequest {
             request_id: 1,
             stream: 1,
-            pool: 2,
+            pool: Some(2),
             window_ms: 10_000,
         }),
         HostMessage::OriginResponse(OriginResponse {
--- a/crates/cuminramp-gateway/src/streams.rs
+++ b/crates/cuminramp-gateway/src/streams.rs
@@ -49,8 +49,8 @@
     pub(crate) stream: u64,
     /// Whether the caller names the request that began the stream.
     pub(crate) is_named: bool,
-    /// Pool that the request would be sent to.
-    pub(crate) pool: &'a Name,
+    /// Pool at which the stream began if no host has a record; `None` if it may have been one of several.
+    pub(crate) pool: Option<&'a Name>,
     /// Time before now in which the stream may have begun.
     pub(crate) window: Duration,
 }
@@ -58,7 +58,7 @@
 impl StreamQuery<'_> {
     fn to_request(&self, request_id: u64) -> OriginRequest {
         let window_ms = u32::try_from(self.window.as_millis()).unwrap_or(u32::MAX);
-        let pool = name_hash(self.pool);
+        let pool = self.pool.map(|pool| name_hash(pool));
         OriginRequest { request_id, stream: self.stream, pool, window_ms }
     }
 }
@@ -111,7 +111,7 @@
 /// Returns the hosts that may have the record, and those that own the pool's targets: they know the targets also in a
 /// large fleet.
 fn hosts_to_ask(state: &GatewayState, query: &StreamQuery<'_>) -> Vec<Name> {
-    let mut hosts = group_owners(state, query.pool);
+    let mut hosts = query.pool.map_or_else(Vec::new, |pool| group_owners(state, pool));
     if query.is_named {
         let peers = lock(&state.peers);
         hosts.extend(peers.possible_stream_holders(query.stream, Instant::now()));
@@ -134,8 +134,9 @@
     if let Some(software) = lock(&state.streams.records).find(request.stream, now) {
         return KnownOrigin::Recorded(software);
     }
+    let Some(pool) = request.pool else { return KnownOrigin::Unknown };
     let window = Duration::from_millis(request.window_ms.into());
-    match lock(&state.placement).pool_software(request.pool, window, now) {
+    match lock(&state.placement).pool_software(pool, window, now) {
         KnownOrigin::Single { software, is_watched } => {
             let is_watched = is_watched && state.relayed_store.is_reachable();
             KnownOrigin::Single { software, is_watched }
