--- a/crates/cuminramp-fleet/src/streams.rs
+++ b/crates/cuminramp-fleet/src/streams.rs
@@ -26,6 +26,8 @@
 pub const RECORD_RENEWAL: Duration = Duration::from_secs(20);
 /// Maximum number of records of a host.
 const MAX_RECORDS: usize = 16_384;
+/// Number of maps that the records are spread over, so that an insertion moves few of them.
+const RECORD_MAPS: usize = 256;
 
 /// Returns the key of the stream that request `first_request_id` of a team began.
 ///
@@ -133,6 +135,10 @@
     }
 }
 
+fn map_index(stream: u64) -> usize {
+    stream as usize % RECORD_MAPS
+}
+
 #[derive(Clone, Copy, Debug)]
 struct StreamRecord {
     /// `None` after records that contradict each other.
@@ -142,13 +148,21 @@
 }
 
 /// Records of streams that this host began or holds for others, bounded in number and age.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StreamRecords {
-    records: SortedMap<u64, StreamRecord>,
+    /// Records by stream, spread by the remainder of its key.
+    maps: Vec<SortedMap<u64, StreamRecord>>,
     /// Streams in the order in which they were recorded; a stream that was renewed stands there again.
     order: VecDeque<(Instant, u64)>,
 }
 
+impl Default for StreamRecords {
+    fn default() -> Self {
+        let maps = (0..RECORD_MAPS).map(|_| SortedMap::new()).collect();
+        StreamRecords { maps, order: VecDeque::new() }
+    }
+}
+
 impl StreamRecords {
     /// Records the software of a stream, or renews the record.
     ///
@@ -163,16 +177,17 @@
     pub fn record(&mut self, origin: StreamOrigin, now: Instant) {
         self.expire(now);
         let StreamOrigin { stream, software, target } = origin;
-        let earlier = self.records.get(&stream);
+        let records = &mut self.maps[map_index(stream)];
+        let earlier = records.get(&stream);
         let is_contradicted = earlier.is_some_and(|record| record.software != Some(software));
         let software = Some(software).filter(|_| !is_contradicted);
-        self.records.insert(stream, StreamRecord { software, target, recorded_at: now });
+        records.insert(stream, StreamRecord { software, target, recorded_at: now });
         self.order.push_back((now, stream));
     }
 
     /// Returns the software that began a stream; `None` if it is not known.
     pub fn find(&self, stream: u64, now: Instant) -> Option<SoftwareVersion> {
-        let record = self.records.get(&stream)?;
+        let record = self.maps[map_index(stream)].get(&stream)?;
         let is_kept = now.saturating_duration_since(record.recorded_at) < RECORD_LIFETIME;
         record.software.filter(|_| is_kept)
     }
@@ -180,7 +195,7 @@
     /// Forgets streams of a target that has started again under its identity with other software. They may have begun at
     /// either, since its row is read late.
     pub fn forget_target(&mut self, target: u32, software: SoftwareVersion) {
-        for (_, record) in self.records.iter_mut() {
+        for (_, record) in self.maps.iter_mut().flat_map(SortedMap::iter_mut) {
             if record.target == target && record.software != Some(software) {
                 record.software = None;
             }
@@ -195,8 +210,9 @@
                 return;
             }
             self.order.pop_front();
-            if self.records.get(&stream).is_some_and(|record| record.recorded_at <= recorded_at) {
-                self.records.remove(&stream);
+            let records = &mut self.maps[map_index(stream)];
+            if records.get(&stream).is_some_and(|record| record.recorded_at <= recorded_at) {
+                records.remove(&stream);
             }
         }
     }
--- a/crates/cuminramp-fleet/src/streams/tests.rs
+++ b/crates/cuminramp-fleet/src/streams/tests.rs
@@ -35,6 +35,10 @@
     }
 }
 
+fn count(records: &StreamRecords) -> usize {
+    records.maps.iter().map(|map| map.len()).sum()
+}
+
 fn finish(is_named: bool, answers: &[KnownOrigin]) -> Option<SoftwareVersion> {
     let mut search = OriginSearch::new(is_named);
     let recorded = answers.iter().find_map(|answer| search.receive(*answer));
@@ -64,7 +68,7 @@
     for stream in 0..2 * MAX_RECORDS as u64 {
         records.record(origin(stream, "v1"), Instant::now());
     }
-    let (kept, last) = (records.records.len(), 2 * MAX_RECORDS as u64 - 1);
+    let (kept, last) = (count(&records), 2 * MAX_RECORDS as u64 - 1);
     let is_newest_kept = records.find(last, Instant::now()).is_some();
 
     advance(RECORD_LIFETIME).await;
@@ -72,7 +76,7 @@
     records.record(origin(1, "v1"), Instant::now());
 
     assert!(kept <= MAX_RECORDS && is_newest_kept && !is_old_found);
-    assert_eq!((records.records.len(), records.order.len()), (1, 1));
+    assert_eq!((count(&records), records.order.len()), (1, 1));
 }
 
 /// Two requests with one ID, or a target that started again at another version before its row was read: neither version
