Records of streams: targets that come back, and routes whose streams can't be resumed

Found by reading the change. A target whose row was gone before it came back with another version kept the records of its streams, since only a direct change of the row was compared; a row of an earlier run, which the table ignores, made them unknown. The state after the change is compared now. On routes whose streams can't be resumed no record is sent.

--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -95,7 +95,9 @@
         self.recorded_at = Some(Instant::now());
         let target = &response.run.target;
         self.dispatch.software = Some(target.software());
-        record_stream(&self.dispatch.state, self.dispatch.stream, target).await;
+        if self.dispatch.request.route.is_resumable {
+            record_stream(&self.dispatch.state, self.dispatch.stream, target).await;
+        }
     }
 
     /// Reads from the current response until there are events to pass on, or the response ends.
--- a/crates/cuminramp-gateway/src/sync/updates.rs
+++ b/crates/cuminramp-gateway/src/sync/updates.rs
@@ -250,15 +250,7 @@
                 row_version = row.version, source = source;
                 "target-known"
             );
-            let hash = name_hash(&target.id);
-            let software = target.software();
-            let mut placement = lock(&state.placement);
-            let earlier = placement.target_by_hash(hash).map(FleetTarget::software);
-            placement.put(target);
-            drop(placement);
-            if earlier.is_some_and(|earlier| earlier != software) {
-                state.streams.forget_target(hash, software);
-            }
+            put_known_target(state, target);
         }
         Err(error) => {
             let reason = error.to_string();
@@ -273,6 +265,20 @@
     }
 }
 
+/// Adds a target or updates its state. If it is new or has other software than before, streams recorded at it with
+/// another version may have begun after it had started again.
+fn put_known_target(state: &GatewayState, target: FleetTarget) {
+    let hash = name_hash(&target.id);
+    let mut placement = lock(&state.placement);
+    let earlier = placement.target_by_hash(hash).map(FleetTarget::software);
+    placement.put(target);
+    let current = placement.target_by_hash(hash).map(FleetTarget::software);
+    drop(placement);
+    if let Some(software) = current.filter(|_| current != earlier) {
+        state.streams.forget_target(hash, software);
+    }
+}
+
 fn remove_target(state: &Arc<GatewayState>, key: &str, version: u64, source: &str) {
     let Some(id) = state.fleet_format.target_id(key) else { return };
     log::log!(
