--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -264,8 +264,8 @@
     /// being half done. An item that can no longer finish in time waits behind those that can:
     /// run first, it would only make another one late as well.
     ///
-    /// The item is to run at a target with `software`. One that other software has begun starts anew there, since
-    /// the two texts would not fit together, and waits behind the other items of its job.
+    /// The item is to run at a target with `software`. One that other software has begun starts anew there,
+    /// since the two texts would not fit together, and waits behind the other items of its job.
     pub fn start_next(
         &mut self,
         accepts: impl Fn(&JobSpec) -> bool,
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// The text of an item must not join what two versions wrote. Items that can go on at a target run there before those
-/// that would lose their text.
+/// The text of an item must not join what two versions wrote. Items that can go on at a target run there
+/// before those that would lose their text.
 #[tokio::test(start_paused = true)]
 async fn an_item_begun_by_other_software_starts_anew_after_the_others() {
     let mut table = JobTable::new(JobPolicy::default());
--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -19,7 +19,8 @@
 //!   other hosts follow in turn;
 //! - [`SteeringArea`] selects the hosts that callers are steered to, and [`HeartbeatSchedule`] derives the
 //!   intervals of heartbeats from the number of hosts;
-//! - [`StreamRecords`] tells which software began a stream, and [`OriginSearch`] decides from what several hosts know;
+//! - [`StreamRecords`] tells which software began a stream, and [`OriginSearch`] decides from what several
+//!   hosts know;
 //! - [`AcceptanceView`] returns the next step after each attempt to make a job durable;
 //! - [`allocate_slots`] decides whose items run first when fewer slots are free than items wait;
 //! - [`JobTable`] orders the items of the jobs that this host holds.
--- a/crates/cuminramp-fleet/src/placement/versions.rs
+++ b/crates/cuminramp-fleet/src/placement/versions.rs
@@ -33,8 +33,8 @@
         self.versions.watched_since.get_or_insert(now);
     }
 
-    /// Returns the software of a pool's targets if all of them had the same within `window`, the time in which a stream
-    /// may have begun. `pool` is its [`name_hash`](crate::name_hash).
+    /// Returns the software of a pool's targets if all of them had the same within `window`, the time in
+    /// which a stream may have begun. `pool` is its [`name_hash`](crate::name_hash).
     pub fn pool_software(&self, pool: u32, window: Duration, now: Instant) -> KnownOrigin {
         let present = self.entries.values().map(|entry| entry.software);
         let left = self.versions.left.iter();
--- a/crates/cuminramp-fleet/src/software.rs
+++ b/crates/cuminramp-fleet/src/software.rs
@@ -7,7 +7,8 @@
 
 /// Pool and software version of a target, as returned by [`name_hash`].
 ///
-/// A stream or an item that has begun goes on only at a target with the same software. Targets don't check that.
+/// A stream or an item that has begun goes on only at a target with the same software. Targets don't check
+/// that.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SoftwareVersion {
     /// The pool.
--- a/crates/cuminramp-fleet/src/streams.rs
+++ b/crates/cuminramp-fleet/src/streams.rs
@@ -1,8 +1,9 @@
 //! Which software began a stream, for callers that take the stream up at another host.
 //!
 //! The host that passes on the first event of a stream sends a record of its software to a few hosts that
-//! [`PeerTable::stream_holders`] selects by the stream. The host at which a caller takes the stream up asks the same
-//! hosts. A stream without a record goes on only if the pool has had a single version for long enough.
+//! [`PeerTable::stream_holders`] selects by the stream. The host at which a caller takes the stream up asks
+//! the same hosts. A stream without a record goes on only if the pool has had a single version for long
+//! enough.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,11 +15,11 @@
 use crate::peers::PeerTable;
 use crate::software::SoftwareVersion;
 
-/// Number of hosts to which a record is sent. Of ten hosts of which six are killed at once, one of three holders is left
-/// in 88 of 100 cases.
+/// Number of hosts to which a record is sent. Of ten hosts of which six are killed at once, one of three
+/// holders is left in 88 of 100 cases.
 const HOLDERS: usize = 3;
-/// Number of hosts that are asked for a record. One more than hold it: the host that began the stream may rank among
-/// them and is none of them.
+/// Number of hosts that are asked for a record. One more than hold it: the host that began the stream may
+/// rank among them and is none of them.
 const ASKED_HOLDERS: usize = HOLDERS + 1;
 /// Time for which a record is kept. A host renews it while the stream goes on.
 const RECORD_LIFETIME: Duration = Duration::from_secs(60);
@@ -57,8 +58,8 @@
     pub request_id: u64,
     /// The stream, as returned by [`stream_key`].
     pub stream: u64,
-    /// Pool at which a stream without a record began, as returned by [`name_hash`](crate::name_hash); `None` if it may
-    /// have been one of several.
+    /// Pool at which a stream without a record began, as returned by [`name_hash`](crate::name_hash);
+    /// `None` if it may have been one of several.
     pub pool: Option<u32>,
     /// Time before now in which the stream may have begun, in milliseconds.
     pub window_ms: u32,
@@ -101,8 +102,8 @@
 }
 
 impl OriginSearch {
-    /// Creates a search for a stream. Of a caller that does not name the first request no host can have a record, so
-    /// the versions that are there at present decide.
+    /// Creates a search for a stream. Of a caller that does not name the first request no host can have a
+    /// record, so the versions that are there at present decide.
     ///
     /// ```
     /// use cuminramp_fleet::{KnownOrigin, OriginSearch, SoftwareVersion};
@@ -129,7 +130,8 @@
         None
     }
 
-    /// Returns the software if no more answers come; `None` if it is not known. That is no permission to go on at any.
+    /// Returns the software if no more answers come; `None` if it is not known. That is no permission to go
+    /// on at any.
     pub fn finish(self) -> Option<SoftwareVersion> {
         self.single.filter(|_| !self.has_several)
     }
@@ -192,8 +194,8 @@
         record.software.filter(|_| is_kept)
     }
 
-    /// Forgets streams of a target that has started again under its identity with other software. They may have begun at
-    /// either, since its row is read late.
+    /// Forgets streams of a target that has started again under its identity with other software. They may
+    /// have begun at either, since its row is read late.
     pub fn forget_target(&mut self, target: u32, software: SoftwareVersion) {
         for (_, record) in self.maps.iter_mut().flat_map(SortedMap::iter_mut) {
             if record.target == target && record.software != Some(software) {
@@ -224,8 +226,8 @@
         self.rank_hosts(stream, HOLDERS, now)
     }
 
-    /// Returns the addresses of the alive hosts that may hold the record of a stream. Those that had it when all hosts
-    /// were alive are among them: the hosts that are gone only moved the others up.
+    /// Returns the addresses of the alive hosts that may hold the record of a stream. Those that had it
+    /// when all hosts were alive are among them: the hosts that are gone only moved the others up.
     pub fn possible_stream_holders(&self, stream: u64, now: Instant) -> Vec<Name> {
         self.rank_hosts(stream, ASKED_HOLDERS, now)
     }
--- a/crates/cuminramp-fleet/src/streams/tests.rs
+++ b/crates/cuminramp-fleet/src/streams/tests.rs
@@ -79,8 +79,8 @@
     assert_eq!((count(&records), records.order.len()), (1, 1));
 }
 
-/// Two requests with one ID, or a target that started again at another version before its row was read: neither version
-/// is certain.
+/// Two requests with one ID, or a target that started again at another version before its row was read:
+/// neither version is certain.
 #[tokio::test(start_paused = true)]
 async fn contradicting_records_make_a_stream_unknown() {
     let (mut records, now) = (StreamRecords::default(), Instant::now());
@@ -98,7 +98,8 @@
     );
 }
 
-/// The last target of a version leaves. Streams that it began must not count as begun at the version that is left.
+/// The last target of a version leaves. Streams that it began must not count as begun at the version that
+/// is left.
 #[tokio::test(start_paused = true)]
 async fn a_version_that_has_left_counts_for_as_long_as_streams_last() {
     let mut placement = PlacementTable::new("z".into(), PlacementPolicy::default());
--- a/crates/cuminramp-gateway/src/jobs/item_stream.rs
+++ b/crates/cuminramp-gateway/src/jobs/item_stream.rs
@@ -32,8 +32,8 @@
     Failed(ItemFailure, String),
 }
 
-/// Returns the end of a run that the target did not complete: it broke the connection, fell silent or sent an
-/// unusable response.
+/// Returns the end of a run that the target did not complete: it broke the connection, fell silent or sent
+/// an unusable response.
 fn broken(reason: impl Into<String>) -> RunEnd {
     RunEnd::Failed(ItemFailure::Crashed, reason.into())
 }
--- a/crates/cuminramp-gateway/src/online/origin.rs
+++ b/crates/cuminramp-gateway/src/online/origin.rs
@@ -21,8 +21,8 @@
     stream_key(request.team.as_deref().unwrap_or_default(), request_id.map_or("", |id| id))
 }
 
-/// Binds a request that resumes a stream to the software that began it. Returns a refusal if that is not known, or if
-/// the route no longer leads to the pool.
+/// Binds a request that resumes a stream to the software that began it. Returns a refusal if that is not
+/// known, or if the route no longer leads to the pool.
 pub(super) async fn bind_to_origin(dispatch: &mut RequestDispatch) -> Result<(), Refusal> {
     let request = &dispatch.request;
     if request.head.last_event.is_none() || !dispatch.is_stream() {
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -241,7 +241,8 @@
     pub(crate) fn record_failure(&self, failure: &str, detail: &str, next: &str) {
         log::info!(
             request_id = &*self.request_id, target_id = self.target.as_deref().unwrap_or("-"),
-            target_version = self.target_version.as_deref().unwrap_or("-"), failure = failure, detail = detail, sends = self.sends,
+            target_version = self.target_version.as_deref().unwrap_or("-"),
+            failure = failure, detail = detail, sends = self.sends,
             after_ms = self.started_at.elapsed().as_millis() as u64, next = next;
             "attempt-failed"
         );
--- a/crates/cuminramp-gateway/src/online/refusals.rs
+++ b/crates/cuminramp-gateway/src/online/refusals.rs
@@ -37,7 +37,8 @@
         .with_execution(execution_after(runs))
 }
 
-/// Returns the refusal of a request whose pool has no target that it may run at. `runs` is as in [`refuse_full`].
+/// Returns the refusal of a request whose pool has no target that it may run at. `runs` is as in
+/// [`refuse_full`].
 pub(super) fn refuse_without_target(pool: &str, runs: u32) -> Refusal {
     let reason = format!("pool {pool} has no target for the request");
     Refusal::not_run(ResultCode::TargetsUnavailable, reason)
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -62,8 +62,8 @@
     pub(crate) stream: u64,
     /// Last event that was passed on to the caller.
     pub(crate) last_event: Option<u64>,
-    /// Software of the targets at which the request may run: that of the events that the caller has. `None` before
-    /// the first one.
+    /// Software of the targets at which the request may run: that of the events that the caller has. `None`
+    /// before the first one.
     pub(crate) software: Option<SoftwareVersion>,
     /// Time by which the caller receives its final response.
     deadline: Instant,
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -87,8 +87,8 @@
         }
     }
 
-    /// Lets the stream go on only at targets with the software that its events are of, at this host and at those where
-    /// its caller may take it up. The record is sent before the first event leaves.
+    /// Lets the stream go on only at targets with the software that its events are of, at this host and at
+    /// those where its caller may take it up. The record is sent before the first event leaves.
     async fn bind_software(&mut self) {
         let is_recorded = self.recorded_at.is_some_and(|at| at.elapsed() < RECORD_RENEWAL);
         let Some(response) = self.response.as_ref().filter(|_| !is_recorded) else { return };
@@ -141,8 +141,8 @@
         }
     }
 
-    /// Records that the target broke the response off. It counts as a crash unless the response has brought a new
-    /// event.
+    /// Records that the target broke the response off. It counts as a crash unless the response has brought
+    /// a new event.
     fn break_off(&self, reason: String) -> StreamStep {
         if self.dispatch.last_event == self.resumed_after {
             self.dispatch.record_crash();
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -163,9 +163,9 @@
     }
 }
 
-/// Returns the decision that follows from an owner's outcome, or `None` if the search continues. Ignores a grant for a
-/// target that, as far as this host knows, is not there, accepts no new work or has other software: the owner may
-/// have read its row earlier or later.
+/// Returns the decision that follows from an owner's outcome, or `None` if the search continues. Ignores a
+/// grant for a target that, as far as this host knows, is not there, accepts no new work or has other
+/// software: the owner may have read its row earlier or later.
 fn to_decision(
     state: &GatewayState,
     outcome: SlotOutcome,
--- a/crates/cuminramp-gateway/src/streams.rs
+++ b/crates/cuminramp-gateway/src/streams.rs
@@ -1,4 +1,5 @@
-//! Records of the software that began streams: sent to a few hosts, and asked for when a caller takes a stream up.
+//! Records of the software that began streams: sent to a few hosts, and asked for when a caller takes a
+//! stream up.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -75,7 +76,8 @@
     }
 }
 
-/// Returns the software that began a stream, from the record of this host or of others; `None` if it is not known.
+/// Returns the software that began a stream, from the record of this host or of others; `None` if it is not
+/// known.
 pub(crate) async fn find_origin(
     state: &GatewayState,
     query: &StreamQuery<'_>,
@@ -108,8 +110,8 @@
     search.finish()
 }
 
-/// Returns the hosts that may have the record, and those that own the pool's targets: they know the targets also in a
-/// large fleet.
+/// Returns the hosts that may have the record, and those that own the pool's targets: they know the targets
+/// also in a large fleet.
 fn hosts_to_ask(state: &GatewayState, query: &StreamQuery<'_>) -> Vec<Name> {
     let mut hosts = query.pool.map_or_else(Vec::new, |pool| group_owners(state, pool));
     if query.is_named {
@@ -122,8 +124,8 @@
     hosts
 }
 
-/// Returns the timeout for the answers of hosts, by the one that is farthest away. Callers wait for it whenever hosts that
-/// may have the record were killed.
+/// Returns the timeout for the answers of hosts, by the one that is farthest away. Callers wait for it
+/// whenever hosts that may have the record were killed.
 fn answer_timeout(state: &GatewayState, hosts: &[Name]) -> Duration {
     hosts.iter().map(|host| response_timeout(state, host)).max().unwrap_or_default()
 }
@@ -145,7 +147,8 @@
     }
 }
 
-/// Search that waits for answers. Dropping it ends the wait: a caller may close its connection before they arrive.
+/// Search that waits for answers. Dropping it ends the wait: a caller may close its connection before they
+/// arrive.
 struct PendingSearch<'a> {
     streams: &'a StreamState,
     request_id: u64,
--- a/crates/cuminramp-gateway/src/sync/updates.rs
+++ b/crates/cuminramp-gateway/src/sync/updates.rs
@@ -265,8 +265,8 @@
     }
 }
 
-/// Adds a target or updates its state. If it is new or has other software than before, streams recorded at it with
-/// another version may have begun after it had started again.
+/// Adds a target or updates its state. If it is new or has other software than before, streams recorded at
+/// it with another version may have begun after it had started again.
 fn put_known_target(state: &GatewayState, target: FleetTarget) {
     let hash = name_hash(&target.id);
     let mut placement = lock(&state.placement);
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -159,8 +159,8 @@
 
     /// Returns whether the stream is complete if its body ends here without an error.
     ///
-    /// With [`ResponseFraming::Connection`] that is also how a target ends that fails, so such a stream has to bring
-    /// at least one event.
+    /// With [`ResponseFraming::Connection`] that is also how a target ends that fails, so such a stream has
+    /// to bring at least one event.
     pub(crate) fn end(&self, framing: ResponseFraming) -> StreamEnd {
         let rest_bytes = self.buffer.len();
         if self.buffer.iter().any(|byte| !matches!(byte, b'\n' | b'\r')) {
