--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -1,151 +1,106 @@
-//! Case 1: more than half of the machines are lost for good while they hold batch jobs.
+//! The cases, each a sequence of steps and a check of one rule.
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::File;
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::engine::{self, Run, Runs};
+use crate::fleet::{CALLERS, Fleet, ZONES};
 use crate::http::call;
 use crate::json::{Json, base64, number, table, text};
 use crate::store::Store;
 
-const HOSTS: usize = 5;
-/// Number of hosts that are killed and not started again.
-const LOST: usize = 3;
-const ENGINES: usize = 4;
-const JOBS: usize = 20;
-const ITEMS: usize = 6;
 /// `finishS` of the small sites.
 const FINISH: Duration = Duration::from_secs(18);
 /// Span before the end in which no engine had an item of the job, and in which the engines were under half full.
 const CALM: Duration = Duration::from_secs(5);
 /// Span before the end in which no item was finished.
 const NONE_FINISHED: Duration = Duration::from_secs(3);
-const MAX_START: Duration = Duration::from_secs(20);
 
-const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-const CALLERS: u16 = 0;
-const READINESS: u16 = 1;
-const STEERING: u16 = 2;
-const PEERS: u16 = 3;
-const METRICS: u16 = 4;
-
-/// Gateways that run; they are killed when this is dropped.
-struct Fleet {
-    port: u16,
-    folder: PathBuf,
-    processes: Vec<Option<Child>>,
-}
+const HEADERS: [(&str, &str); 2] = [("host", "jobs.example"), ("authorization", "Bearer key-a")];
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        (0..self.processes.len()).for_each(|host| self.kill(host));
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
+/// A route of the configuration: its name, prefix and pool.
+type Route = (&'static str, &'static str, &'static str);
 
-fn ip(host: usize) -> String {
-    format!("127.0.0.{}", 21 + host)
+/// What a case consists of.
+struct Plan {
+    gateways: usize,
+    /// Pool of each engine.
+    engines: &'static [&'static str],
+    jobs: usize,
+    /// Paths of the items of each job.
+    paths: Vec<&'static str>,
+    routes: &'static [Route],
+    /// Routes of the next configuration, which is the disruption of a case that has one.
+    next_routes: Option<&'static [Route]>,
+    /// Number of gateways that are lost for good.
+    lost: usize,
+    check: fn(&State, &mut String) -> Result<bool, String>,
 }
 
-/// Returns the first of five ports that are free at the addresses of all hosts.
-fn free_ports() -> Option<u16> {
-    let seed = std::process::id() % 300;
-    (0..300).map(|turn| 20_000 + 10 * ((seed + turn * 7) % 300) as u16).find(|base| {
-        let all = (0..HOSTS).flat_map(|host| (0..5).map(move |port| (ip(host), base + port)));
-        all.into_iter().all(|(ip, port)| {
-            let udp = std::net::UdpSocket::bind((ip.as_str(), port));
-            udp.is_ok() && TcpListener::bind((ip.as_str(), port)).is_ok()
-        })
-    })
+/// What a check looks at.
+struct State<'a> {
+    plan: &'a Plan,
+    fleet: &'a Fleet,
+    began: Instant,
+    runs: Vec<Run>,
 }
 
-impl Fleet {
-    fn address(&self, host: usize, port: u16) -> String {
-        format!("{}:{}", ip(host), self.port + port)
-    }
-
-    fn start(&mut self, gateway: &str, host: usize, store: &str) -> Result<(), String> {
-        let zones = ZONES.iter().map(|zone| table([("zone", text(*zone)), ("region", text("region-a"))]));
-        let contracts = ["base", "drain", "config", "cost", "recover", "batch", "stream", "engine", "tenants", "quota"];
-        let settings = table([
-            ("name", text(format!("edge-{host}"))),
-            ("availability-zone", text(ZONES[host % ZONES.len()])),
-            ("caller-address", text(self.address(host, CALLERS))),
-            ("readiness-address", text(self.address(host, READINESS))),
-            ("steering-address", text(self.address(host, STEERING))),
-            ("peer-address", text(self.address(host, PEERS))),
-            ("metrics-address", text(self.address(host, METRICS))),
-            ("seeds", Json::List((0..3).map(|seed| text(self.address(seed, PEERS))).collect())),
-            ("first-start", Json::Bool(true)),
-            ("store-address", text(store)),
-            ("grace-s", number(8)),
-            ("steering-keep-s", number(2)),
-            ("rate-tolerance-share", Json::Number(0.1)),
-            ("rate-tolerance-requests", number(20)),
-            ("rate-window-s", number(5)),
-            ("requirements", Json::List(contracts.iter().map(|name| text(*name)).collect())),
-            ("cpu-share", Json::Number(0.5)),
-            ("memory-mb", number(300)),
-            ("zone-regions", Json::List(zones.collect())),
-            ("log-level", text("info")),
-        ]);
-        let path = self.folder.join(format!("edge-{host}.json"));
-        std::fs::write(&path, settings.to_string()).map_err(|error| error.to_string())?;
-        let log = File::create(self.folder.join(format!("edge-{host}.log"))).map_err(|error| error.to_string())?;
-        let errors = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(gateway)
-            .arg("gateway")
-            .env("CUMINRAMP_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .map_err(|error| format!("{gateway}: {error}"))?;
-        self.processes.push(Some(child));
-        Ok(())
-    }
+const BASE: &[Route] = &[("jobs", "/jobs/", "pool-a")];
+const WITH_NESTED: &[Route] = &[("jobs", "/jobs/", "pool-a"), ("special", "/jobs/special/", "pool-b")];
+const WITHOUT_JOBS: &[Route] = &[("other", "/other/", "pool-a")];
 
-    fn kill(&mut self, host: usize) {
-        if let Some(mut child) = self.processes[host].take() {
-            let _ = child.kill();
-            let _ = child.wait();
+fn plan(name: &str) -> Option<Plan> {
+    let plan = Plan {
+        gateways: 5,
+        engines: &["pool-a", "pool-a", "pool-a", "pool-a"],
+        jobs: 20,
+        paths: vec!["/jobs/1"; 6],
+        routes: BASE,
+        next_routes: None,
+        lost: 0,
+        check: check_left_lying,
+    };
+    match name {
+        "majority-lost" => Some(Plan { lost: 3, ..plan }),
+        "route-added" => {
+            let mut paths = vec!["/jobs/1"; 20];
+            paths[0] = "/jobs/special/1";
+            let engines = &["pool-a", "pool-a", "pool-b", "pool-b"];
+            Some(Plan { gateways: 3, engines, jobs: 6, paths, next_routes: Some(WITH_NESTED), check: check_pools, ..plan })
         }
-    }
-
-    fn is_ready(&self, host: usize) -> bool {
-        let answer = call(&self.address(host, READINESS), "GET", "/api/ready", &[], b"");
-        answer.is_some_and(|answer| answer.status() == 200)
+        "route-removed" => Some(Plan { gateways: 3, next_routes: Some(WITHOUT_JOBS), ..plan }),
+        _ => None,
     }
 }
 
-/// Writes the configuration: one route for batch jobs, one team.
-fn configure(store: &Store) {
-    let route = table([
-        ("name", text("jobs")),
-        ("host", text("jobs.example")),
-        ("prefix", text("/jobs/")),
-        ("kind", text("bulk")),
-        ("service", text("llm")),
-        ("timeoutMs", number(15_000)),
-        ("sloMs", number(400)),
-        ("dueMs", number(18_000)),
-        ("maxAttempts", number(3)),
-        ("maxAgeS", number(60)),
-        ("maxCount", number(0)),
-        ("resumable", Json::Bool(true)),
-        ("gapAimMs", number(250)),
-        ("priority", number(2)),
-    ]);
+/// Writes a configuration with these routes.
+fn configure(store: &Store, version: u64, routes: &[Route]) {
+    let pools = ["pool-a", "pool-b"].map(|pool| table([("name", text(pool)), ("maxConns", number(180))]));
+    let routes = routes.iter().map(|(name, prefix, pool)| {
+        table([
+            ("name", text(*name)),
+            ("host", text("jobs.example")),
+            ("prefix", text(*prefix)),
+            ("kind", text("bulk")),
+            ("service", text(*pool)),
+            ("timeoutMs", number(15_000)),
+            ("sloMs", number(400)),
+            ("dueMs", number(18_000)),
+            ("maxAttempts", number(3)),
+            ("maxAgeS", number(60)),
+            ("maxCount", number(0)),
+            ("resumable", Json::Bool(true)),
+            ("gapAimMs", number(250)),
+            ("priority", number(2)),
+        ])
+    });
     let config = table([
-        ("version", number(1)),
-        ("routes", Json::List(vec![route])),
-        ("services", Json::List(vec![table([("name", text("llm")), ("maxConns", number(180))])])),
+        ("version", number(version)),
+        ("routes", Json::List(routes.collect())),
+        ("services", Json::List(pools.to_vec())),
         ("limits", table([
             ("maxHeaderBytes", number(16_384)),
             ("maxBodyBytes", number(4_194_304)),
@@ -162,8 +117,6 @@
     store.put("op", "config", base64(config.to_string().as_bytes()));
 }
 
-const HEADERS: [(&str, &str); 2] = [("host", "jobs.example"), ("authorization", "Bearer key-a")];
-
 fn item_id(job: usize, item: usize) -> String {
     format!("{:016x}", 0x1000_0000 + job * 256 + item)
 }
@@ -172,11 +125,11 @@
     format!("{:016x}", 0x9000_0000usize + job * 7919)
 }
 
-fn submission(job: usize) -> Vec<u8> {
-    let items = (0..ITEMS).map(|item| {
+fn submission(plan: &Plan, job: usize) -> Vec<u8> {
+    let items = plan.paths.iter().enumerate().map(|(item, path)| {
         table([
             ("id", text(item_id(job, item))),
-            ("path", text("/jobs/1")),
+            ("path", text(*path)),
             ("headers", table([("X-Model", text("m")), ("X-Token-Counts", text("100,40"))])),
             ("body", text(base64(format!("body of {}", item_id(job, item)).as_bytes()))),
             ("tokens", number(140)),
@@ -185,14 +138,15 @@
     table([("items", Json::List(items.collect()))]).to_string().into_bytes()
 }
 
-/// Reads the results of a job at a host: the state and the output of each listed item.
-fn read_job(fleet: &Fleet, host: usize, job: usize) -> Result<BTreeMap<String, (String, String)>, String> {
+/// Reads the results of a job at the last gateway: the state and the output of each listed item.
+fn read_job(state: &State, job: usize) -> Result<BTreeMap<String, (String, String)>, String> {
     let mut listed = BTreeMap::new();
     loop {
         let path = format!("/api/lots/{}?after={}", job_id(job), listed.len());
-        let answer = call(&fleet.address(host, CALLERS), "GET", &path, &HEADERS, b"").ok_or("no answer")?;
+        let address = state.fleet.address(state.plan.gateways - 1, CALLERS);
+        let answer = call(&address, "GET", &path, &HEADERS, b"").ok_or("no answer")?;
         if answer.status() != 200 {
-            return Err(format!("status {}", answer.status()));
+            return Err(format!("job {}: status {}", job_id(job), answer.status()));
         }
         let page = Json::parse(&answer.text()).ok_or("no JSON")?;
         let results = page.get("results").list();
@@ -200,7 +154,7 @@
             let field = |name| result.get(name).text().to_owned();
             listed.insert(field("id"), (field("state"), field("text")));
         }
-        if results.is_empty() || listed.len() >= ITEMS {
+        if results.is_empty() || listed.len() >= state.plan.paths.len() {
             return Ok(listed);
         }
     }
@@ -211,101 +165,131 @@
     run.ended_at.is_none_or(|ended_at| ended_at >= since)
 }
 
-/// Runs the case. Returns whether the rule was kept.
-pub fn majority_lost(gateway: &str, record: &str, has_trouble: bool) -> Result<bool, String> {
-    let began = Instant::now();
+/// LOST: an item that isn't listed, though no engine had one of its job for a while and there was capacity for it.
+fn check_left_lying(state: &State, lines: &mut String) -> Result<bool, String> {
+    let now = state.began.elapsed();
+    let since = now.saturating_sub(CALM);
+    let under_way = state.runs.iter().filter(|run| is_since(run, since)).count();
+    let is_half_empty = under_way * 2 < engine::SLOTS as usize * state.plan.engines.len();
+    let whole = state.runs.iter().filter(|run| run.is_whole);
+    let last_finished = whole.filter_map(|run| run.ended_at).max().unwrap_or_default();
+    let is_quiet = now.saturating_sub(last_finished) > NONE_FINISHED;
+    let mut is_kept = true;
+    for job in 0..state.plan.jobs {
+        let listed = read_job(state, job)?;
+        let items = (0..state.plan.paths.len()).map(|item| item_id(job, item));
+        let missing: Vec<String> = items.filter(|item| !listed.contains_key(item)).collect();
+        let is_had = state.runs.iter().any(|run| missing.contains(&run.item) && is_since(run, since));
+        let is_left = !missing.is_empty() && !is_had && is_half_empty && is_quiet;
+        let dead = listed.values().filter(|(state, _)| state == "dead_letter").count();
+        let note = if is_left { ": the others are left lying" } else { "" };
+        let _ = writeln!(
+            lines,
+            "{:6.2} s job {}: {} of {} items listed, {dead} of them as dead_letter{note}",
+            state.began.elapsed().as_secs_f64(),
+            job_id(job),
+            listed.len(),
+            state.plan.paths.len(),
+        );
+        is_kept &= !is_left;
+    }
+    Ok(is_kept)
+}
+
+/// ROUTE: an item that ran in a pool to which no configuration sends its path.
+fn check_pools(state: &State, lines: &mut String) -> Result<bool, String> {
+    let is_allowed = |run: &Run| {
+        let routes = state.plan.routes.iter().chain(state.plan.next_routes.unwrap_or_default());
+        let mut matching = routes.filter(|(_, prefix, _)| run.path.starts_with(prefix));
+        matching.any(|(_, _, pool)| *pool == run.pool)
+    };
+    let wrong: Vec<&Run> = state.runs.iter().filter(|run| !is_allowed(run)).collect();
+    let (mut listed, mut foreign) = (0, 0);
+    for job in 0..state.plan.jobs {
+        for (item, (result, output)) in read_job(state, job)? {
+            listed += 1;
+            let is_foreign = |run: &&Run| run.item == item && output == engine::output_of(&run.pool, &item);
+            foreign += usize::from(result == "complete" && wrong.iter().copied().any(|run| is_foreign(&run)));
+        }
+    }
+    let _ = writeln!(
+        lines,
+        "{:6.2} s {} runs, {} of them in a pool to which no route leads that the path matches; {listed} of {} items \
+         listed, {foreign} of them as complete with the output of such a run",
+        state.began.elapsed().as_secs_f64(),
+        state.runs.len(),
+        wrong.len(),
+        state.plan.jobs * state.plan.paths.len(),
+    );
+    Ok(wrong.is_empty())
+}
+
+/// Runs a case and writes its record. Returns whether the rule was kept.
+pub fn run(name: &str, gateway: &str, record: &str, has_trouble: bool) -> Result<bool, String> {
+    let plan = plan(name).ok_or_else(|| format!("no case {name}"))?;
     let mut lines = String::new();
-    let outcome = run(gateway, has_trouble, began, &mut lines);
+    let outcome = play(name, &plan, gateway, has_trouble, &mut lines);
     match &outcome {
         Ok(true) => lines.push_str("outcome: the rule was kept\n"),
-        Ok(false) => lines.push_str("outcome: LOST\n"),
+        Ok(false) => lines.push_str("outcome: the rule was broken\n"),
         Err(reason) => drop(writeln!(lines, "outcome: could not run: {reason}")),
     }
-    std::fs::write(Path::new(record), lines).map_err(|error| error.to_string())?;
+    std::fs::write(record, lines).map_err(|error| error.to_string())?;
     outcome
 }
 
-fn run(gateway: &str, has_trouble: bool, began: Instant, lines: &mut String) -> Result<bool, String> {
+fn play(name: &str, plan: &Plan, gateway: &str, has_trouble: bool, lines: &mut String) -> Result<bool, String> {
+    let began = Instant::now();
     let bind = || TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string());
     let store_listener = bind()?;
     let store_address = store_listener.local_addr().map_err(|error| error.to_string())?.to_string();
     let store = Store::start(store_listener);
-    configure(&store);
+    configure(&store, 1, plan.routes);
     let runs: Runs = Arc::new(Mutex::new(Vec::new()));
-    for engine in 0..ENGINES {
-        let zone = ZONES[engine % ZONES.len()];
-        engine::start(bind()?, format!("i-{engine}"), "llm", zone, store.clone(), runs.clone(), began);
-    }
-    let folder = std::env::temp_dir().join(format!("majority-lost-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-    let port = free_ports().ok_or("no free ports")?;
-    let mut fleet = Fleet { port, folder, processes: Vec::new() };
-    for host in 0..HOSTS {
-        fleet.start(gateway, host, &store_address)?;
+    for (index, pool) in plan.engines.iter().enumerate() {
+        let zone = ZONES[index % ZONES.len()];
+        engine::start(bind()?, format!("i-{index}"), pool, zone, store.clone(), runs.clone(), began);
     }
-    while !(0..HOSTS).all(|host| fleet.is_ready(host)) {
-        if began.elapsed() > MAX_START {
-            return Err("the gateways are not ready".into());
-        }
-        std::thread::sleep(Duration::from_millis(100));
-    }
-    std::thread::sleep(Duration::from_secs(4));
-    let _ = writeln!(lines, "{HOSTS} gateways, {ENGINES} engines, {JOBS} jobs of {ITEMS} items; TROUBLE={}", u8::from(has_trouble));
-
-    let mut accepted = Vec::new();
-    for job in 0..JOBS {
-        let host = job % HOSTS;
+    let mut fleet = Fleet::start(gateway, plan.gateways, &store_address, name)?;
+    let trouble = u8::from(has_trouble);
+    let _ = writeln!(lines, "{} gateways, engines in {:?}, routes {:?}; TROUBLE={trouble}", plan.gateways, plan.engines, plan.routes);
+    for job in 0..plan.jobs {
+        let host = job % plan.gateways;
         let id = job_id(job);
         let mut headers = HEADERS.to_vec();
         headers.extend([("x-request-id", id.as_str()), ("content-type", "application/json")]);
-        let answer = call(&fleet.address(host, CALLERS), "POST", "/jobs/", &headers, &submission(job));
+        let answer = call(&fleet.address(host, CALLERS), "POST", "/jobs/", &headers, &submission(plan, job));
         let status = answer.map_or(0, |answer| answer.status());
         let _ = writeln!(lines, "{:6.2} s job {id} sent to edge-{host}: {status}", began.elapsed().as_secs_f64());
-        if status == 202 {
-            accepted.push(job);
+        if status != 202 {
+            return Err(format!("job {id} was not accepted, without any disruption"));
         }
     }
-    if accepted.len() < JOBS {
-        return Err(format!("{} of {JOBS} jobs were accepted without any disruption", accepted.len()));
-    }
     if has_trouble {
-        for host in 0..LOST {
+        for host in 0..plan.lost {
             fleet.kill(host);
             let _ = writeln!(lines, "{:6.2} s edge-{host} is killed for good", began.elapsed().as_secs_f64());
         }
+        if let Some(routes) = plan.next_routes {
+            configure(&store, 2, routes);
+            let _ = writeln!(lines, "{:6.2} s version 2 is acknowledged, routes {routes:?}", began.elapsed().as_secs_f64());
+        }
     }
-    let finish_at = Instant::now() + FINISH;
-    while Instant::now() < finish_at {
-        std::thread::sleep(Duration::from_millis(500));
-    }
+    std::thread::sleep(FINISH);
 
-    let reader = HOSTS - 1;
-    let now = began.elapsed();
     let runs = runs.lock().unwrap().clone();
     for run in &runs {
         let end = run.ended_at.map_or_else(|| "still runs".to_owned(), |at| format!("ended at {:.2} s", at.as_secs_f64()));
         let whole = if run.is_whole { ", whole" } else { "" };
-        let _ = writeln!(lines, "{:6.2} s {} runs item {}: {end}{whole}", run.began_at.as_secs_f64(), run.engine, run.item);
+        let _ = writeln!(
+            lines,
+            "{:6.2} s {} of {} runs item {} ({}): {end}{whole}",
+            run.began_at.as_secs_f64(),
+            run.engine,
+            run.pool,
+            run.item,
+            run.path
+        );
     }
-    let under_way: u32 = runs.iter().filter(|run| is_since(run, now.saturating_sub(CALM))).count() as u32;
-    let is_half_empty = under_way * 2 < engine::SLOTS * ENGINES as u32;
-    let last_finished = runs.iter().filter(|run| run.is_whole).filter_map(|run| run.ended_at).max().unwrap_or_default();
-    let is_quiet = now.saturating_sub(last_finished) > NONE_FINISHED;
-    let mut is_kept = true;
-    for job in accepted {
-        let listed = read_job(&fleet, reader, job);
-        let listed = listed.map_err(|reason| format!("job {} can't be read: {reason}", job_id(job)))?;
-        for (item, (state, output)) in &listed {
-            if state == "complete" && *output != engine::output_of(item) {
-                let _ = writeln!(lines, "item {item} is complete with another output");
-            }
-        }
-        let missing: Vec<String> = (0..ITEMS).map(|item| item_id(job, item)).filter(|item| !listed.contains_key(item)).collect();
-        let is_had = runs.iter().any(|run| missing.contains(&run.item) && is_since(run, now.saturating_sub(CALM)));
-        let is_left = !missing.is_empty() && !is_had && is_half_empty && is_quiet;
-        let note = if is_left { ": the others are left lying" } else { "" };
-        let _ = writeln!(lines, "{:6.2} s job {}: {} of {ITEMS} items listed{note}", began.elapsed().as_secs_f64(), job_id(job), listed.len());
-        is_kept &= !is_left;
-    }
-    Ok(is_kept)
+    (plan.check)(&State { plan, fleet: &fleet, began, runs }, lines)
 }
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -16,10 +16,12 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// A run of an item: its ID, when it began and ended, and its end.
+/// A run of an item: its ID and path, where it ran, when it began and ended, and its end.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub item: String,
+    pub path: String,
+    pub pool: String,
     pub engine: String,
     pub began_at: Duration,
     pub ended_at: Option<Duration>,
@@ -32,6 +34,7 @@
 pub fn start(listener: TcpListener, id: String, pool: &str, zone: &str, store: Arc<Store>, runs: Runs, began: Instant) {
     let address = listener.local_addr().unwrap().to_string();
     let (pool, zone, name) = (pool.to_owned(), zone.to_owned(), id.clone());
+    let served_pool = pool.clone();
     let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
     std::thread::spawn(move || {
         for sequence in 1.. {
@@ -53,7 +56,7 @@
     let running = Arc::new(AtomicU32::new(0));
     serve(listener, move |request, stream| {
         let occupied = running.fetch_add(1, Ordering::SeqCst);
-        let outcome = answer(&id, &request, stream, occupied, &runs, began);
+        let outcome = answer(&id, &served_pool, &request, stream, occupied, &runs, began);
         running.fetch_sub(1, Ordering::SeqCst);
         outcome
     });
@@ -61,6 +64,7 @@
 
 fn answer(
     id: &str,
+    pool: &str,
     request: &Message,
     stream: &mut TcpStream,
     occupied: u32,
@@ -84,18 +88,31 @@
     let first = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok()).map_or(0, |last| last + 1);
     let index = {
         let mut runs = runs.lock().unwrap();
-        let engine = id.to_owned();
-        runs.push(Run { item: item.clone(), engine, began_at: began.elapsed(), ended_at: None, is_whole: false });
+        runs.push(Run {
+            item: item.clone(),
+            path: request.path().to_owned(),
+            pool: pool.to_owned(),
+            engine: id.to_owned(),
+            began_at: began.elapsed(),
+            ended_at: None,
+            is_whole: false,
+        });
         runs.len() - 1
     };
-    let outcome = write_events(stream, &item, first, &headers);
+    let outcome = write_events(stream, pool, &item, first, &headers);
     let mut runs = runs.lock().unwrap();
     runs[index].ended_at = Some(began.elapsed());
     runs[index].is_whole = outcome.is_ok();
     outcome
 }
 
-fn write_events(stream: &mut TcpStream, item: &str, first: u64, headers: &[(&str, String)]) -> std::io::Result<()> {
+fn write_events(
+    stream: &mut TcpStream,
+    pool: &str,
+    item: &str,
+    first: u64,
+    headers: &[(&str, String)],
+) -> std::io::Result<()> {
     let mut head = String::from("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
     head.push_str("x-server-stamp: stamp\r\n");
     headers.iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
@@ -103,18 +120,18 @@
     stream.write_all(head.as_bytes())?;
     for event in first..EVENTS {
         std::thread::sleep(EVENT_INTERVAL);
-        let event = format!("id: {event}\ndata: {}\n\n", event_data(item, event));
+        let event = format!("id: {event}\ndata: {}\n\n", event_data(pool, item, event));
         stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
     }
     stream.write_all(b"0\r\n\r\n")
 }
 
-fn event_data(item: &str, event: u64) -> String {
-    format!("{item}-{event}")
+fn event_data(pool: &str, item: &str, event: u64) -> String {
+    format!("{pool} {item} {event}")
 }
 
-/// Whole output of an item.
-pub fn output_of(item: &str) -> String {
-    let lines: Vec<String> = (0..EVENTS).map(|event| event_data(item, event)).collect();
+/// Whole output of an item that ran in a pool.
+pub fn output_of(pool: &str, item: &str) -> String {
+    let lines: Vec<String> = (0..EVENTS).map(|event| event_data(pool, item, event)).collect();
     lines.join("\n")
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,10 +1,11 @@
-//! Stand-ins for the platform's store and for engines, and the script of case 1. Uses the standard library only.
+//! Stand-ins for the platform's store and for engines, and the scripts of the cases. Uses the standard library only.
 //!
-//! `standin majority-lost GATEWAY RECORD` starts five gateways as processes, submits batch jobs, kills three of the
-//! gateways for good (unless `TROUBLE=0`), and reads the jobs at the others.
+//! `standin CASE GATEWAY RECORD` starts gateways as processes, submits batch jobs, and checks what becomes of them. With
+//! `TROUBLE=0` it leaves the case's disruption out.
 
 mod case;
 mod engine;
+mod fleet;
 mod http;
 mod json;
 mod store;
@@ -14,14 +15,11 @@
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let [_, name, gateway, record] = &args[..] else {
-        eprintln!("usage: standin majority-lost GATEWAY RECORD");
+        eprintln!("usage: standin CASE GATEWAY RECORD");
         exit(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let outcome = match name.as_str() {
-        "majority-lost" => case::majority_lost(gateway, record, has_trouble),
-        _ => Err(format!("no case {name}")),
-    };
+    let outcome = case::run(name, gateway, record, has_trouble);
     match outcome {
         Ok(true) => exit(0),
         Ok(false) => exit(1),
