--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -19,6 +19,12 @@
 /// Span before the end in which no item was finished.
 const NONE_FINISHED: Duration = Duration::from_secs(3);
 
+/// Items of a job with a long input, and the length of each one's body. The sheet's longest body has 360 KB.
+const LONG_ITEMS: usize = 10;
+const LONG_BODY: usize = 290_000;
+/// Time within which the jobs with long inputs are done.
+const MAX_EARLIER: Duration = Duration::from_secs(60);
+
 const HEADERS: [(&str, &str); 2] = [("host", "jobs.example"), ("authorization", "Bearer key-a")];
 
 /// A route of the configuration: its name, prefix and pool.
@@ -37,6 +43,10 @@
     next_routes: Option<&'static [Route]>,
     /// Number of gateways that are lost for good.
     lost: usize,
+    /// Number of jobs with long inputs that are submitted and done before the others.
+    earlier_jobs: usize,
+    /// Tokens out of each item of the others.
+    tokens: u64,
     check: fn(&State, &mut String) -> Result<bool, String>,
 }
 
@@ -61,6 +71,8 @@
         routes: BASE,
         next_routes: None,
         lost: 0,
+        earlier_jobs: 0,
+        tokens: engine::EVENTS,
         check: check_left_lying,
     };
     match name {
@@ -71,6 +83,7 @@
             let engines = &["pool-a", "pool-a", "pool-b", "pool-b"];
             Some(Plan { gateways: 3, engines, jobs: 6, paths, next_routes: Some(WITH_NESTED), check: check_pools, ..plan })
         }
+        "store-full" => Some(Plan { gateways: 3, jobs: 20, earlier_jobs: 150, tokens: 1_200, ..plan }),
         "route-removed" => Some(Plan { gateways: 3, next_routes: Some(WITHOUT_JOBS), ..plan }),
         _ => None,
     }
@@ -126,11 +139,12 @@
 }
 
 fn submission(plan: &Plan, job: usize) -> Vec<u8> {
+    let counts = format!("100,{}", plan.tokens);
     let items = plan.paths.iter().enumerate().map(|(item, path)| {
         table([
             ("id", text(item_id(job, item))),
             ("path", text(*path)),
-            ("headers", table([("X-Model", text("m")), ("X-Token-Counts", text("100,40"))])),
+            ("headers", table([("X-Model", text("m")), ("X-Token-Counts", text(&counts))])),
             ("body", text(base64(format!("body of {}", item_id(job, item)).as_bytes()))),
             ("tokens", number(140)),
         ])
@@ -138,6 +152,21 @@
     table([("items", Json::List(items.collect()))]).to_string().into_bytes()
 }
 
+/// A job of ten items with 290 KB each, which run for a moment.
+fn long_submission(job: usize) -> Vec<u8> {
+    let body = base64(&vec![b'x'; LONG_BODY]);
+    let items = (0..LONG_ITEMS).map(|item| {
+        table([
+            ("id", text(item_id(job, item))),
+            ("path", text("/jobs/1")),
+            ("headers", table([("X-Model", text("m")), ("X-Token-Counts", text("100,2"))])),
+            ("body", text(&body)),
+            ("tokens", number(102)),
+        ])
+    });
+    table([("items", Json::List(items.collect()))]).to_string().into_bytes()
+}
+
 /// Reads the results of a job at the last gateway: the state and the output of each listed item.
 fn read_job(state: &State, job: usize) -> Result<BTreeMap<String, (String, String)>, String> {
     let mut listed = BTreeMap::new();
@@ -154,7 +183,7 @@
             let field = |name| result.get(name).text().to_owned();
             listed.insert(field("id"), (field("state"), field("text")));
         }
-        if results.is_empty() || listed.len() >= state.plan.paths.len() {
+        if results.is_empty() {
             return Ok(listed);
         }
     }
@@ -238,6 +267,45 @@
     outcome
 }
 
+/// Submits jobs with long inputs until the store is full, and waits until all results of those that were accepted are
+/// listed.
+fn run_earlier_jobs(plan: &Plan, fleet: &Fleet, store: &Store, began: Instant, lines: &mut String) -> Result<(), String> {
+    let (mut accepted, mut refused) = (Vec::new(), 0);
+    for job in plan.jobs..plan.jobs + plan.earlier_jobs {
+        let (id, host) = (job_id(job), job % plan.gateways);
+        let mut headers = HEADERS.to_vec();
+        headers.extend([("x-request-id", id.as_str()), ("content-type", "application/json")]);
+        let answer = call(&fleet.address(host, CALLERS), "POST", "/jobs/", &headers, &long_submission(job));
+        match answer.map_or(0, |answer| answer.status()) {
+            202 => accepted.push(job),
+            503 => refused += 1,
+            status => return Err(format!("job {id}: status {status}")),
+        }
+        if refused > 0 {
+            break;
+        }
+    }
+    let (objects, bytes, full) = store.object_counts();
+    let _ = writeln!(
+        lines,
+        "{:6.2} s {} jobs with long inputs accepted, {refused} refused; {objects} objects with {bytes} bytes, {full} times full",
+        began.elapsed().as_secs_f64(),
+        accepted.len(),
+    );
+    let state = State { plan, fleet, began, runs: vec![] };
+    while let Some(job) = accepted.last().copied() {
+        if read_job(&state, job)?.len() >= LONG_ITEMS {
+            accepted.pop();
+        } else if began.elapsed() > MAX_EARLIER {
+            return Err("the jobs with long inputs are not done".into());
+        } else {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    let _ = writeln!(lines, "{:6.2} s all items of these jobs are listed", began.elapsed().as_secs_f64());
+    Ok(())
+}
+
 fn play(name: &str, plan: &Plan, gateway: &str, has_trouble: bool, lines: &mut String) -> Result<bool, String> {
     let began = Instant::now();
     let bind = || TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string());
@@ -253,6 +321,9 @@
     let mut fleet = Fleet::start(gateway, plan.gateways, &store_address, name)?;
     let trouble = u8::from(has_trouble);
     let _ = writeln!(lines, "{} gateways, engines in {:?}, routes {:?}; TROUBLE={trouble}", plan.gateways, plan.engines, plan.routes);
+    if has_trouble && plan.earlier_jobs > 0 {
+        run_earlier_jobs(plan, &fleet, &store, began, lines)?;
+    }
     for job in 0..plan.jobs {
         let host = job % plan.gateways;
         let id = job_id(job);
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -11,7 +11,7 @@
 use crate::store::Store;
 
 pub const SLOTS: u32 = 8;
-/// Number of events of each item, and the time between two.
+/// Maximum number of events of an item, and the time between two.
 pub const EVENTS: u64 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -85,6 +85,7 @@
         headers.push(("x-not-run", "1".into()));
         return respond(stream, 503, &headers, b"");
     }
+    let tokens = request.header("x-token-counts").and_then(|counts| counts.split_once(',')?.1.parse().ok()).unwrap_or(EVENTS);
     let first = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok()).map_or(0, |last| last + 1);
     let index = {
         let mut runs = runs.lock().unwrap();
@@ -99,7 +100,7 @@
         });
         runs.len() - 1
     };
-    let outcome = write_events(stream, pool, &item, first, &headers);
+    let outcome = write_events(stream, pool, &item, first..EVENTS.min(tokens), tokens, &headers);
     let mut runs = runs.lock().unwrap();
     runs[index].ended_at = Some(began.elapsed());
     runs[index].is_whole = outcome.is_ok();
@@ -110,7 +111,8 @@
     stream: &mut TcpStream,
     pool: &str,
     item: &str,
-    first: u64,
+    events: std::ops::Range<u64>,
+    tokens: u64,
     headers: &[(&str, String)],
 ) -> std::io::Result<()> {
     let mut head = String::from("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
@@ -118,20 +120,22 @@
     headers.iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
     head.push_str("\r\n");
     stream.write_all(head.as_bytes())?;
-    for event in first..EVENTS {
+    for event in events {
         std::thread::sleep(EVENT_INTERVAL);
-        let event = format!("id: {event}\ndata: {}\n\n", event_data(pool, item, event));
+        let event = format!("id: {event}\ndata: {}\n\n", event_data(pool, item, event, tokens));
         stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
     }
     stream.write_all(b"0\r\n\r\n")
 }
 
-fn event_data(pool: &str, item: &str, event: u64) -> String {
-    format!("{pool} {item} {event}")
+/// Data of an event: longer where an item has more tokens than events.
+fn event_data(pool: &str, item: &str, event: u64, tokens: u64) -> String {
+    let length = if tokens > EVENTS { tokens as usize } else { 0 };
+    format!("{pool} {item} {event} {}", "x".repeat(length))
 }
 
 /// Whole output of an item that ran in a pool.
 pub fn output_of(pool: &str, item: &str) -> String {
-    let lines: Vec<String> = (0..EVENTS).map(|event| event_data(pool, item, event)).collect();
+    let lines: Vec<String> = (0..EVENTS).map(|event| event_data(pool, item, event, EVENTS)).collect();
     lines.join("\n")
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -17,8 +17,15 @@
     /// Version, key and value of each change; `None` for a row that was removed.
     changes: Vec<(u64, Key, Option<String>)>,
     objects: BTreeMap<String, Vec<u8>>,
+    /// Total length of the objects.
+    object_bytes: usize,
+    /// Number of objects that were not stored because of [`MAX_OBJECT_BYTES`].
+    full: usize,
 }
 
+/// "Once 400 MB are stored in total, writes receive 507." Only objects are counted and refused.
+const MAX_OBJECT_BYTES: usize = 400_000_000;
+
 #[derive(Default)]
 pub struct Store {
     rows: Mutex<Rows>,
@@ -87,15 +94,16 @@
             ("GET", "/api/rows-feed") => self.feed(request),
             (method, path) => match path.strip_prefix("/api/").and_then(|path| path.split_once('/')) {
                 Some(("blob-put", name)) if method == "PUT" => {
-                    self.rows.lock().unwrap().objects.insert(name.to_owned(), request.body.clone());
-                    (200, b"{}".to_vec())
+                    self.put_object(name, &request.body)
                 }
                 Some(("blob-get", name)) => match self.rows.lock().unwrap().objects.get(name) {
                     Some(object) => (200, object.clone()),
                     None => (404, b"{}".to_vec()),
                 },
                 Some(("blob-drop", name)) => {
-                    self.rows.lock().unwrap().objects.remove(name);
+                    let mut rows = self.rows.lock().unwrap();
+                    let removed = rows.objects.remove(name);
+                    rows.object_bytes -= removed.map_or(0, |object| object.len());
                     (200, b"{}".to_vec())
                 }
                 _ => (404, b"{}".to_vec()),
@@ -103,6 +111,25 @@
         }
     }
 
+    fn put_object(&self, name: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let mut rows = self.rows.lock().unwrap();
+        let earlier = rows.objects.get(name).map_or(0, Vec::len);
+        let total = rows.object_bytes - earlier + body.len();
+        if total > MAX_OBJECT_BYTES {
+            rows.full += 1;
+            return (507, b"{}".to_vec());
+        }
+        rows.object_bytes = total;
+        rows.objects.insert(name.to_owned(), body.to_vec());
+        (200, b"{}".to_vec())
+    }
+
+    /// Returns the number of objects, their total length, and how often one was refused because the store is full.
+    pub fn object_counts(&self) -> (usize, usize, usize) {
+        let rows = self.rows.lock().unwrap();
+        (rows.objects.len(), rows.object_bytes, rows.full)
+    }
+
     fn commit(&self, body: &str) -> (u16, Vec<u8>) {
         let Some(call) = Json::parse(body) else { return (400, b"{}".to_vec()) };
         let mut rows = self.rows.lock().unwrap();
