--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -28,6 +28,7 @@
 
 /// Scans for orphaned jobs and takes them over until the host drains.
 pub(crate) async fn take_over_jobs(state: Arc<GatewayState>) {
+    let mut last_orphans = OrphanCounts::default();
     loop {
         tokio::select! {
             () = tokio::time::sleep(SCAN_INTERVAL) => {}
@@ -36,7 +37,9 @@
         if state.started_at.elapsed() < STARTUP_DELAY {
             continue;
         }
-        for listed in state.directory.open_jobs() {
+        let open = state.directory.open_jobs();
+        log_orphans(&state, &open, &mut last_orphans);
+        for listed in open {
             if state.drain.is_cancelled() {
                 return;
             }
@@ -57,16 +60,50 @@
     }
 }
 
+/// Numbers of open jobs without a live holder, by whether this host is to take them over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct OrphanCounts {
+    orphaned: usize,
+    taken_by_this_host: usize,
+}
+
+/// Logs how many open jobs have no live holder, and whether this host takes them over, when that changes.
+fn log_orphans(state: &GatewayState, open: &[KnownJob], last: &mut OrphanCounts) {
+    let now = Instant::now();
+    let mut counts = OrphanCounts::default();
+    for known in open {
+        let holder = holder_of(&known.row);
+        let is_orphaned =
+            known.row.holder_address.is_empty() || lock(&state.peers).is_lost(&holder, now);
+        if is_orphaned && holder != state.id() {
+            counts.orphaned += 1;
+            let is_own = should_take_over(state, &known.row, &holder);
+            counts.taken_by_this_host += usize::from(is_own);
+        }
+    }
+    if counts == std::mem::replace(last, counts) {
+        return;
+    }
+    let (alive_hosts, known_hosts) = lock(&state.peers).count_alive(now);
+    log::info!(
+        jobs = counts.orphaned, taken_by_this_host = counts.taken_by_this_host,
+        heard_hosts = alive_hosts, known_hosts = known_hosts;
+        "orphaned-jobs"
+    );
+}
+
+/// Returns the host that a job's row names as its holder.
+fn holder_of(row: &JobRow) -> HostId {
+    HostId { address: row.holder_address.as_str().into(), incarnation: row.holder_incarnation }
+}
+
 /// Takes over a job whose holder is lost or has handed it over. Loads a job that this host should hold but
 /// doesn't.
 async fn take_over_if_orphaned(
     state: &Arc<GatewayState>,
     known: KnownJob,
 ) -> Result<(), StoreError> {
-    let holder = HostId {
-        address: known.row.holder_address.as_str().into(),
-        incarnation: known.row.holder_incarnation,
-    };
+    let holder = holder_of(&known.row);
     let is_holder = holder == state.id();
     if is_holder {
         // A job that isn't held here was accepted by this host although the store's response was lost.
