--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -40,6 +40,7 @@
 mod outliers;
 mod peers;
 mod placement;
+mod presence;
 mod prompt_parts;
 mod quota;
 mod row_cache;
@@ -83,6 +84,7 @@
     ColdRule, ColdShare, ColdTolerance, FleetTarget, PaceChange, PlacementDecision,
     PlacementPolicy, PlacementRequest, PlacementTable, TARGET_PACE_RANGE, TargetPhase, WorkKind,
 };
+pub use presence::{PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL};
 pub use prompt_parts::{
     HeldPart, PartCounts, PartDecision, PartPolicy, PartReport, PartTable, PoolPart, PromptPart,
     ReportedCrash, SoundParts,
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::steering::{SteeringArea, SteeringBounds};
 
 mod candidates;
+mod presence;
 mod probes;
 mod statuses;
 mod zones;
@@ -51,8 +52,10 @@
     pub discovered_at: Instant,
     /// Latest heartbeat.
     pub heartbeat: Option<HostHeartbeat>,
-    /// Whether the host has reported that it no longer admits requests.
+    /// Whether the host has reported that it no longer admits requests, or was declared lost.
     pub has_left: bool,
+    /// Time at which the host was declared lost; `None` if it was not, or was heard since.
+    pub declared_lost_at: Option<Instant>,
     /// Time of the last heartbeat from the host's address that allowed it to own teams.
     pub owner_candidate_at: Option<Instant>,
     /// Whether this incarnation started at about the same time as the local host: its first heartbeat arrived
@@ -93,6 +96,8 @@
     schedule: HeartbeatSchedule,
     peers: SortedMap<Name, PeerRecord>,
     started_at: Instant,
+    /// When what was heard of all hosts was cleared last, or the start.
+    liveness_reset_at: Instant,
     probes: ProbeState,
     statuses: StatusState,
 }
@@ -106,6 +111,7 @@
             schedule: HeartbeatSchedule::new(1, 1),
             peers: SortedMap::new(),
             started_at: Instant::now(),
+            liveness_reset_at: Instant::now(),
             probes: ProbeState::default(),
             statuses: StatusState::default(),
         }
@@ -143,6 +149,7 @@
             discovered_at: now,
             heartbeat: None,
             has_left: false,
+            declared_lost_at: None,
             owner_candidate_at,
             has_joint_start: false,
             revision: 0,
@@ -182,7 +189,14 @@
             record.silent_since = None;
         }
         record.last_heartbeat_at = Some(now);
-        record.has_left = heartbeat.has_left;
+        // In a large fleet the others know that the host is lost until its next revision refutes it.
+        let is_refuted = is_change || !self.schedule.uses_probes();
+        let had_left = record.has_left;
+        if record.declared_lost_at.is_none() || is_refuted {
+            record.has_left = heartbeat.has_left;
+            record.declared_lost_at = None;
+        }
+        let has_changed_size = record.has_left != had_left;
         if heartbeat.is_ready && heartbeat.is_settled && !heartbeat.has_left {
             record.owner_candidate_at = Some(now);
         }
@@ -191,20 +205,24 @@
         if is_change {
             self.record_change(&address, true, now);
         }
+        if has_changed_size {
+            self.schedule = self.compute_schedule();
+        }
         true
     }
 
     /// Clears the times of all last heartbeats. Needed after a pause of this process, because the states in
     /// the table are then at least as old as the pause was long.
     pub fn reset_liveness(&mut self) {
+        self.liveness_reset_at = Instant::now();
         for (_, record) in self.peers.iter_mut() {
             record.last_heartbeat_at = None;
         }
         self.probes.reset();
     }
 
-    /// Removes a host that the store's table of hosts no longer lists.
-    pub fn forget(&mut self, address: &str) {
+    /// Removes a host.
+    fn forget(&mut self, address: &str) {
         if let Some(record) = self.peers.get_mut(address) {
             record.heartbeat = None;
         }
--- /dev/null
+++ b/crates/cuminramp-fleet/src/peers/presence.rs
@@ -0,0 +1,109 @@
+//! Hosts that were declared lost, so that they no longer count among all hosts.
+//!
+//! A host that falls silent may be lost, or cut off from the local host only. The table of hosts tells these apart:
+//! a silent host is suspected there, and one that still runs and reaches the store writes its row again. One that
+//! does not is declared lost.
+
+use std::time::Duration;
+
+use cuminramp_core::{HostId, Name, hash_parts};
+use tokio::time::Instant;
+
+use super::{PeerRecord, PeerTable};
+use crate::presence::{LOST_RETENTION, SUSPICION_SILENCE};
+
+impl PeerTable {
+    /// Returns for how long this host has heard nothing of a host; `None` if that host is alive, has left, or is not
+    /// known.
+    pub fn silence_of(&self, address: &str, now: Instant) -> Option<Duration> {
+        let record = self.peers.get(address).filter(|record| !record.has_left)?;
+        self.silence(record, now)
+    }
+
+    fn silence(&self, record: &PeerRecord, now: Instant) -> Option<Duration> {
+        if self.is_alive(record, now) {
+            return None;
+        }
+        // After a pause of this process no host has been heard; they are silent from then on.
+        let since = self.last_seen(record).unwrap_or(record.discovered_at);
+        Some(now.saturating_duration_since(since.max(self.liveness_reset_at)))
+    }
+
+    /// Returns whether a host that counts among all hosts has been silent for so long that it is to be suspected.
+    pub fn has_suspects(&self, now: Instant) -> bool {
+        let present = self.peers.values().filter(|record| !record.has_left);
+        present.filter_map(|record| self.silence(record, now)).any(|it| it >= SUSPICION_SILENCE)
+    }
+
+    /// Returns whether this host is the one to change the row of a silent host. In a large fleet few hosts read the
+    /// rows, and each of them may, unless hardly any host answers its probes.
+    pub fn is_judge_of(&self, address: &str, now: Instant) -> bool {
+        if self.uses_probes() {
+            return !self.probes.is_cut_off();
+        }
+        self.ranks_first(hash_parts(&[address]), now)
+    }
+
+    /// Records that a host was declared lost, unless it is alive as far as this host knows. Returns whether that is
+    /// news.
+    pub fn declare_lost(&mut self, id: &HostId, now: Instant) -> bool {
+        let Some(record) = self.peers.get(&id.address) else { return false };
+        let is_other = record.host.incarnation != id.incarnation;
+        if is_other || record.has_left || self.is_alive(record, now) {
+            return false;
+        }
+        self.set_declared_lost(&id.address, Some(now), now);
+        true
+    }
+
+    /// Takes back that a host was declared lost: it has written its row again, though it may still be silent here.
+    /// Returns whether that is news.
+    pub fn restore(&mut self, id: &HostId, now: Instant) -> bool {
+        let is_lost = self.peers.get(&id.address).is_some_and(|record| {
+            record.host.incarnation == id.incarnation && record.declared_lost_at.is_some()
+        });
+        // In a large fleet the host refutes it with its next revision, which all others receive.
+        if !is_lost || self.uses_probes() {
+            return false;
+        }
+        self.set_declared_lost(&id.address, None, now);
+        true
+    }
+
+    fn set_declared_lost(&mut self, address: &str, at: Option<Instant>, now: Instant) {
+        let uses_probes = self.uses_probes();
+        let Some(record) = self.peers.get_mut(address) else { return };
+        record.declared_lost_at = at;
+        record.has_left = at.is_some();
+        if at.is_some() && uses_probes {
+            record.silent_since.get_or_insert(now);
+        }
+        self.schedule = self.compute_schedule();
+        self.record_change(address, true, now);
+    }
+
+    /// Returns the number of alive hosts and of all hosts for which a part of each rate is reserved. Both include the
+    /// local host.
+    ///
+    /// These are more than [`count_alive`](Self::count_alive) counts: a host that was declared lost may be cut off
+    /// from the store and from the others, and still admit its part.
+    pub fn count_rate_shares(&self, now: Instant) -> (usize, usize) {
+        let (alive, all) = self.count_alive(now);
+        let lost = self.peers.values().filter(|record| record.declared_lost_at.is_some());
+        (alive, all + lost.count())
+    }
+
+    /// Forgets hosts that were declared lost long ago, and whose rows are deleted therefore. In a large fleet others
+    /// would name them again.
+    pub fn forget_lost(&mut self, now: Instant) {
+        if self.uses_probes() {
+            return;
+        }
+        let is_old = |at: Instant| now.duration_since(at) >= LOST_RETENTION;
+        let lost = self.peers.values().filter(|record| record.declared_lost_at.is_some_and(is_old));
+        let old: Vec<Name> = lost.map(|record| record.host.address.clone()).collect();
+        for address in old {
+            self.forget(&address);
+        }
+    }
+}
--- a/crates/cuminramp-fleet/src/peers/statuses.rs
+++ b/crates/cuminramp-fleet/src/peers/statuses.rs
@@ -23,6 +23,8 @@
 const MAX_RESPONSE_STATUSES: usize = 200;
 /// Multiplier that spreads the bits of a status over its hash: an odd number, 2^64 divided by the golden ratio.
 const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Mixed into the hash of a host that was declared lost.
+const LOST_HASH: u64 = 0xd6e8_feb8_6659_fd93;
 /// Minimum interval between two requests for statuses to hosts of the local zone, and of other zones.
 const REQUEST_INTERVALS: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_millis(3_000));
@@ -81,7 +83,8 @@
     fn compute_hash(&self) -> u64 {
         let is_known = self.heartbeat.is_some();
         let hash = hash_status(&self.host, self.revision, self.silent_since.is_some());
-        if is_known { hash } else { 0 }
+        let lost = if self.declared_lost_at.is_some() { LOST_HASH } else { 0 };
+        if is_known { hash ^ lost } else { 0 }
     }
 }
 
@@ -285,8 +288,8 @@
         let is_cut_off = self.probes.is_cut_off();
         let Some(record) = self.peers.get_mut(&status.host.address) else { return false };
         let is_known = record.heartbeat.is_some()
-            && (record.revision, record.silent_since.is_some())
-                >= (status.revision, status.is_silent);
+            && (record.revision, record.silent_since.is_some(), record.has_left)
+                >= (status.revision, status.is_silent, status.has_left);
         // While this host seems cut off, those that are with it find the others silent too.
         let is_doubtful = status.is_silent && is_cut_off;
         if record.host.incarnation != status.host.incarnation || is_known || is_doubtful {
@@ -297,7 +300,11 @@
             record.note_first_status(status.is_settled, started_at, now);
         }
         record.revision = status.revision;
+        let has_changed_size = record.has_left != status.has_left;
         record.has_left = status.has_left;
+        // A host that left by itself is not recorded as silent.
+        let is_lost = status.has_left && status.is_silent;
+        record.declared_lost_at = is_lost.then(|| record.declared_lost_at.unwrap_or(now));
         record.silent_since = status.is_silent.then(|| record.silent_since.unwrap_or(now));
         match &mut record.heartbeat {
             Some(heartbeat) => {
@@ -309,6 +316,9 @@
         }
         record.note_candidate(now);
         self.record_change(&status.host.address, is_change, now);
+        if has_changed_size {
+            self.schedule = self.compute_schedule();
+        }
         true
     }
 
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -8,6 +8,7 @@
 use crate::heartbeat::HostHeartbeat;
 use crate::steering::{SteeringArea, SteeringBounds};
 
+mod presence;
 mod probing;
 
 fn area(zone: &str) -> SteeringArea {
--- a/crates/cuminramp-fleet/src/peers/tests/probing.rs
+++ b/crates/cuminramp-fleet/src/peers/tests/probing.rs
@@ -310,3 +310,27 @@
 
     assert_eq!((probed.len(), silenced), (1, 0));
 }
+
+/// A host is declared lost by one that reads the rows. Guards against others that count it for ever, and against a lost
+/// host that comes back and stays lost at those that heard so from others.
+#[tokio::test(start_paused = true)]
+async fn all_hosts_of_a_large_fleet_learn_who_is_lost_and_who_is_back() {
+    let mut fleet = ProbingFleet::new(150);
+    fleet.run(Duration::from_secs(1)).await;
+    fleet.is_down[0] = true;
+    fleet.run(Duration::from_secs(8)).await;
+    let id = fleet.tables[1].get(&host(0).address).unwrap().id();
+
+    let is_news = fleet.tables[1].declare_lost(&id, Instant::now());
+    fleet.run(Duration::from_secs(6)).await;
+    let known: Vec<usize> =
+        (1..150).map(|index| fleet.tables[index].count_alive(Instant::now()).1).collect();
+    fleet.is_down[0] = false;
+    fleet.run(Duration::from_secs(8)).await;
+    let known_later: Vec<usize> =
+        (1..150).map(|index| fleet.tables[index].count_alive(Instant::now()).1).collect();
+
+    assert!(is_news);
+    assert!(known.iter().all(|known| *known == 149), "{known:?}");
+    assert!(known_later.iter().all(|known| *known == 150), "{known_later:?}");
+}
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use cuminramp_core::{HostId, Name, SeededRandom};
 use cuminramp_fleet::{
     ColdTolerance, JobPolicy, JobTable, KnownHost, PeerPolicy, PeerTable, PlacementPolicy,
-    PlacementTable, QuotaTable, QuotaTolerance, RegionMap, TeamWeights,
+    PlacementTable, QuotaTable, QuotaTolerance, RegionMap, SUSPICION_READ_INTERVAL, TeamWeights,
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::{CrashTable, RetryBudget};
@@ -35,9 +35,9 @@
 };
 use crate::state::{GatewayState, lock};
 use crate::sync::{
-    DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, check_fleet_size,
-    discover_hosts, drop_missing_targets, follow_table, knows_all_zones, rereads_hosts,
-    withdraw_host,
+    DeclarationsFollower, HostRowReview, RelayedStore, TargetsFollower, announce_host,
+    check_fleet_size, discover_hosts, drop_missing_targets, follow_table, has_suspects,
+    knows_all_zones, rereads_hosts, withdraw_host,
 };
 use crate::targets::TargetConnections;
 
@@ -344,9 +344,10 @@
     }
     // On timeout, the rows are read all the same: the store may reject writes only.
     let _ = tokio::time::timeout(MAX_ANNOUNCE_WAIT, announcement.wait_for(|is| *is)).await;
+    let mut review = HostRowReview::default();
     loop {
         let was_announced = *state.is_announced.borrow();
-        let pause = match discover_hosts(&state).await {
+        let pause = match discover_hosts(&state, &mut review).await {
             Ok(()) => {
                 state.has_read_host_table.fetch_or(was_announced, Ordering::Relaxed);
                 let schedule = lock(&state.peers).schedule();
@@ -363,7 +364,7 @@
             }
         };
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = wait_for_host_read(&state, pause) => {}
             Ok(_) = announcement.wait_for(|is| *is), if !was_announced => {}
         }
         let has_read = || state.has_read_host_table.load(Ordering::Relaxed);
@@ -373,6 +374,18 @@
     }
 }
 
+/// Waits until the rows of all hosts are to be read again: after `pause`, or sooner if a host is silent.
+async fn wait_for_host_read(state: &GatewayState, pause: Duration) {
+    let due = Instant::now() + pause;
+    loop {
+        let next = due.min(Instant::now() + SUSPICION_READ_INTERVAL);
+        tokio::time::sleep_until(next).await;
+        if next == due || has_suspects(state) {
+            return;
+        }
+    }
+}
+
 /// Returns the peer addresses of the seeds: their IP addresses with the peer port of this host.
 fn seed_addresses(state: &GatewayState) -> Vec<Name> {
     let Ok(own) = state.local_host.address.parse::<SocketAddr>() else { return vec![] };
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -30,7 +30,7 @@
 const MAX_REPORTED_ENDS: usize = 64;
 
 /// Returns the current Unix time in milliseconds.
-pub(super) fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_millis() as u64)
 }
 
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -20,7 +20,7 @@
 
 pub(crate) use accept::accept_job;
 pub(crate) use checkpoint::save_progress;
-pub(crate) use directory::{JobDirectory, JobsFollower, record_reported_end};
+pub(crate) use directory::{JobDirectory, JobsFollower, record_reported_end, unix_ms};
 pub(crate) use end::end_job;
 pub(crate) use hand_over::hand_over_jobs;
 pub(crate) use read::{read_item, read_results};
--- a/crates/cuminramp-gateway/src/peers/heartbeats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -220,7 +220,7 @@
 /// Updates the quota's share of hosts that are alive.
 fn update_alive_share(state: &GatewayState) {
     let now = Instant::now();
-    let (alive, all) = lock(&state.peers).count_alive(now);
+    let (alive, all) = lock(&state.peers).count_rate_shares(now);
     lock(&state.quota).set_alive_share(alive, all);
 }
 
--- a/crates/cuminramp-gateway/src/peers/pauses.rs
+++ b/crates/cuminramp-gateway/src/peers/pauses.rs
@@ -46,7 +46,7 @@
         let now = Instant::now();
         let mut peers = lock(&state.peers);
         peers.reset_liveness();
-        let (alive, all) = peers.count_alive(now);
+        let (alive, all) = peers.count_rate_shares(now);
         drop(peers);
         let mut quota = lock(&state.quota);
         quota.reset(now);
--- a/crates/cuminramp-gateway/src/sync/hosts.rs
+++ b/crates/cuminramp-gateway/src/sync/hosts.rs
@@ -7,10 +7,11 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{KnownHost, MAX_HEARTBEAT_HOSTS, TableSource};
 use cuminramp_platform::{Row, StoreError, Transaction};
-use cuminramp_wire::fleet::HostRow;
+use cuminramp_wire::fleet::{HostPresence, HostRow};
 use cuminramp_wire::{decode_row, encode_row};
 use tokio::time::Instant;
 
+use super::presence::HostRowReview;
 use crate::peers::send_join_request;
 use crate::state::{GatewayState, lock};
 
@@ -45,6 +46,8 @@
         caller_address: local_host.caller_address.to_string(),
         zone: local_host.zone.to_string(),
         core_percent: u32::from(local_host.core_percent),
+        presence: HostPresence::Present.into(),
+        lost_ms: 0,
     };
     let transaction = Transaction::default().put(key_of(local_host), encode_row(&row));
     while let Err(error) = state.store.commit(transaction.clone()).await {
@@ -78,15 +81,19 @@
 /// Reads only those of this host's zone if there are many: hosts of a large fleet learn of the others by
 /// their statuses, and rows of all hosts for each host would be most of what the store sends. Those of other
 /// zones are read by few hosts, if no host of one of them is known some time after the start.
-pub(crate) async fn discover_hosts(state: &Arc<GatewayState>) -> Result<(), StoreError> {
+pub(crate) async fn discover_hosts(
+    state: &Arc<GatewayState>,
+    review: &mut HostRowReview,
+) -> Result<(), StoreError> {
+    let was_announced = *state.is_announced.borrow();
     let zone = zone_prefix(&state.local_host.zone);
-    let rows = state.store.scan(&zone, "", MAX_ZONE_HOSTS).await?;
+    let mut rows = state.store.scan(&zone, "", MAX_ZONE_HOSTS).await?;
     let mut new_hosts = record_hosts(state, &rows);
     let has_statuses = state.started_at.elapsed() >= ALL_ZONES_DELAY;
     let lacks_zones = has_statuses && rereads_hosts(state) && !knows_all_zones(state);
     if !lock(&state.peers).uses_probes() || lacks_zones {
-        let snapshot = state.store.snapshot(TABLE).await?;
-        new_hosts.append(&mut record_hosts(state, &snapshot.rows));
+        rows = state.store.snapshot(TABLE).await?.rows;
+        new_hosts.append(&mut record_hosts(state, &rows));
         state.has_read_all_zones.store(true, Ordering::Relaxed);
     }
     if lock(&state.peers).uses_probes() {
@@ -97,7 +104,24 @@
     for address in new_hosts {
         send_join_request(state, &address).await;
     }
-    Ok(())
+    rows.append(&mut read_silent_zones(state).await?);
+    review.review(state, &rows, was_announced).await
+}
+
+/// Reads the rows of zones of a large fleet in which no host is alive, since none of their hosts reads them.
+async fn read_silent_zones(state: &GatewayState) -> Result<Vec<Row>, StoreError> {
+    let now = Instant::now();
+    let silent: Vec<String> = {
+        let peers = lock(&state.peers);
+        let zones = state.settings.zone_regions.iter().map(|region| region.zone.as_str());
+        let silent = zones.filter(|zone| peers.uses_probes() && peers.is_zone_silent(zone, now));
+        silent.map(zone_prefix).collect()
+    };
+    let mut rows = Vec::new();
+    for zone in silent {
+        rows.append(&mut state.store.scan(&zone, "", MAX_ZONE_HOSTS).await?);
+    }
+    Ok(rows)
 }
 
 /// Returns whether this host reads the table of hosts again: each one of a small fleet, and in a large fleet those
@@ -141,8 +165,7 @@
     new_hosts
 }
 
-/// Deletes this host's row when it leaves. A failure is only logged: a leftover row merely names
-/// an address, and heartbeats decide whether a host is alive.
+/// Deletes this host's row when it leaves. A failure is only logged: other hosts declare this one lost.
 pub(crate) async fn withdraw_host(state: &Arc<GatewayState>) {
     let transaction =
         Transaction { deletes: vec![key_of(&state.local_host)], ..Transaction::default() };
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod hosts;
 mod mirrors;
+mod presence;
 mod relay;
 mod updates;
 
@@ -17,6 +18,7 @@
     announce_host, check_fleet_size, discover_hosts, knows_all_zones, rereads_hosts, withdraw_host,
 };
 pub(crate) use mirrors::{TableMirrors, answer_follow};
+pub(crate) use presence::{HostRowReview, has_suspects};
 pub(crate) use relay::{RelayedStore, answer_store_call};
 pub(crate) use updates::{
     DeclarationsFollower, TargetsFollower, UpdateRows, answer_updates, drop_missing_targets,
