--- a/crates/cuminramp-fleet/src/declarations.rs
+++ b/crates/cuminramp-fleet/src/declarations.rs
@@ -252,6 +252,15 @@
         self.routes.get(host)?.iter().find(|rule| path.starts_with(&*rule.prefix))
     }
 
+    /// Returns the route of `host` with a name.
+    ///
+    /// ```
+    /// assert!(cuminramp_fleet::FleetDeclarations::default().route("host.example", "jobs").is_none());
+    /// ```
+    pub fn route(&self, host: &str, name: &str) -> Option<&RouteRule> {
+        self.routes.get(host)?.iter().find(|rule| *rule.name == *name)
+    }
+
     /// Returns the team that a key belongs to.
     pub fn find_team(&self, key: &str) -> Option<&TeamRule> {
         self.teams.get(&**self.keys.get(key)?)
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -3,9 +3,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cuminramp_core::Name;
+use cuminramp_core::{Name, hash_parts};
 use cuminramp_fleet::{
-    FinishedItem, FleetTarget, ItemFailure, ItemProgress, ItemStart, JobSpec, WorkKind,
+    FinishedItem, FleetDeclarations, FleetTarget, ItemFailure, ItemProgress, ItemStart, JobSpec,
+    RouteRule, WorkKind,
 };
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -120,25 +121,32 @@
     }
 }
 
+/// Returns the route that a job was submitted on, as currently declared. It decides for all items, whatever their
+/// paths are.
+fn route_of<'a>(declared: &'a FleetDeclarations, spec: &JobSpec) -> Option<&'a RouteRule> {
+    declared.route(&spec.host, &spec.route)
+}
+
+/// Returns the pool to which a route sends a job's items: the same at all hosts, and for all items.
+fn pick_pool<'a>(route: &'a RouteRule, spec: &JobSpec) -> Option<&'a Name> {
+    route.pick_pool(hash_parts(&[&spec.id]))
+}
+
 /// Returns the pool that a job's items are currently sent to.
-pub(crate) fn pool_of(state: &GatewayState, spec: &JobSpec) -> Option<Name> {
+fn pool_of(state: &GatewayState, spec: &JobSpec) -> Option<Name> {
     let declared = state.current_declarations()?;
-    let path = &spec.items.first()?.path;
-    let route = declared.find_route(&spec.host, path)?;
-    route.pick_pool(cuminramp_core::hash_parts(&[&spec.id])).cloned()
+    pick_pool(route_of(&declared, spec)?, spec).cloned()
 }
 
 /// Returns whether a job's items are currently sent to a pool and may run in a zone.
 pub(crate) fn may_run_in(state: &GatewayState, spec: &JobSpec, pool: &str, zone: &str) -> bool {
-    if pool_of(state, spec).as_deref() != Some(pool) {
+    let Some(declared) = state.current_declarations() else { return false };
+    let Some(route) = route_of(&declared, spec) else { return false };
+    if pick_pool(route, spec).map(Name::as_ref) != Some(pool) {
         return false;
     }
-    let Some(declared) = state.current_declarations() else { return false };
-    let path = spec.items.first().map_or("", |item| &item.path);
-    let route_home_regions =
-        declared.find_route(&spec.host, path).map_or(&[][..], |route| &route.home_regions);
     let team_home_regions = declared.team(&spec.team).map_or(&[][..], |team| &team.home_regions);
-    state.regions.limit(route_home_regions, team_home_regions).allows(zone)
+    state.regions.limit(&route.home_regions, team_home_regions).allows(zone)
 }
 
 /// Returns the pools that have waiting items of this host; none while the host drains.
