--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -168,6 +168,7 @@
         if heartbeat.host.address == self.local.address {
             return false;
         }
+        self.drop_run_ahead(&heartbeat.host, now);
         self.discover(&heartbeat.host, now);
         let started_at = self.started_at;
         let Some(record) = self.peers.get_mut(&heartbeat.host.address) else {
@@ -211,6 +212,22 @@
         true
     }
 
+    /// Forgets a run of a host with a higher incarnation than the one that is heard now, if that run has been silent for
+    /// so long that no message of a run before it can be on its way. Its clock was ahead.
+    ///
+    /// In a large fleet others would name the higher incarnation again.
+    fn drop_run_ahead(&mut self, heard: &KnownHost, now: Instant) {
+        let Some(record) = self.peers.get(&heard.address) else { return };
+        if record.host.incarnation <= heard.incarnation || self.uses_probes() {
+            return;
+        }
+        let last_seen = self.last_seen(record).unwrap_or(record.discovered_at);
+        let min_silence = self.policy.lost_timeout.max(self.timeout(record) * 2);
+        if now.duration_since(last_seen) > min_silence {
+            self.forget(&heard.address);
+        }
+    }
+
     /// Clears the times of all last heartbeats. Needed after a pause of this process, because the states in
     /// the table are then at least as old as the pause was long.
     pub fn reset_liveness(&mut self) {
--- a/crates/cuminramp-fleet/src/peers/tests.rs
+++ b/crates/cuminramp-fleet/src/peers/tests.rs
@@ -71,6 +71,22 @@
     assert_eq!(accepted, [true, false, false, true]);
 }
 
+/// A host started while its clock was ahead, and again with the clock right. Guards against others that take the
+/// heartbeats of its present run for late ones, for as long as that run lives.
+#[tokio::test(start_paused = true)]
+async fn a_run_after_one_with_its_clock_ahead_is_heard() {
+    let mut table = table();
+    let id = |incarnation| HostId { address: "b".into(), incarnation };
+    table.receive_heartbeat(heartbeat(known("b", 9, "z1"), 50), Instant::now());
+
+    let at_once = table.receive_heartbeat(heartbeat(known("b", 5, "z1"), 1), Instant::now());
+    advance(Duration::from_secs(2)).await;
+    let later = table.receive_heartbeat(heartbeat(known("b", 5, "z1"), 20), Instant::now());
+
+    assert_eq!((at_once, later), (false, true));
+    assert!(!table.is_lost(&id(5), Instant::now()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn jobs_of_an_earlier_incarnation_and_of_a_silent_host_may_be_taken_over() {
     let mut table = table();
--- a/crates/cuminramp-fleet/src/quota.rs
+++ b/crates/cuminramp-fleet/src/quota.rs
@@ -357,9 +357,10 @@
         if self.received.contains_key(host) {
             return;
         }
-        let is_earlier =
-            |held: &&HostId| held.address == host.address && held.incarnation < host.incarnation;
-        let earlier = self.received.keys().find(is_earlier).cloned();
+        // Not always a lower one: the clock of an earlier run may have been ahead.
+        let is_other =
+            |held: &&HostId| held.address == host.address && held.incarnation != host.incarnation;
+        let earlier = self.received.keys().find(is_other).cloned();
         let Some(counts) = earlier.and_then(|earlier| self.received.remove(&earlier)) else {
             return;
         };
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -37,7 +37,7 @@
 use crate::sync::{
     DeclarationsFollower, HostRowReview, RelayedStore, TargetsFollower, announce_host,
     check_fleet_size, discover_hosts, drop_missing_targets, follow_table, has_suspects,
-    knows_all_zones, rereads_hosts, withdraw_host,
+    knows_all_zones, read_earlier_run, rereads_hosts, withdraw_host,
 };
 use crate::targets::TargetConnections;
 
@@ -66,6 +66,8 @@
 const FIRST_HOST_READ_DELAY: Duration = Duration::from_millis(700);
 /// Delay after a failed read of the hosts' rows.
 const HOST_READ_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Maximum wait for the row of an earlier run of this host. A start must not take longer if the store does not answer.
+const MAX_EARLIER_RUN_WAIT: Duration = Duration::from_millis(300);
 /// Share of the grace period after which callers' connections are closed as soon as they are idle. By then
 /// callers no longer choose this host: they cache steering responses for two seconds, some of them for
 /// three times as long. Callers on open connections receive `connection: close` with each response of the
@@ -125,14 +127,26 @@
     bound.map_err(|source| GatewayError::Listen { setting, address: address.to_owned(), source })
 }
 
-/// Returns the incarnation of this run: the time in microseconds since the Unix epoch, so that later runs
-/// on a host have higher ones.
-fn new_incarnation() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |passed| passed.as_micros() as u64)
+/// Returns the incarnation of this run: the time in microseconds since the Unix epoch, or one more than that of the
+/// earlier run that the host's row names, whichever is higher. The clock may have been ahead during that run.
+async fn new_incarnation(settings: &GatewaySettings, store: &dyn FleetStore) -> u64 {
+    let passed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let by_clock = passed.map_or(1, |passed| passed.as_micros() as u64);
+    if settings.first_start {
+        return by_clock;
+    }
+    let earlier = timeout(MAX_EARLIER_RUN_WAIT, read_earlier_run(settings, store)).await;
+    let earlier = earlier.ok().flatten().unwrap_or(0);
+    if earlier >= by_clock {
+        let ahead_ms = (earlier - by_clock) / 1_000;
+        log::warn!(earlier = earlier, ahead_ms = ahead_ms; "clock-behind-earlier-run");
+    }
+    by_clock.max(earlier.saturating_add(1))
 }
 
 fn build_state(
     settings: GatewaySettings,
+    incarnation: u64,
     store: Arc<dyn FleetStore>,
     call_format: Arc<dyn CallFormat>,
     fleet_format: Arc<dyn FleetFormat>,
@@ -140,7 +154,7 @@
     let now = Instant::now();
     let local_host = KnownHost {
         address: settings.peer_address.as_str().into(),
-        incarnation: new_incarnation(),
+        incarnation,
         caller_address: settings.caller_address.as_str().into(),
         zone: settings.availability_zone.as_str().into(),
         core_percent: (settings.cpu_share * 100.0).round() as u16,
@@ -234,7 +248,9 @@
         let steering = listen("steering-address", &settings.steering_address).await?;
         let metrics = listen("metrics-address", &settings.metrics_address).await?;
         let peers = listen("peer-address", &settings.peer_address).await?;
-        let state = Arc::new(build_state(settings, store, call_format, fleet_format)?);
+        let incarnation = new_incarnation(&settings, &*store).await;
+        let state = build_state(settings, incarnation, store, call_format, fleet_format)?;
+        let state = Arc::new(state);
         let address = &state.settings.peer_address;
         let socket = HostSocket::bind(address, state.metrics.datagrams()).await;
         let socket = socket.map_err(|source| GatewayError::Listen {
@@ -343,7 +359,7 @@
         tokio::time::sleep(FIRST_HOST_READ_DELAY).await;
     }
     // On timeout, the rows are read all the same: the store may reject writes only.
-    let _ = tokio::time::timeout(MAX_ANNOUNCE_WAIT, announcement.wait_for(|is| *is)).await;
+    let _ = timeout(MAX_ANNOUNCE_WAIT, announcement.wait_for(|is| *is)).await;
     let mut review = HostRowReview::default();
     loop {
         let was_announced = *state.is_announced.borrow();
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -141,6 +141,12 @@
     let now = Instant::now();
     let peers = lock(&state.peers);
     let has_no_holder = row.holder_address.is_empty();
+    // An earlier run of this host whose clock was ahead. The others take it for the present run.
+    if holder.address == state.local_host.address
+        && holder.incarnation > state.local_host.incarnation
+    {
+        return true;
+    }
     if !has_no_holder && (!peers.is_lost(holder, now) || !peers.has_at_least_half(now)) {
         return false;
     }
--- a/crates/cuminramp-gateway/src/peers/heartbeats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -269,12 +269,20 @@
         HostId { address: heartbeat.host.address.clone(), incarnation: heartbeat.host.incarnation };
     let received = heartbeat.clone();
     let mut peers = lock(&state.peers);
+    let earlier_run = peers.get(&id.address).map_or(0, |record| record.host.incarnation);
     let was_alive = peers.get(&id.address).map(|record| peers.is_alive(record, now));
     let uses_probes = peers.uses_probes();
     if !peers.receive_heartbeat(heartbeat, now) {
         return false;
     }
     drop(peers);
+    if earlier_run > id.incarnation {
+        log::warn!(
+            peer = &*id.address, incarnation = id.incarnation, earlier = earlier_run;
+            "run-behind-earlier-one"
+        );
+        state.slots.forget_grants(&id.address);
+    }
     let was_silent = was_alive != Some(true);
     if was_silent {
         let (state, address) = (state.clone(), id.address.clone());
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -135,6 +135,12 @@
         grants.get_or_insert_with(owner.clone(), GrantSequence::default).accept(grant)
     }
 
+    /// Forgets the grants of a host's earlier run. Grants are numbered from the incarnation on, so that those of a run
+    /// with a lower one would count as late.
+    pub(crate) fn forget_grants(&self, owner: &Name) {
+        lock(&self.grants).remove(owner);
+    }
+
     /// Marks the grants received from an owner as acknowledged, and returns the number of the last one for
     /// the report that acknowledges them.
     fn acknowledge_grants(&self, owner: &Name) -> u64 {
--- a/crates/cuminramp-gateway/src/sync/hosts.rs
+++ b/crates/cuminramp-gateway/src/sync/hosts.rs
@@ -7,11 +7,13 @@
 use cuminramp_core::Name;
 use cuminramp_fleet::{KnownHost, MAX_HEARTBEAT_HOSTS, TableSource};
 use cuminramp_platform::{Row, StoreError, Transaction};
+use cuminramp_settings::GatewaySettings;
 use cuminramp_wire::fleet::{HostPresence, HostRow};
 use cuminramp_wire::{decode_row, encode_row};
 use tokio::time::Instant;
 
 use super::presence::HostRowReview;
+use crate::interfaces::FleetStore;
 use crate::peers::send_join_request;
 use crate::state::{GatewayState, lock};
 
@@ -27,9 +29,15 @@
 /// Number of new hosts to which a host of a large fleet sends join requests.
 const MAX_JOIN_REQUESTS: usize = 8;
 
-/// Returns the key of a host's row. Rows have a partition for each zone, which can be read alone.
+/// Returns the key of a host's row.
 pub(super) fn key_of(host: &KnownHost) -> String {
-    format!("{}{}", zone_prefix(&host.zone), host.address)
+    row_key(&host.zone, &host.address)
+}
+
+/// Returns the key of a row by the zone and the address of its host. Rows have a partition for each zone, which can be
+/// read alone.
+fn row_key(zone: &str, address: &str) -> String {
+    format!("{}{address}", zone_prefix(zone))
 }
 
 /// Returns the prefix of the keys of a zone's hosts.
@@ -37,6 +45,17 @@
     format!("{TABLE}/{zone}/")
 }
 
+/// Reads the incarnation in the row that an earlier run of this host wrote; `None` if there is no such row, or if the
+/// store did not answer.
+pub(crate) async fn read_earlier_run(
+    settings: &GatewaySettings,
+    store: &dyn FleetStore,
+) -> Option<u64> {
+    let key = row_key(&settings.availability_zone, &settings.peer_address);
+    let row = store.read(&[key]).await.ok()?.into_iter().next()??;
+    Some(decode_row::<HostRow>(&row.value).ok()?.incarnation)
+}
+
 /// Writes this host's row and retries until the write succeeds.
 pub(crate) async fn announce_host(state: Arc<GatewayState>) {
     let local_host = &state.local_host;
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -15,7 +15,8 @@
 pub(crate) use drains::apply_drains;
 pub(crate) use follow::{TableFollower, follow_table};
 pub(crate) use hosts::{
-    announce_host, check_fleet_size, discover_hosts, knows_all_zones, rereads_hosts, withdraw_host,
+    announce_host, check_fleet_size, discover_hosts, knows_all_zones, read_earlier_run,
+    rereads_hosts, withdraw_host,
 };
 pub(crate) use mirrors::{TableMirrors, answer_follow};
 pub(crate) use presence::{HostRowReview, has_suspects};
