--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -39,6 +39,9 @@
     pub max_crash_delay: Duration,
     /// Number of consecutive crashes without a new event after which `initial_crash_delay` applies.
     pub crash_threshold: u32,
+    /// Time after which the items of a job are given up whose route is not declared any more. An operator who removed
+    /// it by mistake has this long to declare it again.
+    pub route_end_delay: Duration,
 }
 
 impl Default for JobPolicy {
@@ -51,6 +54,7 @@
             crash_delay_factor: 3,
             max_crash_delay: Duration::from_secs(60),
             crash_threshold: 3,
+            route_end_delay: Duration::from_secs(5),
         }
     }
 }
@@ -98,6 +102,8 @@
     spec: JobSpec,
     items: Vec<ItemEntry>,
     unfinished: usize,
+    /// Since when the job's route is not declared.
+    route_ended_at: Option<Instant>,
 }
 
 impl HeldJob {
@@ -185,7 +191,8 @@
         };
         let items: Vec<ItemEntry> = spec.items.iter().map(entry).collect();
         let unfinished = items.iter().filter(|e| e.phase != ItemPhase::Finished).count();
-        self.jobs.insert(spec.id.clone(), HeldJob { spec, items, unfinished });
+        let job = HeldJob { spec, items, unfinished, route_ended_at: None };
+        self.jobs.insert(job.spec.id.clone(), job);
     }
 
     /// Removes a job that its caller ended, that completed, or that another host now holds.
@@ -374,9 +381,29 @@
     /// Gives up the waiting items of all jobs past their `expires` time, and returns each with the
     /// identifier of its job.
     pub fn give_up_expired(&mut self, now: Instant) -> Vec<(Name, FinishedItem)> {
+        self.give_up(|job| job.spec.expires <= now)
+    }
+
+    /// Gives up the waiting items of all jobs whose route has not been declared for
+    /// [`JobPolicy::route_end_delay`], and returns each with the identifier of its job. `has_route` tells whether the
+    /// route of a job is declared.
+    pub fn give_up_without_route(
+        &mut self,
+        has_route: impl Fn(&JobSpec) -> bool,
+        now: Instant,
+    ) -> Vec<(Name, FinishedItem)> {
+        for (_, job) in self.jobs.iter_mut() {
+            let ended_at = job.route_ended_at.unwrap_or(now);
+            job.route_ended_at = (!has_route(&job.spec)).then_some(ended_at);
+        }
+        let delay = self.policy.route_end_delay;
+        self.give_up(|job| job.route_ended_at.is_some_and(|at| now.duration_since(at) >= delay))
+    }
+
+    fn give_up(&mut self, is_over: impl Fn(&HeldJob) -> bool) -> Vec<(Name, FinishedItem)> {
         let mut given_up = Vec::new();
         for (id, job) in self.jobs.iter_mut() {
-            if job.spec.expires > now {
+            if !is_over(job) {
                 continue;
             }
             for (index, entry) in job.items.iter_mut().enumerate() {
--- a/crates/cuminramp-fleet/src/jobs/item.rs
+++ b/crates/cuminramp-fleet/src/jobs/item.rs
@@ -33,6 +33,8 @@
     pub team: Name,
     /// Name of the route that the job was submitted to.
     pub route: Name,
+    /// Version of the declarations by which the job was accepted; `None` if it is not known.
+    pub declarations_version: Option<u64>,
     /// `Host` header of the requests to targets.
     pub host: Name,
     /// Time by which the results are due.
--- a/crates/cuminramp-fleet/src/jobs/tests.rs
+++ b/crates/cuminramp-fleet/src/jobs/tests.rs
@@ -26,6 +26,7 @@
         id: id.into(),
         team: "t".into(),
         route: "r".into(),
+        declarations_version: Some(1),
         host: "a.example".into(),
         due: now + Duration::from_secs(due),
         expires: now + Duration::from_secs(60),
@@ -201,6 +202,24 @@
     );
 }
 
+/// A route is removed while jobs on it are open. Guards against items that are neither run nor listed until they
+/// expire, and against ones that are given up although the route is back soon.
+#[tokio::test(start_paused = true)]
+async fn items_are_given_up_once_their_route_has_ended_for_good() {
+    let mut table = table(vec![job("j", 10, &["a", "b"])]);
+    let mut given_up = Vec::new();
+
+    for has_route in [false, true, false] {
+        given_up.push(table.give_up_without_route(|_| has_route, Instant::now()).len());
+        advance(Duration::from_secs(4)).await;
+    }
+    given_up.push(table.give_up_without_route(|_| false, Instant::now()).len());
+    advance(Duration::from_secs(1)).await;
+    given_up.push(table.give_up_without_route(|_| false, Instant::now()).len());
+
+    assert_eq!(given_up, [0, 0, 0, 0, 2]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_job_taken_over_skips_finished_items_and_resumes_others() {
     let mut table = JobTable::new(JobPolicy::default());
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -74,7 +74,7 @@
     version: u64,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let started_at = Instant::now();
-    let outcome = accept(state, route, &caller, &body, started_at).await;
+    let outcome = accept(state, route, &caller, &body, version, started_at).await;
     let items = caller.head.request_id.as_deref().and_then(|id| state.directory.get(id));
     let items = items.map_or(0, |known| known.row.total);
     let job = caller.head.request_id.as_deref().unwrap_or("-");
@@ -105,6 +105,7 @@
     route: &RouteRule,
     caller: &JobCaller,
     body: &Bytes,
+    version: u64,
     started_at: Instant,
 ) -> Result<&'static str, Refusal> {
     let Some(id) = caller.head.request_id.clone() else {
@@ -127,6 +128,7 @@
         .read_job(body)
         .map_err(|error| Refusal::not_run(ResultCode::BodyMalformed, error.to_string()))?;
     let mut draft = build_draft(state, route, caller, &id, &items, body, started_at);
+    draft.row.declarations_version = version;
     if draft.row.input_rows == 0 {
         store_input_object(state, &draft).await?;
     }
@@ -174,6 +176,7 @@
         commit: 0,
         digest: hash_parts(&[&String::from_utf8_lossy(body)]),
         input_rows: if input_rows <= MAX_INPUT_ROWS { input_rows as u32 } else { 0 },
+        declarations_version: 0,
     };
     JobDraft {
         row,
@@ -414,6 +417,7 @@
         id: row.id.as_str().into(),
         team: row.team.as_str().into(),
         route: row.route.as_str().into(),
+        declarations_version: Some(row.declarations_version).filter(|version| *version > 0),
         host: row.host.as_str().into(),
         due: at(row.due_ms),
         expires: at(row.give_up_ms),
--- a/crates/cuminramp-gateway/src/jobs/run.rs
+++ b/crates/cuminramp-gateway/src/jobs/run.rs
@@ -100,7 +100,7 @@
             () = tokio::time::sleep(check_interval(&state)) => {}
             () = state.drain.cancelled() => return,
         }
-        give_up_expired(&state);
+        give_up_items(&state);
         request_item_slots(&state);
         tokio::time::sleep(DEBOUNCE_DELAY).await;
     }
@@ -112,15 +112,31 @@
     if has_jobs { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL }
 }
 
-/// Gives up expired items and lists them.
-fn give_up_expired(state: &Arc<GatewayState>) {
-    let expired = lock(&state.jobs).give_up_expired(Instant::now());
-    for (job, finished) in expired {
-        log::info!(job = &*job, index = finished.index, reason = "expired"; "item-given-up");
+/// Gives up items that are expired or whose route has ended, and lists them.
+fn give_up_items(state: &Arc<GatewayState>) {
+    let now = Instant::now();
+    let expired = lock(&state.jobs).give_up_expired(now);
+    list_given_up(state, expired, "expired");
+    if let Some(declared) = state.current_declarations() {
+        let has_route = |spec: &JobSpec| may_have_route(&declared, spec);
+        let without_route = lock(&state.jobs).give_up_without_route(has_route, now);
+        list_given_up(state, without_route, "route-ended");
+    }
+}
+
+fn list_given_up(state: &Arc<GatewayState>, items: Vec<(Name, FinishedItem)>, reason: &str) {
+    for (job, finished) in items {
+        log::info!(job = &*job, index = finished.index, reason = reason; "item-given-up");
         state.writers.send(&job, WriterCommand::List(finished));
     }
 }
 
+/// Returns whether a job's route is declared, or may be declared by a version that this host does not know yet.
+fn may_have_route(declared: &FleetDeclarations, spec: &JobSpec) -> bool {
+    let is_known = spec.declarations_version.is_some_and(|version| version <= declared.version());
+    !is_known || route_of(declared, spec).is_some()
+}
+
 /// Returns the route that a job was submitted on, as currently declared. It decides for all items, whatever their
 /// paths are.
 fn route_of<'a>(declared: &'a FleetDeclarations, spec: &JobSpec) -> Option<&'a RouteRule> {
--- a/crates/cuminramp-replay/src/world/arrivals.rs
+++ b/crates/cuminramp-replay/src/world/arrivals.rs
@@ -81,6 +81,7 @@
             id: job.clone(),
             team: "team".into(),
             route: "route".into(),
+            declarations_version: None,
             host: "host".into(),
             due: self.now + DUE_DELAY,
             expires: self.now + DUE_DELAY * 10,
