--- a/crates/cuminramp-fleet/src/acceptance.rs
+++ b/crates/cuminramp-fleet/src/acceptance.rs
@@ -12,6 +12,8 @@
     Own,
     /// Another call wrote the row, at this host or at another one.
     Other,
+    /// A call of another team, which uses the same ID, wrote the row.
+    OtherTeam,
 }
 
 /// State of a submission from which the next step is decided.
@@ -44,6 +46,8 @@
     Refresh,
     /// Write the job's row.
     Write,
+    /// Refuse the job because another team has one with the same ID: it was not run and never will be.
+    RefuseUsedId,
     /// Refuse the job because the limit is reached: it was not run and never will be.
     RefuseFull,
     /// Refuse the job because the table could not be read or written: it was not run and never will be.
@@ -78,6 +82,9 @@
         match self.row_writer {
             JobRowWriter::Own => return AcceptanceStep::Accepted,
             JobRowWriter::Other => return AcceptanceStep::AlreadyAccepted,
+            JobRowWriter::OtherTeam => {
+                return self.refuse_unless_pending(AcceptanceStep::RefuseUsedId);
+            }
             JobRowWriter::Missing => {}
         }
         if self.is_past_deadline {
--- a/crates/cuminramp-fleet/src/acceptance/tests.rs
+++ b/crates/cuminramp-fleet/src/acceptance/tests.rs
@@ -20,6 +20,7 @@
 #[test_case(AcceptanceView { waiting_tokens: 600, is_fresh: true, ..view() }, AcceptanceStep::RefuseFull; "above the limit")]
 #[test_case(AcceptanceView { is_past_deadline: true, ..view() }, AcceptanceStep::RefuseUnavailable; "no time left")]
 #[test_case(AcceptanceView { row_writer: JobRowWriter::Other, ..view() }, AcceptanceStep::AlreadyAccepted; "accepted by another call")]
+#[test_case(AcceptanceView { row_writer: JobRowWriter::OtherTeam, ..view() }, AcceptanceStep::RefuseUsedId; "ID used by another team")]
 fn a_view_without_pending_writes_decides_the_next_step(
     view: AcceptanceView,
     expected: AcceptanceStep,
@@ -45,6 +46,7 @@
 /// the job ever runs.
 #[test_case(AcceptanceView { waiting_tokens: 600, is_fresh: true, ..view() }; "above the limit")]
 #[test_case(AcceptanceView { is_past_deadline: true, ..view() }; "no time left")]
+#[test_case(AcceptanceView { row_writer: JobRowWriter::OtherTeam, ..view() }; "ID used by another team")]
 fn no_refusal_is_sent_while_a_write_may_be_applied(view: AcceptanceView) {
     let view = AcceptanceView { has_pending_write: true, ..view };
 
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -270,6 +270,7 @@
 fn acceptance_view(state: &GatewayState, draft: &JobDraft, is_fresh: bool) -> AcceptanceView {
     let row_writer = match state.directory.get(&draft.row.id) {
         None => JobRowWriter::Missing,
+        Some(known) if known.row.team != draft.row.team => JobRowWriter::OtherTeam,
         Some(known) if is_written_by(&known, draft) => JobRowWriter::Own,
         Some(_) => JobRowWriter::Other,
     };
@@ -301,6 +302,9 @@
             );
             Refusal::not_run(ResultCode::RateExceeded, reason).with_retry_after(RETRY_AFTER)
         }
+        AcceptanceStep::RefuseUsedId => {
+            Refusal::not_run(ResultCode::FieldInvalid, "another team has a job with this ID")
+        }
         AcceptanceStep::RefuseUnknown => Refusal::not_run(ResultCode::DeadlineExceeded, reason)
             .with_execution(Execution::MayHaveRun),
         _ => unavailable(reason),
