--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -9,7 +9,7 @@
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
 use cuminramp_wire::encode_row;
 use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, Uri};
 use tokio::time::Instant;
 
 use super::directory::{KnownJob, unix_ms};
@@ -17,6 +17,7 @@
 use super::names::{acceptance_lock_key, input_key, input_object, job_key, jobs_prefix};
 use super::{JobCaller, writer};
 use crate::entry::{ResponseBody, complete_response};
+use crate::interfaces::TargetHead;
 use crate::state::{GatewayState, lock};
 
 /// Timeout after which a host stops trying to make a job durable. Callers wait 4 s and then retry at
@@ -127,6 +128,7 @@
         .call_format
         .read_job(body)
         .map_err(|error| Refusal::not_run(ResultCode::BodyMalformed, error.to_string()))?;
+    check_items(state, &caller.head.host, &items)?;
     let mut draft = build_draft(state, route, caller, &id, &items, body, started_at);
     draft.row.declarations_version = version;
     if draft.row.input_rows == 0 {
@@ -139,6 +141,27 @@
     Ok(outcome)
 }
 
+/// Checks that each item can be sent to a target. One that can't would otherwise be accepted, and given up without
+/// having run.
+fn check_items(state: &GatewayState, host: &Name, items: &[ItemSpec]) -> Result<(), Refusal> {
+    let head = TargetHead { deadline: None, team: None, target: "-", last_event: None };
+    for item in items {
+        let path = item.path.parse::<Uri>();
+        let reason = if item.id.is_empty() || HeaderValue::from_str(&item.id).is_err() {
+            "the ID is empty or can't be sent in a header".to_owned()
+        } else if !path.is_ok_and(|path| path.path().starts_with('/')) {
+            "the path is not a valid URI".to_owned()
+        } else if let Err(error) = state.call_format.item_headers(item, host, &head) {
+            error.to_string()
+        } else {
+            continue;
+        };
+        let reason = format!("item {}: {reason}", item.id);
+        return Err(Refusal::not_run(ResultCode::FieldInvalid, reason));
+    }
+    Ok(())
+}
+
 /// Returns whether the directory has a job with this ID of the team.
 fn is_known(state: &GatewayState, id: &str, team: &str) -> bool {
     state.directory.get(id).is_some_and(|known| known.row.team == team)
