--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -200,6 +200,7 @@
         digest: hash_parts(&[&String::from_utf8_lossy(body)]),
         input_rows: if input_rows <= MAX_INPUT_ROWS { input_rows as u32 } else { 0 },
         declarations_version: 0,
+        writer: 0,
     };
     JobDraft {
         row,
--- a/crates/cuminramp-gateway/src/jobs/writer.rs
+++ b/crates/cuminramp-gateway/src/jobs/writer.rs
@@ -9,6 +9,7 @@
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
 use cuminramp_wire::fleet::{JobPhase, JobRow, ResultRow};
 use cuminramp_wire::{decode_row, encode_row};
+use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
 
 use super::checkpoint::{MAX_ROW_TEXT_BYTES, MAX_WRITE_TEXT_BYTES, add_progress_rows};
@@ -31,24 +32,38 @@
     HandOver(oneshot::Sender<()>),
 }
 
+/// Command channel of a job writer.
+#[derive(Debug)]
+struct WriterHandle {
+    /// Random number of the writer.
+    writer: u64,
+    sender: mpsc::UnboundedSender<WriterCommand>,
+}
+
 /// Command channels of the job writers of all jobs that this host holds.
 #[derive(Debug, Default)]
 pub(crate) struct JobWriters {
-    senders: Mutex<SortedMap<Name, mpsc::UnboundedSender<WriterCommand>>>,
+    handles: Mutex<SortedMap<Name, WriterHandle>>,
 }
 
 impl JobWriters {
     /// Sends a command to a job's writer. Drops the command if the job has no writer, as this host then no
     /// longer holds the job and has nothing to write for it.
     pub(super) fn send(&self, job: &str, command: WriterCommand) {
-        if let Some(sender) = lock(&self.senders).get(job) {
-            let _ = sender.send(command);
+        if let Some(handle) = lock(&self.handles).get(job) {
+            let _ = handle.sender.send(command);
         }
     }
 
+    /// Returns whether a writer is the one of the present holding of its job. A writer may still wait for the store when
+    /// its host has lost the job and taken it over again.
+    fn is_current(&self, job: &str, writer: u64) -> bool {
+        lock(&self.handles).get(job).is_some_and(|handle| handle.writer == writer)
+    }
+
     /// Closes the command channel of a job's writer, which then ends.
     pub(super) fn remove(&self, job: &str) {
-        lock(&self.senders).remove(job);
+        lock(&self.handles).remove(job);
     }
 }
 
@@ -69,10 +84,12 @@
     if jobs.get(&spec.id).is_some() {
         return;
     }
-    lock(&state.writers.senders).insert(spec.id.clone(), sender);
+    let number = rand::rng().next_u64();
+    let handle = WriterHandle { writer: number, sender };
+    lock(&state.writers.handles).insert(spec.id.clone(), handle);
     jobs.add(spec, finished, progress);
     drop(jobs);
-    let writer = JobWriter { state: state.clone(), known, item_ids, commands };
+    let writer = JobWriter { state: state.clone(), writer: number, known, item_ids, commands };
     let stop = state.stop.clone();
     tokio::spawn(async move {
         tokio::select! {
@@ -87,6 +104,8 @@
 /// Task that writes the results of a held job.
 struct JobWriter {
     state: Arc<GatewayState>,
+    /// Random number of this writer.
+    writer: u64,
     /// The job's row as this writer last read or wrote it.
     known: KnownJob,
     /// IDs of the job's items, by index.
@@ -165,7 +184,7 @@
             }
             match self.read_row().await {
                 None => {}
-                Some(found) if found.row.commit == next.commit && self.is_holder(&found.row) => {
+                Some(found) if self.has_committed(&next, &found.row) => {
                     // Uses the row that was read, because the caller may have ended the job since the
                     // write. Continuing from the row that was written would reopen the job.
                     return self.record(found.row, found.version, &batch);
@@ -178,7 +197,9 @@
                         "job-lost"
                     );
                     self.state.directory.put(found.row, found.version);
-                    stop_job(&self.state, &self.known.row.id);
+                    if self.state.writers.is_current(&self.known.row.id, self.writer) {
+                        stop_job(&self.state, &self.known.row.id);
+                    }
                     return false;
                 }
             }
@@ -198,6 +219,12 @@
         *delay = (*delay * 2).min(RETRY_DELAYS.1);
     }
 
+    /// Returns whether the row that was read shows that the commit of `next` took effect. Another writer of this host may
+    /// have made a commit with the same number, after the job was lost and taken over again.
+    fn has_committed(&self, next: &JobRow, found: &JobRow) -> bool {
+        found.commit == next.commit && found.writer == next.writer && self.is_holder(found)
+    }
+
     /// Returns whether the row in the store has changed in nothing that this writer depends on, so that its
     /// next write still applies. A different commit number under the same holder means that another writer
     /// has listed items of the job; the job is then released and loaded again.
@@ -218,6 +245,7 @@
         let mut next = self.known.row.clone();
         next.listed += count as u32;
         next.commit += 1;
+        next.writer = self.writer;
         if next.listed >= next.total {
             next.phase = JobPhase::Done as i32;
         }
