--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -23,6 +23,9 @@
 /// Timeout after which a host stops trying to make a job durable. Callers wait 4 s and then retry at
 /// another host; a response within 3 s still reaches them.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Maximum difference of two hosts' clocks for which no item is given up too early: the times in a job's row are by the
+/// clock of the host that accepted it.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(80);
 /// Delay after which callers should retry a job that was refused because the team's limit of waiting tokens
@@ -191,7 +194,7 @@
         fence: 1,
         accepted_ms: now,
         due_ms: now + route.due_after.as_millis() as u64,
-        give_up_ms: now + route.item_ttl.as_millis() as u64,
+        give_up_ms: now + (route.item_ttl + CLOCK_TOLERANCE).as_millis() as u64,
         max_attempts: route.max_attempts,
         total: items.len() as u32,
         listed: 0,
