--- a/crates/cuminramp-gateway/src/jobs/end.rs
+++ b/crates/cuminramp-gateway/src/jobs/end.rs
@@ -14,6 +14,7 @@
 
 use super::JobCaller;
 use super::directory::{KnownJob, apply_row};
+use super::input::delete_input;
 use super::names::job_key;
 use super::read::find_job;
 use super::run::stop_job;
@@ -84,6 +85,7 @@
             state.directory.record_end(&known.row.id, version, Instant::now());
             stop_job(state, &known.row.id);
             state.request_heartbeat();
+            delete_input(state, &known.row);
             Ok(true)
         }
         CommitOutcome::Conflict(_) => Ok(false),
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod end;
 mod hand_over;
 mod hedged_commit;
+mod input;
 mod item_stream;
 mod names;
 mod read;
--- a/crates/cuminramp-gateway/src/jobs/read.rs
+++ b/crates/cuminramp-gateway/src/jobs/read.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cuminramp_core::{Refusal, ResultCode};
 use cuminramp_platform::StoreError;
 use cuminramp_wire::decode_row;
-use cuminramp_wire::fleet::{JobInput, JobRow, ResultRow};
+use cuminramp_wire::fleet::{JobPhase, JobRow, ResultRow};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 
 use super::JobCaller;
 use super::directory::KnownJob;
-use super::names::{input_object, input_prefix, job_key, result_key, results_prefix};
+use super::input::read_input;
+use super::names::{job_key, result_key, results_prefix};
 use crate::entry::{ResponseBody, complete_response};
 use crate::interfaces::{ListedResult, ResultPage};
 use crate::state::{GatewayState, lock};
@@ -156,39 +157,13 @@
     job: &JobRow,
     item: &str,
 ) -> Result<Bytes, Refusal> {
+    if job.phase() != JobPhase::Open {
+        // Each item is listed, or the job has ended: the input is deleted.
+        return Err(Refusal::not_run(ResultCode::ResourceUnknown, "the job is done"));
+    }
     let input = read_input(state, job).await.map_err(|error| store_refusal(&error))?;
     let found = input.items.into_iter().find(|stored| stored.id == item);
     let found = found
         .ok_or_else(|| Refusal::not_run(ResultCode::ResourceUnknown, "the item does not exist"))?;
     Ok(Bytes::from(found.body))
 }
-
-/// Reads a job's input from its rows or its object.
-pub(super) async fn read_input(state: &GatewayState, job: &JobRow) -> Result<JobInput, StoreError> {
-    let bytes = match job.input_rows {
-        0 => read_input_object(state, job).await?,
-        rows => read_input_rows(state, job, rows as usize).await?,
-    };
-    decode_row::<JobInput>(&bytes).map_err(|error| StoreError::Unknown(error.to_string()))
-}
-
-async fn read_input_object(state: &GatewayState, job: &JobRow) -> Result<Bytes, StoreError> {
-    let name = input_object(&job.team, &job.id);
-    let object = state.store.get(&name).await?;
-    object.ok_or_else(|| StoreError::Unknown(format!("object {name} does not exist")))
-}
-
-async fn read_input_rows(
-    state: &GatewayState,
-    job: &JobRow,
-    rows: usize,
-) -> Result<Bytes, StoreError> {
-    let prefix = input_prefix(&job.team, &job.id);
-    let found = state.store.scan(&prefix, "", rows).await?;
-    if found.len() != rows {
-        return Err(StoreError::Unknown(format!("{prefix} has {} of {rows} rows", found.len())));
-    }
-    let mut bytes = BytesMut::new();
-    found.iter().for_each(|row| bytes.extend_from_slice(&row.value));
-    Ok(bytes.freeze())
-}
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -13,8 +13,8 @@
 
 use super::accept::{held_count, job_spec};
 use super::directory::KnownJob;
+use super::input::read_input;
 use super::names::{job_key, progress_prefix, results_prefix};
-use super::read::read_input;
 use super::writer::hold_job;
 use crate::state::{GatewayState, lock};
 
--- a/crates/cuminramp-gateway/src/jobs/writer.rs
+++ b/crates/cuminramp-gateway/src/jobs/writer.rs
@@ -14,6 +14,7 @@
 
 use super::checkpoint::{MAX_ROW_TEXT_BYTES, MAX_WRITE_TEXT_BYTES, add_progress_rows};
 use super::directory::KnownJob;
+use super::input::delete_input;
 use super::names::{job_key, progress_key, result_key, result_object};
 use super::run::stop_job;
 use crate::state::{GatewayState, lock};
@@ -308,6 +309,7 @@
         self.state.directory.put(row, version);
         if is_done {
             log::info!(job = self.known.row.id.as_str(), row_version = version; "job-done");
+            delete_input(&self.state, &self.known.row);
         }
         if !is_open {
             stop_job(&self.state, &self.known.row.id);
