--- a/crates/cuminramp-fleet/src/prompt_parts.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts.rs
@@ -41,7 +41,8 @@
     /// assert_ne!(part.in_pool("pool-1"), part.in_pool("pool-2"));
     /// ```
     pub fn in_pool(self, pool: &str) -> PoolPart {
-        PoolPart(hash_parts(&[pool, &self.to_string()]))
+        let pool = hash_parts(&[pool, &self.to_string()]);
+        PoolPart(self.0 & !POOL_MASK | pool & POOL_MASK)
     }
 }
 
@@ -51,11 +52,26 @@
     }
 }
 
+/// Bits of a [`PoolPart`] that tell the pool; the others are those of the [`PromptPart`].
+const POOL_MASK: u64 = u32::MAX as u64;
+
 /// A part of a prompt at the targets of one pool.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PoolPart(u64);
 
 impl PoolPart {
+    /// Returns whether both are the same part, at the targets of any pools.
+    ///
+    /// ```
+    /// use cuminramp_fleet::PromptPart;
+    /// let part = PromptPart::new("5c1e07a2");
+    /// assert!(part.in_pool("pool-1").is_same_part(part.in_pool("pool-2")));
+    /// assert!(!part.in_pool("pool-1").is_same_part(PromptPart::new("91bd3f06").in_pool("pool-1")));
+    /// ```
+    pub fn is_same_part(self, other: PoolPart) -> bool {
+        self.0 & !POOL_MASK == other.0 & !POOL_MASK
+    }
+
     /// Returns the key by which hosts are ranked for the part.
     pub fn key(self) -> u64 {
         self.0
--- a/crates/cuminramp-fleet/src/prompt_parts/record.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/record.rs
@@ -19,6 +19,25 @@
     at: Instant,
 }
 
+/// Returns the number of crashes, where those within `window` count as one: targets that crash in a wave have
+/// a cause in common that is no request.
+pub(super) fn count_separate<'a>(
+    crashes: impl Iterator<Item = &'a TargetCrash>,
+    window: Duration,
+) -> u32 {
+    let mut times: Vec<Instant> = crashes.map(|crash| crash.at).collect();
+    times.sort_unstable();
+    let mut count = 0;
+    let mut counted_at: Option<Instant> = None;
+    for at in times {
+        if counted_at.is_none_or(|counted| at.duration_since(counted) >= window) {
+            count += 1;
+            counted_at = Some(at);
+        }
+    }
+    count
+}
+
 impl TargetCrash {
     pub(super) fn is_same(&self, target: u32, at: Instant) -> bool {
         let (first, second) = (self.at.min(at), self.at.max(at));
@@ -113,20 +132,6 @@
         ends_quarantine || self.crashes.len() < crashes
     }
 
-    /// Returns the number of crashes, where those within `window` count as one: targets that crash in a wave have
-    /// a cause in common that is no request.
-    pub(super) fn separate_crashes(&self, window: Duration) -> u32 {
-        let mut count = 0;
-        let mut counted_at: Option<Instant> = None;
-        for crash in &self.crashes {
-            if counted_at.is_none_or(|at| crash.at.duration_since(at) >= window) {
-                count += 1;
-                counted_at = Some(crash.at);
-            }
-        }
-        count
-    }
-
     pub(super) fn last_crash_at(&self) -> Option<Instant> {
         self.crashes.last().map(|crash| crash.at)
     }
@@ -175,8 +180,14 @@
         }
     }
 
-    /// Merges what another host reports.
-    pub(super) fn merge(&mut self, report: &PartReport, policy: &PartPolicy, now: Instant) {
+    /// Merges what another host reports. `other_crashes` is the number of crashes under the same part in other pools.
+    pub(super) fn merge(
+        &mut self,
+        report: &PartReport,
+        other_crashes: usize,
+        policy: &PartPolicy,
+        now: Instant,
+    ) {
         if let Some(at) = report.sound_age_ms.and_then(|age| moment(age, now)) {
             self.set_sound(at);
         }
@@ -187,7 +198,8 @@
         }
         // A sound response that the other host does not know of overrides its quarantine.
         let began_at = report.quarantine_age_ms.and_then(|age| moment(age, now));
-        let has_enough = self.crashes.len() >= self.limit(policy, true) as usize;
+        let crashes = self.crashes.len() + other_crashes;
+        let has_enough = !self.crashes.is_empty() && crashes >= self.limit(policy, true) as usize;
         if let Some(began_at) = began_at.filter(|_| has_enough) {
             self.quarantine(report.trials, report.beside, began_at);
         }
--- a/crates/cuminramp-fleet/src/prompt_parts/table.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::SortedMap;
 use tokio::time::Instant;
 
-use super::record::{PartRecord, Quarantine};
+use super::record::{PartRecord, Quarantine, count_separate};
 use super::{PartPolicy, PartReport, PoolPart};
 
 /// Maximum number of parts with crashes that a host remembers, about 400 bytes each.
@@ -58,7 +58,8 @@
 /// Crashes of targets by the parts of the prompts that they ran, over all hosts.
 ///
 /// The guilty part is in each request that crashes targets, and never in a response that goes beyond its begin.
-/// Parts that sound requests share are cleared by the next response to one of these. Of two parts that were in the same
+/// Parts that sound requests share are cleared by the next response to one of these, in the pool that it came from.
+/// Crashes under one part count together over all pools, and so do its trials. Of two parts that were in the same
 /// requests, neither is held alone: only requests with both are, until one of them is cleared.
 #[derive(Debug, Default)]
 pub struct PartTable {
@@ -137,16 +138,31 @@
     fn trial_due_at(&self, part: PoolPart, now: Instant) -> Option<Instant> {
         let quarantine = self.quarantine_of(part)?;
         let is_over = |at: Instant| now.saturating_duration_since(at) >= self.policy.trial_timeout;
-        let is_running = quarantine.trial_at.is_some_and(|at| !is_over(at));
-        if is_running || quarantine.begun_trials >= self.policy.max_begun_trials {
-            return None;
+        let mut trials = 0;
+        for other in self.same_part(part).filter_map(|record| record.quarantine) {
+            let is_running = other.trial_at.is_some_and(|at| !is_over(at));
+            if is_running || other.begun_trials >= self.policy.max_begun_trials {
+                return None;
+            }
+            // A trial that came to no result is repeated.
+            trials = trials.max(other.trials - u8::from(other.trial_at.is_some()));
         }
-        // A trial that came to no result is repeated.
-        let trials = quarantine.trials - u8::from(quarantine.trial_at.is_some());
         let delay = self.policy.trial_delays.get(usize::from(trials))?;
         Some(quarantine.began_at + *delay)
     }
 
+    /// Returns the records of a part in all pools.
+    fn same_part(&self, part: PoolPart) -> impl Iterator<Item = &PartRecord> {
+        let same = self.records.iter().filter(move |(other, _)| other.is_same_part(part));
+        same.map(|(_, record)| record)
+    }
+
+    /// Returns the number of separate crashes under a part, in all pools.
+    fn separate_crashes(&self, part: PoolPart) -> u32 {
+        let crashes = self.same_part(part).flat_map(|record| record.crashes());
+        count_separate(crashes, self.policy.wave_window)
+    }
+
     /// Records that a request is sent as the trial of a part.
     pub fn begin_trial(&mut self, part: PoolPart, now: Instant) {
         if let Some(record) = self.records.get_mut(&part)
@@ -217,7 +233,7 @@
         let mut highest_after = 0;
         for part in parts.iter().rev() {
             let Some(record) = self.records.get(part) else { continue };
-            let crashes = record.separate_crashes(self.policy.wave_window);
+            let crashes = self.separate_crashes(*part);
             if crashes >= record.limit(&self.policy, highest_after < crashes) {
                 let beside = self.equal_suspect(*part, parts, crashes);
                 self.quarantine(*part, beside, now);
@@ -232,16 +248,36 @@
     fn equal_suspect(&self, part: PoolPart, parts: &[PoolPart], crashes: u32) -> Option<PoolPart> {
         let is_equal = |other: &&PoolPart| {
             let record = self.records.get(*other).filter(|_| **other != part);
-            record.is_some_and(|record| {
-                record.sound_at.is_none()
-                    && record.separate_crashes(self.policy.wave_window) >= crashes
-            })
+            record.is_some_and(|record| record.sound_at.is_none())
+                && self.separate_crashes(**other) >= crashes
         };
         parts.iter().find(is_equal).copied()
     }
 
-    /// Begins the quarantine of a part, which explains its crashes for all others if it is held alone.
+    /// Begins the quarantine of a part, which explains its crashes for all others if it is held alone. It is held in
+    /// all pools then in which it has crashed targets.
     fn quarantine(&mut self, part: PoolPart, beside: Option<PoolPart>, now: Instant) {
+        self.quarantine_in_pool(part, beside, now);
+        if self.quarantine_of(part).is_none_or(|quarantine| quarantine.beside.is_some()) {
+            return;
+        }
+        let others: Vec<PoolPart> = self
+            .records
+            .iter()
+            .filter(|(other, record)| {
+                other.is_same_part(part)
+                    && record.quarantine.is_none()
+                    && record.sound_at.is_none()
+                    && !record.crashes().is_empty()
+            })
+            .map(|(other, _)| *other)
+            .collect();
+        for other in others {
+            self.quarantine_in_pool(other, None, now);
+        }
+    }
+
+    fn quarantine_in_pool(&mut self, part: PoolPart, beside: Option<PoolPart>, now: Instant) {
         let Some(record) = self.records.get_mut(&part) else { return };
         record.quarantine(0, beside, now);
         record.changed_at = now;
@@ -292,8 +328,7 @@
         others.extend(beside);
         for part in others {
             let Some(record) = self.records.get(&part) else { continue };
-            let crashes = record.separate_crashes(self.policy.wave_window);
-            if crashes >= record.limit(&self.policy, true) {
+            if self.separate_crashes(part) >= record.limit(&self.policy, true) {
                 self.quarantine(part, None, now);
             }
         }
@@ -312,22 +347,26 @@
     pub fn merge(&mut self, report: &PartReport, now: Instant) -> bool {
         self.expire(now);
         let policy = self.policy.clone();
+        let in_all_pools: usize = self.same_part(report.part).map(|it| it.crashes().len()).sum();
         let record = self.record_of(report.part, now);
+        let other_crashes = in_all_pools - record.crashes().len();
         let was_quarantined = record.quarantine.is_some();
-        record.merge(report, &policy, now);
+        record.merge(report, other_crashes, &policy, now);
         let is_quarantined = record.quarantine.is_some();
-        let has_enough =
-            record.separate_crashes(policy.wave_window) >= record.limit(&policy, false);
+        let limit = record.limit(&policy, false);
+        let has_crash = !record.crashes().is_empty();
+        let changed_at = record.changed_at;
+        let has_enough = has_crash && self.separate_crashes(report.part) >= limit;
         if is_quarantined || has_enough {
             // The sender tells all hosts itself, unless it has not counted as many crashes.
             let is_new = !is_quarantined;
-            let changed_at = record.changed_at;
             self.quarantine(report.part, report.beside, now);
             if !is_new && let Some(record) = self.records.get_mut(&report.part) {
                 record.changed_at = changed_at;
             }
             return is_new;
         }
+        let record = self.record_of(report.part, now);
         // The reporting host suspects a part that this one has seen a sound response to since.
         let is_refuted = report.quarantine_age_ms.is_some() && record.sound_at.is_some();
         if is_refuted || was_quarantined {
--- a/crates/cuminramp-fleet/src/prompt_parts/table/limit_tests.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table/limit_tests.rs
@@ -269,3 +269,24 @@
     assert!(!is_held(&table, &[common], later), "the sound part is held after 20 s");
     assert!(is_held(&table, &[guilty], later));
 }
+
+/// The part crashes the targets of two pools, and those of a third are sound. Guards against requests that are held there,
+/// and against a sound response there that lets the part crash the others again.
+#[test]
+fn a_sound_response_clears_a_part_in_its_pool_only() {
+    let mut table = PartTable::default();
+    let start = Instant::now();
+    let [first, second, sound] =
+        ["pool-1", "pool-2", "pool-3"].map(|pool| PromptPart::new("guilty").in_pool(pool));
+    table.record_sound(&[sound], start);
+    for (index, crashed) in [first, second, first].into_iter().enumerate() {
+        let at = start + Duration::from_secs(index as u64 + 1);
+        table.record_crash(&[crashed], index as u32, at);
+    }
+    let now = start + Duration::from_secs(4);
+    table.record_sound(&[sound], now);
+
+    let held = [first, second, sound].map(|part| is_held(&table, &[part], now));
+
+    assert_eq!(held, [true, true, false]);
+}
