--- a/crates/cuminramp-fleet/src/prompt_parts/table.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table.rs
@@ -75,21 +75,22 @@
         PartTable { policy, ..PartTable::default() }
     }
 
-    /// Returns whether a request with these parts may be sent. `is_trial_host` tells whether this host ranks first of
-    /// all for a part.
+    /// Returns whether a request with these parts may be sent. `trial_delay` returns how long after
+    /// a trial of a part is due this host may begin it, which is at once on the host that ranks first for it.
     ///
     /// ```
     /// use cuminramp_fleet::{PartDecision, PartTable, PromptPart};
+    /// use std::time::Duration;
     /// use tokio::time::Instant;
     /// let table = PartTable::default();
     /// let part = PromptPart::new("5c1e07a2").in_pool("pool-1");
-    /// assert_eq!(table.decide(&[part], Instant::now(), |_| false), PartDecision::Admit);
+    /// assert_eq!(table.decide(&[part], Instant::now(), |_| Duration::ZERO), PartDecision::Admit);
     /// ```
     pub fn decide(
         &self,
         parts: &[PoolPart],
         now: Instant,
-        is_trial_host: impl Fn(PoolPart) -> bool,
+        trial_delay: impl Fn(PoolPart) -> Duration,
     ) -> PartDecision {
         if self.records.is_empty() {
             return PartDecision::Admit;
@@ -99,8 +100,8 @@
         let is_only = parts.iter().filter(is_held).all(|other| other == part);
         match self.trial_due_at(*part, now) {
             Some(due_at) if is_only && now >= due_at => {
-                let is_open_to_all = now >= due_at + self.policy.any_host_delay;
-                if is_open_to_all || is_trial_host(*part) {
+                let delay = trial_delay(*part).min(self.policy.any_host_delay);
+                if now >= due_at + delay {
                     PartDecision::Trial(*part)
                 } else {
                     PartDecision::Hold(*part)
@@ -115,9 +116,9 @@
         &mut self,
         parts: &[PoolPart],
         now: Instant,
-        is_trial_host: impl Fn(PoolPart) -> bool,
+        trial_delay: impl Fn(PoolPart) -> Duration,
     ) -> PartDecision {
-        let decision = self.decide(parts, now, is_trial_host);
+        let decision = self.decide(parts, now, trial_delay);
         if let PartDecision::Trial(part) = decision {
             self.begin_trial(part, now);
         }
@@ -175,6 +176,24 @@
         }
     }
 
+    /// Returns whether this host tries one of these parts.
+    pub fn is_trying(&self, parts: &[PoolPart]) -> bool {
+        let quarantines = parts.iter().filter_map(|part| self.quarantine_of(*part));
+        quarantines.into_iter().any(|quarantine| quarantine.trial_at.is_some())
+    }
+
+    /// Records that this host's trials of these parts came to no result, so that they are repeated.
+    pub fn withdraw_trials(&mut self, parts: &[PoolPart], now: Instant) {
+        for part in parts {
+            let Some(record) = self.records.get_mut(part) else { continue };
+            let Some(quarantine) = &mut record.quarantine else { continue };
+            if quarantine.trial_at.take().is_some() {
+                quarantine.trials -= 1;
+                record.changed_at = now;
+            }
+        }
+    }
+
     /// Returns how long requests with a part are held back at least.
     pub fn remaining(&self, part: PoolPart, now: Instant) -> Duration {
         let due_at = self.trial_due_at(part, now);
--- a/crates/cuminramp-fleet/src/prompt_parts/table/limit_tests.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table/limit_tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn is_held(table: &PartTable, parts: &[PoolPart], now: Instant) -> bool {
-    matches!(table.decide(parts, now, |_| false), PartDecision::Hold(_))
+    matches!(table.decide(parts, now, |_| Duration::MAX), PartDecision::Hold(_))
 }
 
 /// Sends a request with the part every `interval` to targets in turn, each of which crashes. Returns the times at
@@ -28,7 +28,7 @@
     let mut sent = vec![];
     for index in 0..count {
         let now = start + interval * index;
-        if let PartDecision::Hold(_) = table.admit(&guilty, now, |_| true) {
+        if let PartDecision::Hold(_) = table.admit(&guilty, now, |_| Duration::ZERO) {
             continue;
         }
         sent.push(now);
@@ -79,7 +79,7 @@
     for index in 0..120 {
         let now = start + Duration::from_secs(1) * index;
         let guilty = PromptPart::new("guilty").in_pool(&format!("pool-{}", index % 3));
-        if let PartDecision::Hold(_) = table.admit(&[guilty], now, |_| true) {
+        if let PartDecision::Hold(_) = table.admit(&[guilty], now, |_| Duration::ZERO) {
             continue;
         }
         sent.push(now);
@@ -130,8 +130,8 @@
     for target in 0..3 {
         one.record_crash(&[suspect], target, start + Duration::from_secs(target.into()));
     }
-    one.admit(&[suspect], start + Duration::from_secs(4), |_| true);
-    one.admit(&[suspect], start + Duration::from_secs(40), |_| true);
+    one.admit(&[suspect], start + Duration::from_secs(4), |_| Duration::ZERO);
+    one.admit(&[suspect], start + Duration::from_secs(40), |_| Duration::ZERO);
     let mut now = start + Duration::from_secs(41);
     let end = start + PartPolicy::default().quarantine_lifetime * 5;
     while now < end {
@@ -158,10 +158,10 @@
     for target in 0..3 {
         table.record_crash(&[suspect], target, start + Duration::from_secs(target.into()));
     }
-    table.admit(&[suspect], start + Duration::from_secs(4), |_| true);
-    table.admit(&[suspect], start + Duration::from_secs(40), |_| true);
+    table.admit(&[suspect], start + Duration::from_secs(4), |_| Duration::ZERO);
+    table.admit(&[suspect], start + Duration::from_secs(40), |_| Duration::ZERO);
     let now = start + Duration::from_secs(600);
-    assert_eq!(table.decide(&[suspect], now, |_| true), PartDecision::Trial(suspect));
+    assert_eq!(table.decide(&[suspect], now, |_| Duration::ZERO), PartDecision::Trial(suspect));
 }
 
 /// A host that has just started holds a part back for three crashes. Guards against its lower limit at hosts that have
@@ -260,10 +260,10 @@
         table.record_crash(&sent, target, start + Duration::from_millis(200) * target);
     }
     let tried = start + Duration::from_millis(1_500);
-    assert_eq!(table.admit(&sent, tried, |_| true), PartDecision::Trial(common));
+    assert_eq!(table.admit(&sent, tried, |_| Duration::ZERO), PartDecision::Trial(common));
     table.record_crash(&sent, 7, tried);
     let sound = tried + Duration::from_secs(1);
-    assert_eq!(table.admit(&[common], sound, |_| true), PartDecision::Admit);
+    assert_eq!(table.admit(&[common], sound, |_| Duration::ZERO), PartDecision::Admit);
     table.record_sound(&[common], sound);
     let later = start + Duration::from_secs(20);
     assert!(!is_held(&table, &[common], later), "the sound part is held after 20 s");
--- a/crates/cuminramp-fleet/src/prompt_parts/table/tests.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table/tests.rs
@@ -11,7 +11,7 @@
 }
 
 fn is_held(table: &PartTable, parts: &[PoolPart], now: Instant) -> bool {
-    matches!(table.decide(parts, now, |_| false), PartDecision::Hold(_))
+    matches!(table.decide(parts, now, |_| Duration::MAX), PartDecision::Hold(_))
 }
 
 /// Records crashes of targets `first..first + count` under a request, a second apart. Returns the time after them.
@@ -112,14 +112,14 @@
     let mut table = PartTable::default();
     let now = crash(&mut table, &[suspect], 0, 3, Instant::now()) + Duration::from_secs(1);
 
-    let trial = table.admit(&[suspect], now, |_| true);
-    let beside = table.decide(&[suspect], now, |_| true);
+    let trial = table.admit(&[suspect], now, |_| Duration::ZERO);
+    let beside = table.decide(&[suspect], now, |_| Duration::ZERO);
     let released = table.record_sound(&[suspect], now).released;
 
     assert_eq!(trial, PartDecision::Trial(suspect));
     assert_eq!(beside, PartDecision::Hold(suspect));
     assert_eq!(released, [suspect]);
-    assert_eq!(table.decide(&[suspect], now, |_| false), PartDecision::Admit);
+    assert_eq!(table.decide(&[suspect], now, |_| Duration::MAX), PartDecision::Admit);
 }
 
 /// Three requests may reach targets after the fifth crash, of all hosts together. Guards against a trial every so often.
@@ -130,7 +130,7 @@
     let mut now = crash(&mut table, &[guilty], 0, 3, Instant::now());
     let mut trials = 0;
     for target in 10..1_000 {
-        if table.admit(&[guilty], now, |_| true) == PartDecision::Trial(guilty) {
+        if table.admit(&[guilty], now, |_| Duration::ZERO) == PartDecision::Trial(guilty) {
             trials += 1;
             table.record_crash(&[guilty], target, now);
         }
@@ -204,3 +204,35 @@
     assert!(table.sound.len() <= MAX_SOUND_PARTS);
     assert!(is_held(&table, &[part("guilty")], now));
 }
+
+/// All targets end while one runs a trial. Guards against a sound part that is held for longer because of that.
+#[test]
+fn a_trial_that_was_withdrawn_is_repeated() {
+    let mut table = PartTable::default();
+    let (start, parts) = (Instant::now(), [part("shared")]);
+    crash(&mut table, &parts, 0, 3, start);
+    let now = start + Duration::from_secs(5);
+
+    let first = table.admit(&parts, now, |_| Duration::ZERO);
+    let is_trying = table.is_trying(&parts);
+    table.withdraw_trials(&parts, now);
+    let second = table.admit(&parts, now, |_| Duration::ZERO);
+
+    assert_eq!((first, second), (PartDecision::Trial(parts[0]), PartDecision::Trial(parts[0])));
+    assert!(is_trying);
+}
+
+/// Guards against several hosts that begin the same trial at once, and against a trial that waits for a host which gets
+/// no request with the part.
+#[test]
+fn hosts_begin_a_trial_one_after_another() {
+    let mut table = PartTable::default();
+    let (start, parts) = (Instant::now(), [part("shared")]);
+    crash(&mut table, &parts, 0, 3, start);
+    let due_at = start + Duration::from_secs(3);
+    let delay = Duration::from_millis(250);
+
+    let decisions = [due_at, due_at + delay].map(|now| table.decide(&parts, now, |_| delay));
+
+    assert_eq!(decisions, [PartDecision::Hold(parts[0]), PartDecision::Trial(parts[0])]);
+}
--- a/crates/cuminramp-fleet/src/streams.rs
+++ b/crates/cuminramp-fleet/src/streams.rs
@@ -234,11 +234,16 @@
 
     /// Returns whether this host ranks before all other alive hosts for a key.
     pub fn ranks_first(&self, key: u64, now: Instant) -> bool {
+        self.alive_rank(key, now) == 0
+    }
+
+    /// Returns how many alive hosts rank before this one for a key.
+    pub fn alive_rank(&self, key: u64, now: Instant) -> usize {
         let key = key.to_string();
         let score = |address: &Name| (rendezvous_score(&key, address), address.clone());
         let own = score(&self.local().address);
-        let mut alive = self.iter().filter(|record| !record.has_left && self.is_alive(record, now));
-        alive.all(|record| score(&record.host.address) < own)
+        let alive = self.iter().filter(|record| !record.has_left && self.is_alive(record, now));
+        alive.filter(|record| score(&record.host.address) > own).count()
     }
 
     fn rank_hosts(&self, stream: u64, count: usize, now: Instant) -> Vec<Name> {
--- a/crates/cuminramp-gateway/src/parts.rs
+++ b/crates/cuminramp-gateway/src/parts.rs
@@ -11,6 +11,7 @@
     FleetTarget, HostMessage, PartCounts, PartDecision, PartReport, PartTable, PoolPart,
     PromptPart, name_hash,
 };
+use futures_util::future::join_all;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -35,6 +36,10 @@
 const REPEAT_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which a host with quarantines reports them to a few others.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time by which a host begins a trial later than the one that ranks before it, in which that one's report arrives.
+const TRIAL_RANK_DELAY: Duration = Duration::from_millis(250);
+/// Maximum number of other targets that are checked when the target of a trial has ended.
+const MAX_CHECKED_TARGETS: usize = 3;
 /// Numbers of random hosts of the own zone and of other zones that receive these reports.
 const EXCHANGE_FANOUT: (usize, usize) = (1, 1);
 
@@ -59,23 +64,33 @@
     parts.iter().map(|part| part.in_pool(pool)).collect()
 }
 
-/// Returns whether this host tries a part: it ranks first, and is not one of the few that were cut off.
-fn is_trial_host(state: &GatewayState, part: PoolPart, now: Instant) -> bool {
+/// Returns whether this host saves the quarantine of a part: it ranks first, and is not one of the few that were cut off.
+fn saves_quarantine(state: &GatewayState, part: PoolPart, now: Instant) -> bool {
     let peers = lock(&state.peers);
     peers.has_at_least_half(now) && peers.ranks_first(part.key(), now)
 }
 
+/// Returns how long after a trial is due this host may begin it: the later the more hosts rank before it, which may get
+/// no request with the part; and not soon if it is one of the few that were cut off.
+fn trial_delay(state: &GatewayState, part: PoolPart, now: Instant) -> Duration {
+    let peers = lock(&state.peers);
+    if !peers.has_at_least_half(now) {
+        return Duration::MAX;
+    }
+    let rank = u32::try_from(peers.alive_rank(part.key(), now)).unwrap_or(u32::MAX);
+    TRIAL_RANK_DELAY.saturating_mul(rank)
+}
+
 /// Returns whether a request with these parts may be sent.
 pub(crate) fn decide_parts(state: &GatewayState, parts: &[PoolPart]) -> PartDecision {
     let now = Instant::now();
-    lock(&state.parts.table).decide(parts, now, |part| is_trial_host(state, part, now))
+    lock(&state.parts.table).decide(parts, now, |part| trial_delay(state, part, now))
 }
 
 /// Returns whether a request with these parts may be sent, just before it is. Begins a trial if it is one.
 pub(crate) fn admit_parts(state: &GatewayState, parts: &[PoolPart]) -> PartDecision {
     let now = Instant::now();
-    let decision =
-        lock(&state.parts.table).admit(parts, now, |part| is_trial_host(state, part, now));
+    let decision = lock(&state.parts.table).admit(parts, now, |part| trial_delay(state, part, now));
     if let PartDecision::Trial(part) = decision {
         log::info!(part = &*part.to_string(); "part-tried");
         state.parts.changed.notify_one();
@@ -105,6 +120,14 @@
         if !has_ended(&target.address).await {
             return;
         }
+        let is_trial = lock(&state.parts.table).is_trying(&parts);
+        if is_trial && have_others_ended(&state, &target).await {
+            // Nothing else with the part was sent, so that the targets have ended for another reason.
+            log::info!(pool = &*target.pool; "part-trial-withdrawn");
+            lock(&state.parts.table).withdraw_trials(&parts, Instant::now());
+            state.parts.changed.notify_one();
+            return;
+        }
         let hash = name_hash(&target.id);
         let quarantined = lock(&state.parts.table).record_crash(&parts, hash, crashed_at);
         if let Some(part) = quarantined {
@@ -114,6 +137,22 @@
     });
 }
 
+/// Returns whether other targets of the pool have ended at the same time: most of the few that are checked.
+async fn have_others_ended(state: &GatewayState, target: &FleetTarget) -> bool {
+    let others: Vec<Name> = {
+        let placement = lock(&state.placement);
+        let in_pool = placement.targets().filter(|other| other.pool == target.pool);
+        in_pool
+            .filter(|other| other.id != target.id)
+            .take(MAX_CHECKED_TARGETS)
+            .map(|other| other.address.clone())
+            .collect()
+    };
+    let checks = others.iter().map(|address| has_ended(address));
+    let ended = join_all(checks).await.into_iter().filter(|has_ended| *has_ended).count();
+    ended * 2 > others.len()
+}
+
 /// Returns whether a target refuses connections. One that lost a single connection, or that can't be reached, may be
 /// sound. A process that ends may close its connections just before it stops to accept new ones.
 async fn has_ended(address: &str) -> bool {
--- a/crates/cuminramp-gateway/src/parts/saved.rs
+++ b/crates/cuminramp-gateway/src/parts/saved.rs
@@ -8,7 +8,7 @@
 use cuminramp_platform::{Row, Transaction};
 use tokio::time::{Instant, sleep};
 
-use super::is_trial_host;
+use super::saves_quarantine;
 use crate::state::{GatewayState, lock};
 
 /// Prefix of the keys of saved quarantines.
@@ -28,7 +28,7 @@
     let now = Instant::now();
     let mut unsaved = lock(&state.parts.table).quarantined_for(SAVE_DELAY, now);
     unsaved.retain(|held| !lock(&state.parts.saved).contains(&held.part));
-    unsaved.retain(|held| is_trial_host(state, held.part, now));
+    unsaved.retain(|held| saves_quarantine(state, held.part, now));
     for held in unsaved {
         let beside = held.beside.map_or_else(String::new, |part| part.to_string());
         let value = Bytes::from(format!("{} {beside}", unix_millis()));
--- a/crates/cuminramp-replay/src/prompt_parts/rule.rs
+++ b/crates/cuminramp-replay/src/prompt_parts/rule.rs
@@ -1,5 +1,7 @@
 //! The ways in which a host decides which part crashes targets.
 
+use std::time::Duration;
+
 use cuminramp_fleet::{HostMessage, PartDecision, PartReport, PartTable, PoolPart};
 use tokio::time::Instant;
 
@@ -28,7 +30,8 @@
     }
 
     fn decide(&self, parts: &[PoolPart], now: Instant, is_trial_host: bool) -> PartDecision {
-        PartTable::decide(self, parts, now, |_| is_trial_host)
+        let delay = if is_trial_host { Duration::ZERO } else { Duration::MAX };
+        PartTable::decide(self, parts, now, |_| delay)
     }
 
     fn begin_trial(&mut self, part: PoolPart, now: Instant) {
