--- a/crates/cuminramp-gateway/src/parts.rs
+++ b/crates/cuminramp-gateway/src/parts.rs
@@ -48,6 +48,8 @@
 pub(crate) struct PartState {
     table: Mutex<PartTable>,
     changed: Notify,
+    /// Notified when a quarantine has ended, which other hosts learn at once: they refuse sound requests until then.
+    released: Notify,
     /// Parts whose quarantine this host has saved or read.
     saved: Mutex<Vec<PoolPart>>,
 }
@@ -177,7 +179,9 @@
         log::info!(part = &*part.to_string(); "part-released");
         delete_saved(state, *part);
     }
-    if sound.has_news {
+    if !sound.released.is_empty() {
+        state.parts.released.notify_one();
+    } else if sound.has_news {
         state.parts.changed.notify_one();
     }
 }
@@ -186,11 +190,13 @@
 pub(crate) async fn exchange_parts(state: Arc<GatewayState>) {
     loop {
         tokio::select! {
+            () = state.parts.released.notified() => report_twice(&state).await,
             () = state.parts.changed.notified() => {
-                sleep(COLLECT_DELAY).await;
-                send_reports(&state, &all_hosts(&state)).await;
-                sleep(REPEAT_DELAY).await;
-                send_reports(&state, &all_hosts(&state)).await;
+                tokio::select! {
+                    () = sleep(COLLECT_DELAY) => {}
+                    () = state.parts.released.notified() => {}
+                }
+                report_twice(&state).await;
             }
             () = sleep(EXCHANGE_INTERVAL) => {
                 send_reports(&state, &random_hosts(&state, EXCHANGE_FANOUT)).await;
@@ -200,6 +206,16 @@
     }
 }
 
+/// Reports to all other hosts, and again after a while or as soon as a quarantine ends.
+async fn report_twice(state: &Arc<GatewayState>) {
+    send_reports(state, &all_hosts(state)).await;
+    tokio::select! {
+        () = sleep(REPEAT_DELAY) => {}
+        () = state.parts.released.notified() => {}
+    }
+    send_reports(state, &all_hosts(state)).await;
+}
+
 fn all_hosts(state: &GatewayState) -> Vec<Name> {
     let peers = lock(&state.peers);
     let present = peers.iter().filter(|record| !record.has_left);
