--- a/crates/cuminramp-fleet/src/presence.rs
+++ b/crates/cuminramp-fleet/src/presence.rs
@@ -4,12 +4,8 @@
 
 /// Time for which a host is silent before it is suspected: longer than it takes a process to start again.
 pub(crate) const SUSPICION_SILENCE: Duration = Duration::from_secs(3);
-/// Time that a suspected host has to write its row again, in a fleet whose hosts all read the rows each
-/// [`SUSPICION_READ_INTERVAL`] while one of them is silent.
-const REFUTATION_WINDOW: Duration = Duration::from_secs(3);
-/// The same in a large fleet, where the hosts that read the rows write them for others that they hear. They read them
-/// every 30 seconds at least.
-const LARGE_REFUTATION_WINDOW: Duration = Duration::from_secs(75);
+/// Number of reads of the rows in which a suspected host, or one that hears it, has to write its row again.
+const REFUTATION_READS: u32 = 3;
 /// Interval between two reads of the rows in a small fleet while a host is to be suspected.
 pub const SUSPICION_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the row of a lost host is deleted, and no part of a rate is reserved for it any more. A host that
@@ -39,8 +35,10 @@
     pub silence: Option<Duration>,
     /// Whether the local host is the one to change the row.
     pub is_judge: bool,
-    /// Whether the fleet is so large that few hosts read the rows.
+    /// Whether the fleet is so large that few hosts read the rows, also for those that they hear.
     pub is_large_fleet: bool,
+    /// Interval at which hosts read the rows while one of them is silent.
+    pub read_interval: Duration,
 }
 
 /// What the local host does about the row of another host.
@@ -70,6 +68,7 @@
     ///     silence: Some(Duration::from_secs(4)),
     ///     is_judge: true,
     ///     is_large_fleet: false,
+    ///     read_interval: Duration::from_secs(1),
     /// };
     /// assert_eq!(view.next_step(), PresenceStep::Suspect);
     /// ```
@@ -83,7 +82,9 @@
                 PresenceStep::Suspect
             }
             RowPresence::Suspected
-                if self.is_judge && is_silent && self.unchanged_for >= self.refutation_window() =>
+                if self.is_judge
+                    && is_silent
+                    && self.unchanged_for >= self.read_interval * REFUTATION_READS =>
             {
                 PresenceStep::DeclareLost
             }
@@ -96,10 +97,6 @@
             _ => PresenceStep::Keep,
         }
     }
-
-    fn refutation_window(&self) -> Duration {
-        if self.is_large_fleet { LARGE_REFUTATION_WINDOW } else { REFUTATION_WINDOW }
-    }
 }
 
 #[cfg(test)]
--- a/crates/cuminramp-fleet/src/presence/tests.rs
+++ b/crates/cuminramp-fleet/src/presence/tests.rs
@@ -11,6 +11,7 @@
         silence: silence_s.map(Duration::from_secs),
         is_judge: true,
         is_large_fleet: false,
+        read_interval: Duration::from_secs(1),
     }
 }
 
@@ -52,10 +53,14 @@
 /// Guards against a host of a large fleet that runs, and is declared lost because it does not read its row.
 #[test]
 fn hosts_of_a_large_fleet_answer_for_those_that_they_hear() {
-    let heard = PresenceView { is_large_fleet: true, ..view(RowPresence::Suspected, 4, None) };
+    let read_interval = Duration::from_secs(30);
+    let suspected = view(RowPresence::Suspected, 60, None);
+    let heard = PresenceView { is_large_fleet: true, read_interval, ..suspected };
     let silent = PresenceView { silence: Some(Duration::from_secs(60)), ..heard };
+    let for_long = PresenceView { unchanged_for: read_interval * 3, ..silent };
 
-    let steps = [heard.next_step(), silent.next_step()];
+    let steps = [heard, silent, for_long].map(|view| view.next_step());
 
-    assert_eq!(steps, [PresenceStep::Confirm, PresenceStep::Keep]);
+    let expected = [PresenceStep::Confirm, PresenceStep::Keep, PresenceStep::DeclareLost];
+    assert_eq!(steps, expected);
 }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -1,15 +1,14 @@
 //! Starts, drains and stops a gateway.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cuminramp_core::{HostId, Name, SeededRandom};
+use cuminramp_core::{HostId, SeededRandom};
 use cuminramp_fleet::{
     ColdTolerance, JobPolicy, JobTable, KnownHost, PeerPolicy, PeerTable, PlacementPolicy,
-    PlacementTable, QuotaTable, QuotaTolerance, RegionMap, SUSPICION_READ_INTERVAL, TeamWeights,
+    PlacementTable, QuotaTable, QuotaTolerance, RegionMap, TeamWeights,
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::{CrashTable, RetryBudget};
@@ -27,7 +26,7 @@
 use crate::parts::{exchange_parts, restore_quarantines};
 use crate::peers::{
     HostSocket, PauseDetector, PeerClients, broadcast_heartbeat, mark_silent_hosts,
-    receive_datagrams, send_heartbeats, send_seed_request, serve_calls,
+    receive_datagrams, send_heartbeats, serve_calls,
 };
 use crate::readers::{ReaderBudget, expire_unread};
 use crate::slots::{
@@ -35,9 +34,8 @@
 };
 use crate::state::{GatewayState, lock};
 use crate::sync::{
-    DeclarationsFollower, HostRowReview, RelayedStore, TargetsFollower, announce_host,
-    check_fleet_size, discover_hosts, drop_missing_targets, follow_table, has_suspects,
-    knows_all_zones, read_earlier_run, rereads_hosts, withdraw_host,
+    DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, check_fleet_size,
+    drop_missing_targets, follow_hosts, follow_table, read_earlier_run, withdraw_host,
 };
 use crate::targets::TargetConnections;
 
@@ -54,18 +52,6 @@
 const RATE_LOG_TURNS: u32 = 10;
 /// Maximum number of teams that are logged each time; those with the lowest levels come first.
 const MAX_LOGGED_TEAMS: usize = 8;
-/// Interval between two reads of the rows of all hosts. New hosts send join requests by themselves; the read
-/// finds hosts whose join requests were lost.
-const HOST_READ_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum of [`HOST_READ_INTERVAL`], which grows with the fleet since each read returns a row of every host.
-const MAX_HOST_READ_INTERVAL: Duration = Duration::from_secs(30);
-/// Maximum wait for the write of this host's row before the rows of all hosts are read for the first time.
-const MAX_ANNOUNCE_WAIT: Duration = Duration::from_millis(300);
-/// Time after the first start of a fleet by which most hosts have written their rows. A host that read them
-/// earlier would see a small fleet.
-const FIRST_HOST_READ_DELAY: Duration = Duration::from_millis(700);
-/// Delay after a failed read of the hosts' rows.
-const HOST_READ_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Maximum wait for the row of an earlier run of this host. A start must not take longer if the store does not answer.
 const MAX_EARLIER_RUN_WAIT: Duration = Duration::from_millis(300);
 /// Share of the grace period after which callers' connections are closed as soon as they are idle. By then
@@ -345,71 +331,6 @@
     spawn_loop(state, run_upkeep(state.clone()));
 }
 
-/// Sends join requests to the seeds, then reads the rows of all hosts at intervals.
-///
-/// The rows are read once this host's own row is written. Of two hosts that start at the same time, the
-/// later writer then reads the other's row. If each read before the other wrote, they would not know each
-/// other until the next read, and a team would get its rate from both.
-async fn follow_hosts(state: Arc<GatewayState>) {
-    for seed in seed_addresses(&state) {
-        send_seed_request(&state, &seed).await;
-    }
-    let mut announcement = state.is_announced.subscribe();
-    if state.settings.first_start {
-        tokio::time::sleep(FIRST_HOST_READ_DELAY).await;
-    }
-    // On timeout, the rows are read all the same: the store may reject writes only.
-    let _ = timeout(MAX_ANNOUNCE_WAIT, announcement.wait_for(|is| *is)).await;
-    let mut review = HostRowReview::default();
-    loop {
-        let was_announced = *state.is_announced.borrow();
-        let pause = match discover_hosts(&state, &mut review).await {
-            Ok(()) => {
-                state.has_read_host_table.fetch_or(was_announced, Ordering::Relaxed);
-                let schedule = lock(&state.peers).schedule();
-                if schedule.uses_probes() && !knows_all_zones(&state) {
-                    HOST_READ_INTERVAL
-                } else {
-                    schedule.scale(HOST_READ_INTERVAL, MAX_HOST_READ_INTERVAL)
-                }
-            }
-            Err(error) => {
-                state.metrics.count_store_failure("hosts");
-                log::debug!(reason = error.to_string().as_str(); "hosts-not-read");
-                HOST_READ_RETRY_DELAY
-            }
-        };
-        tokio::select! {
-            () = wait_for_host_read(&state, pause) => {}
-            Ok(_) = announcement.wait_for(|is| *is), if !was_announced => {}
-        }
-        let has_read = || state.has_read_host_table.load(Ordering::Relaxed);
-        while has_read() && !rereads_hosts(&state) {
-            tokio::time::sleep(HOST_READ_INTERVAL).await;
-        }
-    }
-}
-
-/// Waits until the rows of all hosts are to be read again: after `pause`, or sooner if a host is silent.
-async fn wait_for_host_read(state: &GatewayState, pause: Duration) {
-    let due = Instant::now() + pause;
-    loop {
-        let next = due.min(Instant::now() + SUSPICION_READ_INTERVAL);
-        tokio::time::sleep_until(next).await;
-        if next == due || has_suspects(state) {
-            return;
-        }
-    }
-}
-
-/// Returns the peer addresses of the seeds: their IP addresses with the peer port of this host.
-fn seed_addresses(state: &GatewayState) -> Vec<Name> {
-    let Ok(own) = state.local_host.address.parse::<SocketAddr>() else { return vec![] };
-    let seeds = state.settings.seeds.iter().filter_map(|seed| seed.parse::<SocketAddr>().ok());
-    let others = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
-    others.filter(|seed| *seed != own).map(|seed| seed.to_string().into()).collect()
-}
-
 async fn run_upkeep(state: Arc<GatewayState>) {
     let mut silent = Vec::new();
     let mut pauses = PauseDetector::new(UPKEEP_INTERVAL);
--- a/crates/cuminramp-gateway/src/sync/hosts.rs
+++ b/crates/cuminramp-gateway/src/sync/hosts.rs
@@ -100,7 +100,7 @@
 /// Reads only those of this host's zone if there are many: hosts of a large fleet learn of the others by
 /// their statuses, and rows of all hosts for each host would be most of what the store sends. Those of other
 /// zones are read by few hosts, if no host of one of them is known some time after the start.
-pub(crate) async fn discover_hosts(
+pub(super) async fn discover_hosts(
     state: &Arc<GatewayState>,
     review: &mut HostRowReview,
 ) -> Result<(), StoreError> {
@@ -145,13 +145,13 @@
 
 /// Returns whether this host reads the table of hosts again: each one of a small fleet, and in a large fleet those
 /// that follow the store for their zone.
-pub(crate) fn rereads_hosts(state: &GatewayState) -> bool {
+pub(super) fn rereads_hosts(state: &GatewayState) -> bool {
     let peers = lock(&state.peers);
     peers.table_source(TABLE, &[], Instant::now()) == TableSource::Store
 }
 
 /// Returns whether a host of each zone in the settings is known.
-pub(crate) fn knows_all_zones(state: &GatewayState) -> bool {
+pub(super) fn knows_all_zones(state: &GatewayState) -> bool {
     let peers = lock(&state.peers);
     let is_known = |zone: &str| peers.iter().any(|record| *record.host.zone == *zone);
     let mut others = state.settings.zone_regions.iter().map(|region| region.zone.as_str());
--- a/crates/cuminramp-gateway/src/sync/mod.rs
+++ b/crates/cuminramp-gateway/src/sync/mod.rs
@@ -6,6 +6,7 @@
 
 mod drains;
 mod follow;
+mod follow_hosts;
 mod hosts;
 mod mirrors;
 mod presence;
@@ -14,12 +15,9 @@
 
 pub(crate) use drains::apply_drains;
 pub(crate) use follow::{TableFollower, follow_table};
-pub(crate) use hosts::{
-    announce_host, check_fleet_size, discover_hosts, knows_all_zones, read_earlier_run,
-    rereads_hosts, withdraw_host,
-};
+pub(crate) use follow_hosts::follow_hosts;
+pub(crate) use hosts::{announce_host, check_fleet_size, read_earlier_run, withdraw_host};
 pub(crate) use mirrors::{TableMirrors, answer_follow};
-pub(crate) use presence::{HostRowReview, has_suspects};
 pub(crate) use relay::{RelayedStore, answer_store_call};
 pub(crate) use updates::{
     DeclarationsFollower, TargetsFollower, UpdateRows, answer_updates, drop_missing_targets,
--- a/crates/cuminramp-gateway/src/sync/presence.rs
+++ b/crates/cuminramp-gateway/src/sync/presence.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name, SortedMap};
-use cuminramp_fleet::{PresenceStep, PresenceView, RowPresence};
+use cuminramp_fleet::{PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL};
 use cuminramp_platform::{CommitOutcome, Condition, Row, StoreError, Transaction, Version};
 use cuminramp_wire::fleet::{HostPresence, HostRow};
 use cuminramp_wire::{decode_row, encode_row};
 use tokio::time::Instant;
 
+use super::follow_hosts::host_read_interval;
 use super::hosts::announce_host;
 use crate::jobs::unix_ms;
 use crate::state::{GatewayState, lock};
@@ -28,7 +29,7 @@
 
 /// Rows of hosts as this host has read them.
 #[derive(Debug, Default)]
-pub(crate) struct HostRowReview {
+pub(super) struct HostRowReview {
     seen: SortedMap<Name, SeenVersion>,
 }
 
@@ -90,13 +91,16 @@
                 RowPresence::Lost(Duration::from_millis(unix_ms().saturating_sub(host.lost_ms)))
             }
         };
+        let read_interval = host_read_interval(state);
         let peers = lock(&state.peers);
+        let is_large_fleet = peers.uses_probes();
         PresenceView {
             presence,
             unchanged_for: now.duration_since(seen.at),
             silence: peers.silence_of(&host.address, now),
             is_judge: peers.is_judge_of(&host.address, now),
-            is_large_fleet: peers.uses_probes(),
+            is_large_fleet,
+            read_interval: if is_large_fleet { read_interval } else { SUSPICION_READ_INTERVAL },
         }
     }
 }
@@ -167,7 +171,7 @@
 }
 
 /// Returns whether the rows of hosts are to be read soon: a host of a small fleet is silent, or suspects this one.
-pub(crate) fn has_suspects(state: &GatewayState) -> bool {
+pub(super) fn has_suspects(state: &GatewayState) -> bool {
     let peers = lock(&state.peers);
     let is_up = state.has_read_host_table.load(Ordering::Relaxed);
     is_up && !peers.uses_probes() && peers.has_suspects(Instant::now())
