--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -4,28 +4,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminramp_core::{Execution, Name, Refusal, ResultCode, hash_parts};
+use cuminramp_core::{Execution, Refusal, ResultCode, hash_parts};
 use cuminramp_fleet::{AcceptanceStep, AcceptanceView, ItemSpec, JobRowWriter, JobSpec, RouteRule};
 use cuminramp_platform::{CommitOutcome, StoreError, Transaction};
 use cuminramp_wire::encode_row;
-use cuminramp_wire::fleet::{GateRow, JobHeader, JobInput, JobItem, JobPhase, JobRow};
-use http::{HeaderValue, Response, StatusCode, Uri};
+use cuminramp_wire::fleet::{GateRow, JobRow};
+use http::{Response, StatusCode};
 use tokio::time::Instant;
 
 use super::directory::{KnownJob, unix_ms};
+use super::draft::{JobDraft, JobSubmission, MAX_INPUT_ROW_BYTES, build_draft, check_items};
 use super::hedged_commit::commit_hedged;
-use super::names::{acceptance_lock_key, input_key, input_object, job_key, jobs_prefix};
+use super::names::{input_key, input_object, jobs_prefix};
 use super::{JobCaller, writer};
 use crate::entry::{ResponseBody, complete_response};
-use crate::interfaces::TargetHead;
 use crate::state::{GatewayState, lock};
 
 /// Timeout after which a host stops trying to make a job durable. Callers wait 4 s and then retry at
 /// another host; a response within 3 s still reaches them.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Maximum difference of two hosts' clocks for which no item is given up too early: the times in a job's row are by the
-/// clock of the host that accepted it.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(80);
 /// Delay after which callers should retry a job that was refused because the team's limit of waiting tokens
@@ -36,29 +33,6 @@
 /// Maximum number of rows that one scan of a partition reads.
 const MAX_SCAN_ROWS: usize = 5_000;
 
-/// Maximum number of bytes of a job's input in one row. Rows hold 64 KiB in base64.
-const MAX_INPUT_ROW_BYTES: usize = 40 << 10;
-/// Maximum number of rows for a job's input, as one write holds 1 MB. Larger inputs are stored as objects.
-const MAX_INPUT_ROWS: usize = 15;
-
-/// A job that is being accepted, and the state of its writes.
-struct JobDraft {
-    row: JobRow,
-    /// The encoded [`JobInput`].
-    input: Bytes,
-    /// Tokens of all items.
-    tokens: u64,
-    /// Maximum number of tokens that the team may have waiting on the route; 0 if unlimited.
-    max_waiting_tokens: u64,
-    /// Key of the team's acceptance lock row.
-    lock_key: String,
-    /// Key of the job's row.
-    job_key: String,
-    started_at: Instant,
-    /// Whether the outcome of a write is unknown, so that it may still take effect.
-    has_pending_write: bool,
-}
-
 /// Outcome of a write of the job's row.
 enum WriteOutcome {
     /// The directory shows whether the write was applied: it was updated after the write ended.
@@ -132,8 +106,9 @@
         .read_job(body)
         .map_err(|error| Refusal::not_run(ResultCode::BodyMalformed, error.to_string()))?;
     check_items(state, &caller.head.host, &items)?;
-    let mut draft = build_draft(state, route, caller, &id, &items, body, started_at);
-    draft.row.declarations_version = version;
+    let digest = hash_parts(&[&String::from_utf8_lossy(body)]);
+    let submission = JobSubmission { id: &id, caller, route, version, started_at };
+    let mut draft = build_draft(state, &submission, &items, digest);
     if draft.row.input_rows == 0 {
         store_input_object(state, &draft).await?;
     }
@@ -144,99 +119,15 @@
     Ok(outcome)
 }
 
-/// Checks that each item can be sent to a target. One that can't would otherwise be accepted, and given up without
-/// having run.
-fn check_items(state: &GatewayState, host: &Name, items: &[ItemSpec]) -> Result<(), Refusal> {
-    let head = TargetHead { deadline: None, team: None, target: "-", last_event: None };
-    for item in items {
-        let path = item.path.parse::<Uri>();
-        let reason = if item.id.is_empty() || HeaderValue::from_str(&item.id).is_err() {
-            "the ID is empty or can't be sent in a header".to_owned()
-        } else if !path.is_ok_and(|path| path.path().starts_with('/')) {
-            "the path is not a valid URI".to_owned()
-        } else if let Err(error) = state.call_format.item_headers(item, host, &head) {
-            error.to_string()
-        } else {
-            continue;
-        };
-        let reason = format!("item {}: {reason}", item.id);
-        return Err(Refusal::not_run(ResultCode::FieldInvalid, reason));
-    }
-    Ok(())
-}
-
 /// Returns whether the directory has a job with this ID of the team.
 fn is_known(state: &GatewayState, id: &str, team: &str) -> bool {
     state.directory.get(id).is_some_and(|known| known.row.team == team)
 }
 
-fn build_draft(
-    state: &GatewayState,
-    route: &RouteRule,
-    caller: &JobCaller,
-    id: &Name,
-    items: &[ItemSpec],
-    body: &Bytes,
-    started_at: Instant,
-) -> JobDraft {
-    let tokens = items.iter().map(|item| item.tokens).sum();
-    let input = encode_input(items);
-    let input_rows = input.len().div_ceil(MAX_INPUT_ROW_BYTES);
-    let now = unix_ms();
-    let row = JobRow {
-        id: id.to_string(),
-        team: caller.team.to_string(),
-        route: route.name.to_string(),
-        host: caller.head.host.to_string(),
-        phase: JobPhase::Open as i32,
-        holder_address: state.local_host.address.to_string(),
-        holder_incarnation: state.local_host.incarnation,
-        fence: 1,
-        accepted_ms: now,
-        due_ms: now + route.due_after.as_millis() as u64,
-        give_up_ms: now + (route.item_ttl + CLOCK_TOLERANCE).as_millis() as u64,
-        max_attempts: route.max_attempts,
-        total: items.len() as u32,
-        listed: 0,
-        waiting_tokens: tokens,
-        commit: 0,
-        digest: hash_parts(&[&String::from_utf8_lossy(body)]),
-        input_rows: if input_rows <= MAX_INPUT_ROWS { input_rows as u32 } else { 0 },
-        declarations_version: 0,
-        writer: 0,
-    };
-    JobDraft {
-        row,
-        input,
-        tokens,
-        max_waiting_tokens: route.max_waiting_tokens,
-        lock_key: acceptance_lock_key(&caller.team),
-        job_key: job_key(&caller.team, id),
-        started_at,
-        has_pending_write: false,
-    }
-}
-
 fn unavailable(reason: impl Into<String>) -> Refusal {
     Refusal::not_run(ResultCode::StoreUnavailable, reason).with_retry_after(RETRY_AFTER)
 }
 
-/// Encodes the items as [`JobInput`].
-fn encode_input(items: &[ItemSpec]) -> Bytes {
-    let items = items.iter().map(|item| JobItem {
-        id: item.id.to_string(),
-        path: item.path.to_string(),
-        headers: item
-            .headers
-            .iter()
-            .map(|(name, value)| JobHeader { name: name.to_string(), value: value.to_string() })
-            .collect(),
-        body: item.body.to_vec(),
-        tokens: item.tokens,
-    });
-    Bytes::from(encode_row(&JobInput { items: items.collect() }))
-}
-
 /// Stores an input that is too large for rows as an object.
 async fn store_input_object(state: &GatewayState, draft: &JobDraft) -> Result<(), Refusal> {
     let name = input_object(&draft.row.team, &draft.row.id);
--- a/crates/cuminramp-gateway/src/jobs/mod.rs
+++ b/crates/cuminramp-gateway/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod checkpoint;
 mod directory;
+mod draft;
 mod end;
 mod hand_over;
 mod hedged_commit;
