--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -84,7 +84,7 @@
     ColdRule, ColdShare, ColdTolerance, FleetTarget, PaceChange, PlacementDecision,
     PlacementPolicy, PlacementRequest, PlacementTable, TARGET_PACE_RANGE, TargetPhase, WorkKind,
 };
-pub use presence::{PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL};
+pub use presence::{HostSight, PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL};
 pub use prompt_parts::{
     HeldPart, PartCounts, PartDecision, PartPolicy, PartReport, PartTable, PoolPart, PromptPart,
     ReportedCrash, SoundParts,
--- a/crates/cuminramp-fleet/src/peers/presence.rs
+++ b/crates/cuminramp-fleet/src/peers/presence.rs
@@ -10,14 +10,19 @@
 use tokio::time::Instant;
 
 use super::{PeerRecord, PeerTable};
-use crate::presence::{LOST_RETENTION, SUSPICION_SILENCE};
+use crate::presence::{HostSight, LOST_RETENTION, SUSPICION_SILENCE};
 
 impl PeerTable {
-    /// Returns for how long this host has heard nothing of a host; `None` if that host is alive, has left, or is not
-    /// known.
-    pub fn silence_of(&self, address: &str, now: Instant) -> Option<Duration> {
-        let record = self.peers.get(address).filter(|record| !record.has_left)?;
-        self.silence(record, now)
+    /// Returns what this host hears of another one; `None` if that one is not known.
+    pub fn sight_of(&self, address: &str, now: Instant) -> Option<HostSight> {
+        let record = self.peers.get(address)?;
+        if record.declared_lost_at.is_some() {
+            return Some(HostSight::Lost);
+        }
+        if record.has_left {
+            return Some(HostSight::Left);
+        }
+        Some(self.silence(record, now).map_or(HostSight::Heard, HostSight::Silent))
     }
 
     fn silence(&self, record: &PeerRecord, now: Instant) -> Option<Duration> {
--- a/crates/cuminramp-fleet/src/presence.rs
+++ b/crates/cuminramp-fleet/src/presence.rs
@@ -24,6 +24,19 @@
     Lost(Duration),
 }
 
+/// What the local host hears of another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostSight {
+    /// It is alive.
+    Heard,
+    /// Nothing for this long.
+    Silent(Duration),
+    /// It has reported that it left.
+    Left,
+    /// It was declared lost, and not heard since.
+    Lost,
+}
+
 /// The row of another host, as the local host sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PresenceView {
@@ -31,8 +44,8 @@
     pub presence: RowPresence,
     /// For how long the local host has known the row as it is.
     pub unchanged_for: Duration,
-    /// For how long the local host has heard nothing of the host; `None` if it is alive, or has left.
-    pub silence: Option<Duration>,
+    /// What the local host hears of the other one.
+    pub sight: HostSight,
     /// Whether the local host is the one to change the row.
     pub is_judge: bool,
     /// Whether the fleet is so large that few hosts read the rows, also for those that they hear.
@@ -61,11 +74,11 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use cuminramp_fleet::{PresenceStep, PresenceView, RowPresence};
+    /// use cuminramp_fleet::{HostSight, PresenceStep, PresenceView, RowPresence};
     /// let view = PresenceView {
     ///     presence: RowPresence::Present,
     ///     unchanged_for: Duration::from_secs(60),
-    ///     silence: Some(Duration::from_secs(4)),
+    ///     sight: HostSight::Silent(Duration::from_secs(4)),
     ///     is_judge: true,
     ///     is_large_fleet: false,
     ///     read_interval: Duration::from_secs(1),
@@ -73,27 +86,32 @@
     /// assert_eq!(view.next_step(), PresenceStep::Suspect);
     /// ```
     pub fn next_step(&self) -> PresenceStep {
-        let is_silent = self.silence.is_some_and(|silence| silence >= SUSPICION_SILENCE);
+        match (self.presence, self.sight) {
+            (RowPresence::Suspected, HostSight::Heard) if self.is_large_fleet => {
+                PresenceStep::Confirm
+            }
+            _ if !self.is_judge => PresenceStep::Keep,
+            (RowPresence::Lost(lost_for), _) if lost_for >= LOST_RETENTION => PresenceStep::Delete,
+            (RowPresence::Lost(_), _) => PresenceStep::Keep,
+            // The host could not delete its row.
+            (_, HostSight::Left) if self.unchanged_for >= SUSPICION_SILENCE => PresenceStep::Delete,
+            (_, HostSight::Silent(silence)) if silence >= SUSPICION_SILENCE => self.next_doubt(),
+            _ => PresenceStep::Keep,
+        }
+    }
+
+    /// Returns what to do about the row of a host that has been silent for long.
+    fn next_doubt(&self) -> PresenceStep {
         match self.presence {
             // A host that refuted a suspicion is not suspected again at once.
-            RowPresence::Present
-                if self.is_judge && is_silent && self.unchanged_for >= SUSPICION_SILENCE =>
-            {
+            RowPresence::Present if self.unchanged_for >= SUSPICION_SILENCE => {
                 PresenceStep::Suspect
             }
             RowPresence::Suspected
-                if self.is_judge
-                    && is_silent
-                    && self.unchanged_for >= self.read_interval * REFUTATION_READS =>
+                if self.unchanged_for >= self.read_interval * REFUTATION_READS =>
             {
                 PresenceStep::DeclareLost
             }
-            RowPresence::Lost(lost_for) if self.is_judge && lost_for >= LOST_RETENTION => {
-                PresenceStep::Delete
-            }
-            RowPresence::Suspected if self.silence.is_none() && self.is_large_fleet => {
-                PresenceStep::Confirm
-            }
             _ => PresenceStep::Keep,
         }
     }
--- a/crates/cuminramp-gateway/src/sync/presence.rs
+++ b/crates/cuminramp-gateway/src/sync/presence.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use cuminramp_core::{HostId, Name, SortedMap};
-use cuminramp_fleet::{PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL};
+use cuminramp_fleet::{
+    HostSight, PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL,
+};
 use cuminramp_platform::{CommitOutcome, Condition, Row, StoreError, Transaction, Version};
 use cuminramp_wire::fleet::{HostPresence, HostRow};
 use cuminramp_wire::{decode_row, encode_row};
@@ -97,7 +99,7 @@
         PresenceView {
             presence,
             unchanged_for: now.duration_since(seen.at),
-            silence: peers.silence_of(&host.address, now),
+            sight: peers.sight_of(&host.address, now).unwrap_or(HostSight::Heard),
             is_judge: peers.is_judge_of(&host.address, now),
             is_large_fleet,
             read_interval: if is_large_fleet { read_interval } else { SUSPICION_READ_INTERVAL },
