--- a/crates/cuminramp-fleet/src/peers/presence.rs
+++ b/crates/cuminramp-fleet/src/peers/presence.rs
@@ -10,8 +10,13 @@
 use tokio::time::Instant;
 
 use super::{PeerRecord, PeerTable};
+use crate::heartbeat::KnownHost;
 use crate::presence::{HostSight, LOST_RETENTION, SUSPICION_SILENCE};
 
+/// Time for which a host without a row is silent before it is declared lost. One that runs reads the rows, and writes its
+/// own again, in this time.
+const MISSING_SILENCE: Duration = Duration::from_secs(8);
+
 impl PeerTable {
     /// Returns what this host hears of another one; `None` if that one is not known.
     pub fn sight_of(&self, address: &str, now: Instant) -> Option<HostSight> {
@@ -61,6 +66,26 @@
         true
     }
 
+    /// Declares hosts lost that have no row, and returns them. Such a host began to leave, and ended before it could say
+    /// that it has left; one that runs would have written its row again. `lists` tells whether the rows that were read
+    /// include that of a host, or would not include it in any case.
+    pub fn declare_missing(
+        &mut self,
+        lists: impl Fn(&KnownHost) -> bool,
+        now: Instant,
+    ) -> Vec<HostId> {
+        let is_gone = |record: &&PeerRecord| {
+            let silence = self.silence(record, now).unwrap_or_default();
+            !record.has_left && silence >= MISSING_SILENCE && !lists(&record.host)
+        };
+        let missing: Vec<HostId> =
+            self.peers.values().filter(is_gone).map(PeerRecord::id).collect();
+        for id in &missing {
+            self.set_declared_lost(&id.address, Some(now), now);
+        }
+        missing
+    }
+
     /// Takes back that a host was declared lost: it has written its row again, though it may still be silent here.
     /// Returns whether that is news.
     pub fn restore(&mut self, id: &HostId, now: Instant) -> bool {
--- a/crates/cuminramp-fleet/src/peers/tests/presence.rs
+++ b/crates/cuminramp-fleet/src/peers/tests/presence.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, advance};
 
 use super::{heartbeat, known, receive_all, table};
+use crate::heartbeat::KnownHost;
 
 fn id(address: &str) -> HostId {
     HostId { address: address.into(), incarnation: 1 }
@@ -91,3 +92,22 @@
 
     assert!(!at_once && table.has_suspects(Instant::now()));
 }
+
+/// Hosts delete their rows when they begin to leave, and end before they have left. Guards against hosts without a row
+/// that count for ever.
+#[tokio::test(start_paused = true)]
+async fn silent_hosts_without_a_row_are_declared_lost() {
+    let mut table = table();
+    receive_all(&mut table, &["b", "c", "d"], "z1", 1);
+    advance(Duration::from_secs(5)).await;
+    receive_all(&mut table, &["b"], "z1", 2);
+
+    let lists = |host: &KnownHost| &*host.address == "c";
+    let early = table.declare_missing(lists, Instant::now());
+    advance(Duration::from_secs(4)).await;
+    receive_all(&mut table, &["b"], "z1", 3);
+    let missing = table.declare_missing(lists, Instant::now());
+
+    assert_eq!((early, missing), (vec![], vec![id("d")]));
+    assert_eq!(table.count_alive(Instant::now()), (2, 3));
+}
--- a/crates/cuminramp-gateway/src/sync/presence.rs
+++ b/crates/cuminramp-gateway/src/sync/presence.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::follow_hosts::host_read_interval;
-use super::hosts::announce_host;
+use super::hosts::{announce_host, key_of};
 use crate::jobs::unix_ms;
 use crate::state::{GatewayState, lock};
 
@@ -66,6 +66,7 @@
                 write_step(state, row, host, step).await?;
             }
         }
+        declare_missing(state, rows, now);
         if was_announced && !has_own_row && !state.is_draining() {
             log::warn!(reason = "suspected or lost"; "host-announced-again");
             announce_host(state.clone()).await;
@@ -116,6 +117,25 @@
     HostId { address: host.address.as_str().into(), incarnation: host.incarnation }
 }
 
+/// Declares silent hosts lost that have no row. In a large fleet only this host's zone is read each time.
+fn declare_missing(state: &GatewayState, rows: &[Row], now: Instant) {
+    let local_zone = &state.local_host.zone;
+    let mut peers = lock(&state.peers);
+    let reads_all_zones = !peers.uses_probes();
+    let missing = peers.declare_missing(
+        |host| {
+            let key = key_of(host);
+            let is_read = reads_all_zones || host.zone == *local_zone;
+            !is_read || rows.iter().any(|row| row.key == key)
+        },
+        now,
+    );
+    drop(peers);
+    for id in missing {
+        log::info!(peer = &*id.address, incarnation = id.incarnation; "host-without-row");
+    }
+}
+
 /// Records what another host's row says of it.
 fn apply_presence(state: &GatewayState, host: &HostRow, now: Instant) {
     let id = id_of(host);
