A run that others ignore for an earlier one with a higher incarnation takes a higher one

What callers saw: after a start with the clock ahead and one more with the clock right, hosts of a large fleet were not steered to and were counted as silent for as long as they ran, and the jobs of the run before were left to themselves.

Cause: where the store does not answer a start, or the host's row names neither run, the present run has the lower incarnation. Others that remember the earlier one ignore its messages as late ones. A small fleet forgets the earlier run after 1.5 s of silence; with more than 64 hosts, which pass statuses on by incarnation, nothing did.

The fix: a host is told of the later run that is known of its address, and raises its incarnation above it; so it does for a higher one in its row or in the row of an open job. All comparisons may count on the later run having the higher number again. That a host takes over jobs of its own run with the higher incarnation itself is gone with it.

Seen to fail without the raise: a_run_after_one_with_its_clock_ahead_is_heard_in_a_large_fleet (9 of 100 hosts heard).

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -78,7 +78,7 @@
 pub use outliers::{OutlierChange, TargetOutcomes};
 pub use peers::{
     LocalReadiness, PROBE_INTERVAL, PeerPolicy, PeerRecord, PeerTable, ProbeStep, StatusRequest,
-    StatusResponse,
+    StatusResponse, incarnation_after,
 };
 pub use placement::{
     ColdRule, ColdShare, ColdTolerance, FleetTarget, PaceChange, PlacementDecision,
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use cuminramp_core::{HostId, Name, RandomSource, SortedMap, rendezvous_score};
+use cuminramp_core::{HostId, Incarnation, Name, RandomSource, SortedMap, rendezvous_score};
 use tokio::time::Instant;
 
 use crate::heartbeat::{HostHeartbeat, KnownHost};
@@ -16,11 +16,13 @@
 mod candidates;
 mod presence;
 mod probes;
+mod renewal;
 mod statuses;
 mod zones;
 
 use probes::ProbeState;
 pub use probes::{PROBE_INTERVAL, ProbeStep};
+pub use renewal::incarnation_after;
 pub use statuses::{StatusRequest, StatusResponse};
 use statuses::{StatusState, part_of};
 
@@ -92,6 +94,8 @@
 #[derive(Debug)]
 pub struct PeerTable {
     local: KnownHost,
+    /// Highest incarnation of the local host that the store or another host has named.
+    latest_own_run: Incarnation,
     policy: PeerPolicy,
     schedule: HeartbeatSchedule,
     peers: SortedMap<Name, PeerRecord>,
@@ -106,6 +110,7 @@
     /// Creates a table without other hosts.
     pub fn new(local: KnownHost, policy: PeerPolicy) -> Self {
         PeerTable {
+            latest_own_run: local.incarnation,
             local,
             policy,
             schedule: HeartbeatSchedule::new(1, 1),
@@ -131,6 +136,7 @@
     /// incarnation is new, that is, higher than the recorded one.
     pub fn discover(&mut self, host: &KnownHost, now: Instant) -> bool {
         if host.address == self.local.address {
+            self.note_own_run(host.incarnation);
             return false;
         }
         let held = self.peers.get(&host.address);
--- a/crates/cuminramp-fleet/src/peers/statuses.rs
+++ b/crates/cuminramp-fleet/src/peers/statuses.rs
@@ -122,7 +122,7 @@
         self.update_local_hash();
     }
 
-    fn update_local_hash(&mut self) {
+    pub(super) fn update_local_hash(&mut self) {
         let new = hash_status(&self.local, self.statuses.revision, false);
         let old = std::mem::replace(&mut self.statuses.local_hash, new);
         self.statuses.replace_hash(part_of(&self.local.address), old, new);
@@ -263,6 +263,7 @@
         let mut has_news = false;
         for status in statuses {
             if status.host.address == self.local.address {
+                self.note_own_run(status.host.incarnation);
                 has_news |= self.refute(status);
             } else {
                 has_news |= self.merge_status(status, is_change, now);
--- a/crates/cuminramp-fleet/src/peers/tests/probing.rs
+++ b/crates/cuminramp-fleet/src/peers/tests/probing.rs
@@ -8,7 +8,9 @@
 
 use crate::fixtures::{host_heartbeat, known_host};
 use crate::heartbeat::{HostHeartbeat, KnownHost};
-use crate::peers::{LocalReadiness, PROBE_INTERVAL, PeerPolicy, PeerTable, StatusRequest};
+use crate::peers::{
+    LocalReadiness, PROBE_INTERVAL, PeerPolicy, PeerTable, StatusRequest, StatusResponse,
+};
 
 const ZONES: usize = 5;
 /// Duration of one step of the replay, which is also the time that a message takes.
@@ -18,7 +20,7 @@
 enum Message {
     Heartbeat { from: usize, to: usize, heartbeat: Box<HostHeartbeat> },
     Request { from: usize, to: usize, request: StatusRequest },
-    Response { to: usize, response: crate::peers::StatusResponse },
+    Response { to: usize, response: StatusResponse },
 }
 
 /// Hosts that probe each other, without network.
@@ -85,7 +87,7 @@
             revision: table.local_revision(),
             statuses: table.recent_statuses(Instant::now()),
             status_digest: table.status_digest(),
-            ..host_heartbeat(host(from), self.sequence)
+            ..host_heartbeat(table.local_host().clone(), self.sequence)
         })
     }
 
@@ -101,15 +103,21 @@
                 let zone = heartbeat.host.zone.clone();
                 let is_probe = heartbeat.is_probe;
                 let table = &mut self.tables[to];
-                table.receive_heartbeat(*heartbeat, now);
+                let later_run = table.later_run_of(&heartbeat.host);
+                if !table.receive_heartbeat(*heartbeat, now) {
+                    if let Some(status) = later_run {
+                        let response = StatusResponse { statuses: vec![status], has_more: false };
+                        self.send(Message::Response { to: from, response });
+                    }
+                    return;
+                }
                 self.has_news[to] |= table.merge_statuses(&statuses, true, now);
                 let wrong = table.status_of(&host(from).address).filter(|status| status.is_silent);
                 if let Some(request) = table.request_statuses(&zone, digest, now) {
                     self.send(Message::Request { from: to, to: from, request });
                 }
                 if let Some(status) = wrong {
-                    let response =
-                        crate::peers::StatusResponse { statuses: vec![status], has_more: false };
+                    let response = StatusResponse { statuses: vec![status], has_more: false };
                     self.send(Message::Response { to: from, response });
                 }
                 if is_probe {
@@ -127,7 +135,8 @@
                     status.is_silent && status.host.address == table.local_host().address
                 });
                 let has_news = table.merge_statuses(&response.statuses, false, now);
-                self.has_news[to] |= has_news && is_refutation;
+                let is_renewed = table.renew_incarnation(&mut self.random).is_some();
+                self.has_news[to] |= is_renewed || has_news && is_refutation;
             }
             _ => {}
         }
@@ -270,6 +279,33 @@
     assert_eq!((alive, all), (301, 301));
 }
 
+/// A host starts while its clock is ahead, and again with the clock right, and the store does not tell it of the run
+/// before. Guards against others that ignore its messages for as long as it lives.
+#[tokio::test(start_paused = true)]
+async fn a_run_after_one_with_its_clock_ahead_is_heard_in_a_large_fleet() {
+    let mut fleet = ProbingFleet::new(100);
+    fleet.run(Duration::from_secs(1)).await;
+    let behind = KnownHost { incarnation: host(3).incarnation - 1, ..host(3) };
+    let policy = PeerPolicy { lost_timeout: Duration::from_millis(1_500) };
+
+    fleet.tables[3] = PeerTable::new(behind, policy);
+    for index in (0..100).filter(|index| *index != 3) {
+        fleet.tables[3].discover(&host(index), Instant::now());
+    }
+    fleet.run(Duration::from_secs(4)).await;
+
+    let (alive, all) = fleet.tables[3].count_alive(Instant::now());
+    assert_eq!((alive, all), (100, 100));
+    let present = fleet.tables[3].local_host().incarnation;
+    let address = host(3).address;
+    let hears = |index: &usize| {
+        let record = fleet.tables[*index].get(&address).unwrap();
+        let is_alive = fleet.tables[*index].is_alive(record, Instant::now());
+        is_alive && record.host.incarnation == present
+    };
+    assert_eq!((0..100).filter(|index| *index != 3).filter(hears).count(), 99);
+}
+
 /// A heartbeat arrives after other hosts have passed on what the sender said later: that it has left. The sender would
 /// count as present again, with the revision of the status that says otherwise, so that no digest differs.
 #[tokio::test(start_paused = true)]
--- a/crates/cuminramp-fleet/src/slots/ledger.rs
+++ b/crates/cuminramp-fleet/src/slots/ledger.rs
@@ -134,6 +134,14 @@
         self.rejections.clear();
     }
 
+    /// Continues under another incarnation of this host, as after a pause: other hosts took its messages for those of an
+    /// earlier run.
+    pub fn renew(&mut self, me: HostId, placement: &mut PlacementTable) {
+        self.reset(placement);
+        self.last_grant = self.last_grant.max(me.incarnation);
+        self.me = me;
+    }
+
     /// Records that this host owns the group with this hash or responds to requests for it, and renews the
     /// ownership.
     pub fn record_ownership(&mut self, group: u32, now: Instant) {
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -7,8 +7,8 @@
 
 use cuminramp_core::{HostId, SeededRandom};
 use cuminramp_fleet::{
-    ColdTolerance, JobPolicy, JobTable, KnownHost, PeerPolicy, PeerTable, PlacementPolicy,
-    PlacementTable, QuotaTable, QuotaTolerance, RegionMap, TeamWeights,
+    ColdTolerance, JobPolicy, JobTable, PeerPolicy, PeerTable, PlacementPolicy, PlacementTable,
+    QuotaTable, QuotaTolerance, RegionMap, TeamWeights, incarnation_after,
 };
 use cuminramp_settings::GatewaySettings;
 use cuminramp_targets::{CrashTable, RetryBudget};
@@ -32,7 +32,7 @@
 use crate::slots::{
     SlotState, log_pace_changes, maintain_owned_groups, return_targets, send_reports,
 };
-use crate::state::{GatewayState, lock};
+use crate::state::{GatewayState, LocalHost, lock};
 use crate::sync::{
     DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, check_fleet_size,
     drop_missing_targets, follow_hosts, follow_table, read_earlier_run, withdraw_host,
@@ -113,8 +113,8 @@
     bound.map_err(|source| GatewayError::Listen { setting, address: address.to_owned(), source })
 }
 
-/// Returns the incarnation of this run: the time in microseconds since the Unix epoch, or one more than that of the
-/// earlier run that the host's row names, whichever is higher. The clock may have been ahead during that run.
+/// Returns the incarnation of this run: the time in microseconds since the Unix epoch, or a higher one than that of the
+/// earlier run that the host's row names. The clock may have been ahead during that run.
 async fn new_incarnation(settings: &GatewaySettings, store: &dyn FleetStore) -> u64 {
     let passed = SystemTime::now().duration_since(UNIX_EPOCH);
     let by_clock = passed.map_or(1, |passed| passed.as_micros() as u64);
@@ -127,7 +127,7 @@
         let ahead_ms = (earlier - by_clock) / 1_000;
         log::warn!(earlier = earlier, ahead_ms = ahead_ms; "clock-behind-earlier-run");
     }
-    by_clock.max(earlier.saturating_add(1))
+    by_clock.max(incarnation_after(earlier, &mut SeededRandom::new(rand::rng().next_u64())))
 }
 
 fn build_state(
@@ -138,14 +138,14 @@
     fleet_format: Arc<dyn FleetFormat>,
 ) -> Result<GatewayState, GatewayError> {
     let now = Instant::now();
-    let local_host = KnownHost {
+    let local_host = LocalHost {
         address: settings.peer_address.as_str().into(),
-        incarnation,
         caller_address: settings.caller_address.as_str().into(),
         zone: settings.availability_zone.as_str().into(),
         core_percent: (settings.cpu_share * 100.0).round() as u16,
     };
-    let id = HostId { address: local_host.address.clone(), incarnation: local_host.incarnation };
+    let id = HostId { address: local_host.address.clone(), incarnation };
+    let known_host = local_host.with_incarnation(incarnation);
     let relayed_store = Arc::new(RelayedStore::new(store.clone()));
     let tolerance = QuotaTolerance {
         share: settings.rate_tolerance_share,
@@ -181,7 +181,7 @@
         crashes: CrashTable::new(MAX_REQUEST_CRASHES, QUARANTINE_TTL).into(),
         parts: Default::default(),
         failover_budget: RetryBudget::new(FAILOVER_SHARE, FAILOVER_BURST).into(),
-        peers: PeerTable::new(local_host.clone(), PEER_POLICY).into(),
+        peers: PeerTable::new(known_host, PEER_POLICY).into(),
         jobs: JobTable::new(JobPolicy::default()).into(),
         directory: Default::default(),
         writers: Default::default(),
@@ -212,6 +212,7 @@
         stop: CancellationToken::new(),
         settings,
         local_host,
+        incarnation: incarnation.into(),
         store: relayed_store.clone(),
         relayed_store,
         direct_store: store,
@@ -249,7 +250,7 @@
         let _ = state.socket.set(socket);
         log::info!(
             host = state.settings.name.as_str(), address = &*state.local_host.address,
-            incarnation = state.local_host.incarnation, zone = &*state.local_host.zone,
+            incarnation = state.incarnation(), zone = &*state.local_host.zone,
             callers = &*state.local_host.caller_address;
             "started"
         );
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -14,6 +14,7 @@
 
 use super::names::{JOBS, acceptance_lock_key, is_acceptance_lock};
 use super::run::stop_job;
+use crate::peers::renew_incarnation;
 use crate::state::{GatewayState, lock};
 use crate::sync::TableFollower;
 
@@ -224,8 +225,13 @@
 /// host has taken it over.
 pub(super) fn apply_row(state: &Arc<GatewayState>, row: &Row) {
     let Some(job) = state.directory.record_row(row) else { return };
-    let is_holder = *job.holder_address == *state.local_host.address
-        && job.holder_incarnation == state.local_host.incarnation;
+    let names_this_host = *job.holder_address == *state.local_host.address;
+    if names_this_host && job.phase() == JobPhase::Open {
+        // The row of the host may name neither of two runs, and others would take the holder for the present one.
+        lock(&state.peers).note_own_run(job.holder_incarnation);
+        renew_incarnation(state);
+    }
+    let is_holder = names_this_host && job.holder_incarnation == state.incarnation();
     if is_holder && job.phase() == JobPhase::Open {
         return;
     }
--- a/crates/cuminramp-gateway/src/jobs/draft.rs
+++ b/crates/cuminramp-gateway/src/jobs/draft.rs
@@ -96,7 +96,7 @@
         host: caller.head.host.to_string(),
         phase: JobPhase::Open as i32,
         holder_address: state.local_host.address.to_string(),
-        holder_incarnation: state.local_host.incarnation,
+        holder_incarnation: state.incarnation(),
         fence: 1,
         accepted_ms: now,
         due_ms: now + route.due_after.as_millis() as u64,
--- a/crates/cuminramp-gateway/src/jobs/takeover.rs
+++ b/crates/cuminramp-gateway/src/jobs/takeover.rs
@@ -115,7 +115,7 @@
     }
     let mut row = known.row.clone();
     row.holder_address = state.local_host.address.to_string();
-    row.holder_incarnation = state.local_host.incarnation;
+    row.holder_incarnation = state.incarnation();
     row.fence += 1;
     let key = job_key(&row.team, &row.id);
     let transaction = Transaction::default().put_if_version(key, known.version, encode_row(&row));
@@ -141,12 +141,6 @@
     let now = Instant::now();
     let peers = lock(&state.peers);
     let has_no_holder = row.holder_address.is_empty();
-    // An earlier run of this host whose clock was ahead. The others take it for the present run.
-    if holder.address == state.local_host.address
-        && holder.incarnation > state.local_host.incarnation
-    {
-        return true;
-    }
     if !has_no_holder && (!peers.is_lost(holder, now) || !peers.has_at_least_half(now)) {
         return false;
     }
--- a/crates/cuminramp-gateway/src/peers/gossip.rs
+++ b/crates/cuminramp-gateway/src/peers/gossip.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::heartbeats::{HeartbeatKind, make_heartbeat, send_heartbeat};
+use super::renewal::renew_incarnation;
 use super::socket::send_to_host;
 use crate::state::{GatewayState, lock};
 
@@ -176,7 +177,7 @@
 
 /// Handles a response to a request for statuses, and requests the rest.
 pub(super) async fn handle_status_response(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     from: &Name,
     response: StatusResponse,
 ) {
@@ -189,6 +190,7 @@
         let request = (response.has_more && has_news).then(|| peers.status_request());
         (has_news && is_own, request)
     };
+    renew_incarnation(state);
     if has_news {
         // This host was recorded as silent; the next heartbeats refute it.
         state.request_heartbeat();
--- a/crates/cuminramp-gateway/src/peers/heartbeats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -7,10 +7,12 @@
 use cuminramp_core::{HostId, Name};
 use cuminramp_fleet::{
     CrashCount, HeartbeatTimer, HostHeartbeat, HostMessage, HostStatus, KnownHost, LocalReadiness,
+    StatusResponse,
 };
 use tokio::time::Instant;
 
 use super::gossip::{BROADCAST_FANOUT, Gossip, StatusExchange, random_hosts};
+use super::renewal::renew_incarnation;
 use super::socket::{HostSocket, send_to_host};
 use crate::jobs::record_reported_end;
 use crate::parts::report_parts_to;
@@ -89,7 +91,7 @@
     let crash_counts =
         lock(&state.crashes).recent_local_crashes(CRASH_COUNT_TTL, MAX_CRASH_COUNTS, now);
     HostHeartbeat {
-        host: state.local_host.clone(),
+        host: state.known_host(),
         sequence,
         is_ready,
         has_left: state.has_left.load(Ordering::Relaxed),
@@ -239,7 +241,13 @@
     let address = heartbeat.host.address.clone();
     let known_hosts = heartbeat.known_hosts.clone();
     let exchange = StatusExchange::new(&heartbeat);
+    let later_run = lock(&state.peers).later_run_of(&heartbeat.host);
     let is_applied = apply_heartbeat(state, heartbeat, now);
+    if let Some(status) = later_run.filter(|_| !is_applied) {
+        // Either an old message, or the host's clock was ahead during its earlier run.
+        let response = StatusResponse { statuses: vec![status], has_more: false };
+        send_to_host(state, HostMessage::StatusResponse(response), &from).await;
+    }
     if is_applied && is_join_request {
         let response = make_heartbeat(state, HeartbeatKind::JoinResponse { includes_hosts });
         send_to_host(state, HostMessage::Heartbeat(response), &from).await;
@@ -260,6 +268,7 @@
             send_join_request(state, &host.address).await;
         }
     }
+    renew_incarnation(state);
 }
 
 /// Applies a heartbeat to the state of this host. Returns `false` if the heartbeat is outdated, or is this
--- a/crates/cuminramp-gateway/src/slots/admission.rs
+++ b/crates/cuminramp-gateway/src/slots/admission.rs
@@ -276,7 +276,7 @@
         drop(placement);
         let latest_start = terms.deadline.checked_sub(request.objective).unwrap_or(now);
         AdmissionRequest {
-            incarnation: self.state.local_host.incarnation,
+            incarnation: self.state.incarnation(),
             request_id: self.request_id,
             group: self.group.hash(),
             avoided,
@@ -297,7 +297,7 @@
     fn withdraw(&mut self) {
         let Some(owner) = self.queue_owner.take() else { return };
         let withdrawal = AdmissionWithdrawal {
-            incarnation: self.state.local_host.incarnation,
+            incarnation: self.state.incarnation(),
             request_id: self.request_id,
             group: self.group.hash(),
         };
--- a/crates/cuminramp-gateway/src/slots/mod.rs
+++ b/crates/cuminramp-gateway/src/slots/mod.rs
@@ -110,6 +110,14 @@
         self.bring_all_reports_forward();
     }
 
+    /// Continues under the present incarnation of this host, after it was raised.
+    pub(crate) fn renew(&self, state: &GatewayState) {
+        let mut placement = lock(&state.placement);
+        lock(&self.ledger).renew(state.id(), &mut placement);
+        drop(placement);
+        self.bring_all_reports_forward();
+    }
+
     /// Brings the next report on a group forward, because a slot came free or items wait for one.
     pub(crate) fn bring_report_forward(&self, group: &SlotGroup) {
         lock(&self.report_timer).bring_forward(group, Instant::now());
--- a/crates/cuminramp-gateway/src/slots/pace.rs
+++ b/crates/cuminramp-gateway/src/slots/pace.rs
@@ -14,7 +14,7 @@
     if paces.is_empty() {
         return;
     }
-    let incarnation = state.local_host.incarnation;
+    let incarnation = state.incarnation();
     let report = PaceReport { incarnation, group: group.hash(), paces };
     send_to_host(state, HostMessage::PaceReport(report), &owner.address).await;
 }
--- a/crates/cuminramp-gateway/src/slots/report.rs
+++ b/crates/cuminramp-gateway/src/slots/report.rs
@@ -61,7 +61,7 @@
     let acknowledged_grant = state.slots.acknowledge_grants(&owner.address);
     let mut placement = lock(&state.placement);
     SlotReport {
-        incarnation: state.local_host.incarnation,
+        incarnation: state.incarnation(),
         sequence: state.slots.report_sequence.fetch_add(1, Ordering::Relaxed),
         group: group.hash(),
         acknowledged_grant,
--- a/crates/cuminramp-gateway/src/slots/request.rs
+++ b/crates/cuminramp-gateway/src/slots/request.rs
@@ -263,7 +263,7 @@
     avoided.extend(placement.hashes_of(tried));
     drop(placement);
     SlotRequest {
-        incarnation: state.local_host.incarnation,
+        incarnation: state.incarnation(),
         request_id: state.slots.next_request_id.fetch_add(1, Ordering::Relaxed),
         group: group.hash(),
         avoided,
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use cuminramp_core::{HostId, RandomSource};
+use cuminramp_core::{AvailabilityZone, HostId, Incarnation, Name, RandomSource};
 use cuminramp_fleet::{
     DeclarationStore, DrainTable, FleetDeclarations, FleetKnowledge, JobTable, KnownHost,
     LocalReadiness, PeerTable, PlacementTable, QuotaTable, RegionMap, TeamWeights,
@@ -37,11 +37,32 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Addresses, zone and size of this host.
+#[derive(Clone, Debug)]
+pub(crate) struct LocalHost {
+    /// Address for other hosts.
+    pub(crate) address: Name,
+    /// Address for callers.
+    pub(crate) caller_address: Name,
+    pub(crate) zone: AvailabilityZone,
+    /// Share of a processor core that the host may use, in percent.
+    pub(crate) core_percent: u16,
+}
+
+impl LocalHost {
+    /// Returns the host as its heartbeats describe it.
+    pub(crate) fn with_incarnation(&self, incarnation: Incarnation) -> KnownHost {
+        let LocalHost { address, caller_address, zone, core_percent } = self.clone();
+        KnownHost { address, incarnation, caller_address, zone, core_percent }
+    }
+}
+
 /// State shared by the parts of a gateway. Each lock is held only for a decision, never across an `await`.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
-    /// This host, as its heartbeats describe it.
-    pub(crate) local_host: KnownHost,
+    pub(crate) local_host: LocalHost,
+    /// Incarnation of this run. It is raised if an earlier run turns out to have had a higher one.
+    pub(crate) incarnation: AtomicU64,
     /// The store, called through other hosts while it does not answer this one.
     pub(crate) store: Arc<dyn FleetStore>,
     /// The same object as `store`, by its own type, for checks of whether the store answers this host.
@@ -121,10 +142,17 @@
 impl GatewayState {
     /// Returns the address and incarnation of this run.
     pub(crate) fn id(&self) -> HostId {
-        HostId {
-            address: self.local_host.address.clone(),
-            incarnation: self.local_host.incarnation,
-        }
+        HostId { address: self.local_host.address.clone(), incarnation: self.incarnation() }
+    }
+
+    /// Returns the incarnation of this run.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation.load(Ordering::Relaxed)
+    }
+
+    /// Returns this host as its heartbeats describe it.
+    pub(crate) fn known_host(&self) -> KnownHost {
+        self.local_host.with_incarnation(self.incarnation())
     }
 
     /// Returns the declarations in force; `None` until some were read.
--- a/crates/cuminramp-gateway/src/sync/hosts.rs
+++ b/crates/cuminramp-gateway/src/sync/hosts.rs
@@ -14,7 +14,7 @@
 
 use super::presence::HostRowReview;
 use crate::interfaces::FleetStore;
-use crate::peers::send_join_request;
+use crate::peers::{renew_incarnation, send_join_request};
 use crate::state::{GatewayState, lock};
 
 /// Name of the hosts table.
@@ -58,23 +58,28 @@
 
 /// Writes this host's row and retries until the write succeeds.
 pub(crate) async fn announce_host(state: Arc<GatewayState>) {
-    let local_host = &state.local_host;
-    let row = HostRow {
-        address: local_host.address.to_string(),
-        incarnation: local_host.incarnation,
-        caller_address: local_host.caller_address.to_string(),
-        zone: local_host.zone.to_string(),
-        core_percent: u32::from(local_host.core_percent),
-        presence: HostPresence::Present.into(),
-        lost_ms: 0,
-    };
-    let transaction = Transaction::default().put(key_of(local_host), encode_row(&row));
-    while let Err(error) = state.store.commit(transaction.clone()).await {
-        let reason = error.to_string();
-        log::warn!(reason = reason.as_str(); "host-not-announced");
+    let incarnation = loop {
+        let host = state.known_host();
+        let row = HostRow {
+            address: host.address.to_string(),
+            incarnation: host.incarnation,
+            caller_address: host.caller_address.to_string(),
+            zone: host.zone.to_string(),
+            core_percent: u32::from(host.core_percent),
+            presence: HostPresence::Present.into(),
+            lost_ms: 0,
+        };
+        let transaction = Transaction::default().put(key_of(&host), encode_row(&row));
+        match state.store.commit(transaction).await {
+            Ok(_) => break host.incarnation,
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(reason = reason.as_str(); "host-not-announced");
+            }
+        }
         tokio::time::sleep(RETRY_DELAY).await;
-    }
-    log::info!(address = &*local_host.address, incarnation = local_host.incarnation; "host-announced");
+    };
+    log::info!(address = &*state.local_host.address, incarnation = incarnation; "host-announced");
     state.is_announced.send_replace(true);
 }
 
@@ -159,7 +164,7 @@
 }
 
 /// Records the hosts in rows and returns the addresses of the new ones.
-fn record_hosts(state: &GatewayState, rows: &[Row]) -> Vec<Name> {
+fn record_hosts(state: &Arc<GatewayState>, rows: &[Row]) -> Vec<Name> {
     let mut new_hosts = Vec::new();
     for row in rows {
         let host = match decode_row::<HostRow>(&row.value) {
@@ -181,13 +186,14 @@
             new_hosts.push(known.address);
         }
     }
+    renew_incarnation(state);
     new_hosts
 }
 
 /// Deletes this host's row when it leaves. A failure is only logged: other hosts declare this one lost.
 pub(crate) async fn withdraw_host(state: &Arc<GatewayState>) {
     let transaction =
-        Transaction { deletes: vec![key_of(&state.local_host)], ..Transaction::default() };
+        Transaction { deletes: vec![key_of(&state.known_host())], ..Transaction::default() };
     if let Err(error) = state.store.commit(transaction).await {
         let reason = error.to_string();
         log::warn!(reason = reason.as_str(); "host-not-withdrawn");
--- a/crates/cuminramp-gateway/src/sync/presence.rs
+++ b/crates/cuminramp-gateway/src/sync/presence.rs
@@ -110,7 +110,7 @@
 
 /// Returns whether this host's row is as the host itself wrote it.
 fn is_own_announcement(state: &GatewayState, host: &HostRow) -> bool {
-    host.presence() == HostPresence::Present && host.incarnation == state.local_host.incarnation
+    host.presence() == HostPresence::Present && host.incarnation == state.incarnation()
 }
 
 fn id_of(host: &HostRow) -> HostId {
--- a/crates/cuminramp-gateway/src/sync/relay.rs
+++ b/crates/cuminramp-gateway/src/sync/relay.rs
@@ -169,7 +169,7 @@
 
 /// Returns the key of this host's own row, which is small and thus a cheap read to probe the store with.
 fn host_key(state: &GatewayState) -> String {
-    key_of(&state.local_host)
+    key_of(&state.known_host())
 }
 
 /// Retries a small read until the store answers or the gateway stops.
--- a/crates/cuminramp-gateway/src/tokens.rs
+++ b/crates/cuminramp-gateway/src/tokens.rs
@@ -137,7 +137,7 @@
     attempt: AttemptKind,
 ) -> OwnerReply {
     let request = TokenRequest {
-        incarnation: state.local_host.incarnation,
+        incarnation: state.incarnation(),
         request_id: state.tokens.next_request_id.fetch_add(1, Ordering::Relaxed),
         team: name_hash(team),
         other_owner_level: lock(&state.quota).other_owner_level(team, owner, Instant::now()),
