The daemon takes a higher incarnation if others know an earlier run with one

After a start with the clock ahead and one with the clock right, other daemons ignore the present run for as long as it lives, and take leases and shards of the earlier one for held.

Cause: the incarnation is the time of day at the start, and states of a host are ordered by it. A recorded run with a higher one counts as alive, since the present run answers its probes, so that nobody tells the present run of it.

The fix: a host that gets a message from a run behind the recorded one adds the recorded state to its next probe, and the daemon renews its incarnation above it, as it does after a pause.

Seen to fail without the state in the probe: a_run_after_one_with_its_clock_ahead_learns_of_the_higher_incarnation (earlier run None instead of 9).

--- a/crates/cuminramp-daemon/src/sync/shards.rs
+++ b/crates/cuminramp-daemon/src/sync/shards.rs
@@ -46,7 +46,8 @@
         let mut ledger = lock(&state.ledger);
         let outcome = ledger.tick(confirmed, now);
         drop(ledger);
-        if outcome == TickOutcome::Lost {
+        let earlier_run = lock(&state.members).earlier_run_ahead();
+        if outcome == TickOutcome::Lost || earlier_run.is_some() {
             renew_incarnation(&state, confirmed, now);
         }
         let mut ledger = lock(&state.ledger);
@@ -58,11 +59,12 @@
     }
 }
 
-/// Continues under a new incarnation that owns no shards, as after a restart, but keeps the requests in
-/// flight.
+/// Continues under a new incarnation, higher than that of each earlier run that others know. It owns no shards, as after a
+/// restart, but keeps the requests in flight.
 fn renew_incarnation(state: &DaemonState, confirmed: bool, now: Instant) {
     let mut members = lock(&state.members);
-    let incarnation = new_incarnation().max(members.local_host().id.incarnation + 1);
+    let latest = members.earlier_run_ahead().unwrap_or(members.local_host().id.incarnation);
+    let incarnation = new_incarnation().max(latest.saturating_add(1));
     members.set_incarnation(incarnation, now);
     let me = members.local_host().id.clone();
     drop(members);
--- a/crates/cuminramp-membership/src/table.rs
+++ b/crates/cuminramp-membership/src/table.rs
@@ -73,6 +73,10 @@
     policy: MemberPolicy,
     /// This host.
     local: Member,
+    /// Highest incarnation of this host that another host has named.
+    latest_own_run: Incarnation,
+    /// Addresses of hosts whose last message was from a run with a lower incarnation than the recorded one.
+    runs_behind: Vec<Name>,
     /// All other hosts, by peer address.
     members: SortedMap<Name, Member>,
     /// Addresses in the platform's list as last read, sorted.
@@ -109,7 +113,9 @@
         };
         MemberTable {
             policy,
+            latest_own_run: local.host.id.incarnation,
             local,
+            runs_behind: Vec::new(),
             members: SortedMap::new(),
             listed: Vec::new(),
             unprobed: Vec::new(),
@@ -144,6 +150,12 @@
         self.local.since = now;
     }
 
+    /// Returns the highest incarnation of an earlier run of this host, if it exceeds the present one: its clock was ahead
+    /// then. Others ignore the present run until [`set_incarnation`](Self::set_incarnation) raises its incarnation.
+    pub fn earlier_run_ahead(&self) -> Option<Incarnation> {
+        Some(self.latest_own_run).filter(|latest| *latest > self.local.host.id.incarnation)
+    }
+
     /// Returns whether this host is leaving.
     pub fn is_leaving(&self) -> bool {
         self.local.status == MemberStatus::Leaving
--- a/crates/cuminramp-membership/src/table/tests.rs
+++ b/crates/cuminramp-membership/src/table/tests.rs
@@ -237,3 +237,26 @@
     assert!(tables.iter().all(|table| table.usable_hosts().len() == 2));
     assert!(tables[..2].iter().all(|table| table.answering_peers().len() == 2));
 }
+
+/// A host starts while its clock is ahead, and again with the clock right. Guards against others that ignore the present
+/// run for as long as it lives, and do not take over what the earlier one held.
+#[test]
+fn a_run_after_one_with_its_clock_ahead_learns_of_the_higher_incarnation() {
+    let now = Instant::now();
+    let mut tables = connected_tables(3, now);
+    let ahead = MemberTable::new(host(0, 9), MemberPolicy::default(), now);
+    tables[1].on_message(&ahead.local_state(), now);
+    tables[2].on_message(&ahead.local_state(), now);
+
+    tables[0] = MemberTable::new(host(0, 5), MemberPolicy::default(), now);
+    exchange(&mut tables, 0, 1, &|_, _| true, now);
+    exchange(&mut tables, 1, 0, &|_, _| true, now);
+    let earlier = tables[0].earlier_run_ahead();
+    tables[0].set_incarnation(10, now);
+    exchange(&mut tables, 0, 1, &|_, _| true, now);
+
+    assert_eq!(earlier, Some(9));
+    assert_eq!(tables[0].earlier_run_ahead(), None);
+    assert!(tables[1].is_dead_for(&host(0, 9).id, SECOND, now));
+    assert!(!tables[1].is_dead_for(&host(0, 10).id, SECOND, now));
+}
--- a/crates/cuminramp-membership/src/table/updates.rs
+++ b/crates/cuminramp-membership/src/table/updates.rs
@@ -20,9 +20,15 @@
 
 impl MemberTable {
     /// Applies the state that a host sent about itself in a probe or an answer. If it is recorded as
-    /// suspect or dead, the next message to it includes that state (see
+    /// suspect or dead, or with a later incarnation, the next message to it includes that state (see
     /// [`take_updates`](Self::take_updates)), and the host refutes it.
     pub fn on_message(&mut self, state: &HostState, now: Instant) {
+        if let Some(known) = self.members.get(&*state.address)
+            && known.host.id.incarnation > state.incarnation
+            && !self.runs_behind.contains(&known.host.id.address)
+        {
+            self.runs_behind.push(known.host.id.address.clone());
+        }
         self.merge(state, now);
     }
 
@@ -36,14 +42,17 @@
     }
 
     /// Returns the updates for the next message and counts them as sent. If the receiver at `address` is
-    /// not recorded as alive, its recorded state comes first, so that it can refute it at once.
+    /// not recorded as alive, or with a later incarnation, its recorded state comes first, so that it can refute it at
+    /// once.
     pub fn take_updates(&mut self, address: Option<&str>) -> Vec<HostState> {
         self.pending_updates.sort_by_key(|update| std::cmp::Reverse(update.remaining));
         let mut states = Vec::new();
-        if let Some(member) = address.and_then(|address| self.members.get(address))
-            && member.status != MemberStatus::Alive
-        {
-            states.push(member.to_state());
+        if let Some(member) = address.and_then(|address| self.members.get(address)) {
+            let is_behind = self.runs_behind.contains(&member.host.id.address);
+            if is_behind || member.status != MemberStatus::Alive {
+                states.push(member.to_state());
+            }
+            self.runs_behind.retain(|behind| *behind != member.host.id.address);
         }
         for update in self.pending_updates.iter_mut().take(self.policy.max_updates_per_message) {
             update.remaining -= 1;
@@ -76,8 +85,9 @@
     }
 
     /// Refutes a received state that contains a wrong status of this host: raises this host's sequence
-    /// number above that of the state, so that its own state wins.
+    /// number above that of the state, so that its own state wins. Records the incarnation that others know.
     fn refute(&mut self, state: &HostState, now: Instant) {
+        self.latest_own_run = self.latest_own_run.max(state.incarnation);
         let local = &mut self.local;
         let is_same_incarnation = state.incarnation == local.host.id.incarnation;
         let is_wrong = MemberStatus::from_wire(state.status()) != local.status;
