A lost host whose row names another run than the others know is declared lost

What callers saw: accepted jobs that no host works on after most hosts were lost for good, if the rows of the lost ones name runs other than their last: the store did not take the row of a host that started, as while it refuses writes.

Cause: the row is declared lost, but the record of the host only follows a row of the same run.

One that runs would have written its row again.

--- a/crates/cuminramp-gateway/src/sync/presence.rs
+++ b/crates/cuminramp-gateway/src/sync/presence.rs
@@ -6,7 +6,7 @@
 
 use cuminramp_core::{HostId, Name, SortedMap};
 use cuminramp_fleet::{
-    HostSight, PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL,
+    HostSight, KnownHost, PresenceStep, PresenceView, RowPresence, SUSPICION_READ_INTERVAL,
 };
 use cuminramp_platform::{CommitOutcome, Condition, Row, StoreError, Transaction, Version};
 use cuminramp_wire::fleet::{HostPresence, HostRow};
@@ -117,6 +117,15 @@
     HostId { address: host.address.as_str().into(), incarnation: host.incarnation }
 }
 
+/// Returns whether a host's row is that of another run that was declared lost. A host that runs would have written it
+/// again.
+fn is_of_lost_run(row: &Row, host: &KnownHost) -> bool {
+    let said = decode_row::<HostRow>(&row.value);
+    said.is_ok_and(|said| {
+        said.presence() == HostPresence::Lost && said.incarnation != host.incarnation
+    })
+}
+
 /// Declares silent hosts lost that have no row. In a large fleet only this host's zone is read each time.
 fn declare_missing(state: &GatewayState, rows: &[Row], now: Instant) {
     let local_zone = &state.local_host.zone;
@@ -124,9 +133,10 @@
     let reads_all_zones = !peers.uses_probes();
     let missing = peers.declare_missing(
         |host| {
-            let key = key_of(host);
             let is_read = reads_all_zones || host.zone == *local_zone;
-            !is_read || rows.iter().any(|row| row.key == key)
+            let key = key_of(host);
+            let row = rows.iter().find(|row| row.key == key);
+            !is_read || row.is_some_and(|row| !is_of_lost_run(row, host))
         },
         now,
     );
