The delay of an item after crashes of targets no longer grows

What callers saw (a report of a system like this one; not seen here): after a burst of crashes some sound items of a batch were hardly ever placed again, although all was calm and servers had room.

Cause: an item waited 2.5, 7.5, 22.5 and then 60 s after each crash without a new event between them, to spare targets from an item that crashes them. Items that are handed in for later never do that by themselves; one under which targets crashed is still owed.

Evidence: a test of the table of jobs with 2, 3, 5 and 20 crashes and then calm. Before, the item did not start within 1.5 s after 3, 5 and 20 of them.

The fix: after the third crash in a row an item waits one second, a quarter more or less by its ID, so that items under which targets crashed together do not all return in the same instant.

Seen to fail before: an_item_under_which_targets_crashed_starts_again_soon (3, 5, 20). The test crash_delays_start_short_and_grow asked for delays of up to 60 s and contradicted this; in its place stand that test and items_that_crashed_together_start_again_one_after_another_and_soon, which bound the delay from both sides.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminramp_core::{Name, SortedMap};
+use cuminramp_core::{Name, SortedMap, hash_parts};
 use tokio::time::Instant;
 
 mod checkpoint;
@@ -29,15 +29,11 @@
     pub failure_delay: Duration,
     /// Delay before an item is tried again that was held back.
     pub held_delay: Duration,
-    /// Delay before an item is retried after `crash_threshold` crashes: the item may have caused them.
-    /// Targets that crash for other reasons are mostly back by then.
-    pub initial_crash_delay: Duration,
-    /// Factor by which the delay grows with each further crash. With the defaults, an item that
-    /// crashes every target reaches two more in the half minute after the first three.
-    pub crash_delay_factor: u32,
-    /// Maximum delay after a crash.
-    pub max_crash_delay: Duration,
-    /// Number of consecutive crashes without a new event after which `initial_crash_delay` applies.
+    /// Delay before an item is retried after `crash_threshold` crashes, of which each item waits three to five quarters.
+    /// Targets that crash in a wave are back by then, and their items do not all return in the same instant. It does
+    /// not grow with further crashes: items never crash targets by themselves.
+    pub crash_delay: Duration,
+    /// Number of consecutive crashes without a new event after which `crash_delay` applies.
     pub crash_threshold: u32,
     /// Time after which the items of a job are given up whose route is not declared any more. An operator who removed
     /// it by mistake has this long to declare it again.
@@ -50,9 +46,7 @@
             initial_run_time: Duration::from_secs(5),
             failure_delay: Duration::from_millis(150),
             held_delay: Duration::from_secs(5),
-            initial_crash_delay: Duration::from_millis(2_500),
-            crash_delay_factor: 3,
-            max_crash_delay: Duration::from_secs(60),
+            crash_delay: Duration::from_secs(1),
             crash_threshold: 3,
             route_end_delay: Duration::from_secs(5),
         }
@@ -60,18 +54,20 @@
 }
 
 impl JobPolicy {
-    /// Returns the delay after the given number of consecutive crashes without a new event.
-    fn delay_after_crashes(&self, crashes: u32) -> Duration {
-        match crashes.checked_sub(self.crash_threshold) {
-            None => self.failure_delay,
-            Some(further) => {
-                let factor = self.crash_delay_factor.saturating_pow(further);
-                self.initial_crash_delay.saturating_mul(factor).min(self.max_crash_delay)
-            }
+    /// Returns the delay of an item after the given number of consecutive crashes without a new event.
+    fn delay_after_crashes(&self, item: &str, crashes: u32) -> Duration {
+        if crashes < self.crash_threshold {
+            return self.failure_delay;
         }
+        let quarter = self.crash_delay / 4;
+        let steps = hash_parts(&[item]) % CRASH_DELAY_STEPS;
+        quarter * 3 + quarter * 2 * steps as u32 / CRASH_DELAY_STEPS as u32
     }
 }
 
+/// Number of different delays after crashes, by which items are spread.
+const CRASH_DELAY_STEPS: u64 = 64;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ItemPhase {
     Waiting,
@@ -372,7 +368,8 @@
             }
             ItemFailure::Crashed => {
                 entry.crashes = if has_progressed { 0 } else { entry.crashes + 1 };
-                entry.not_before = Some(now + policy.delay_after_crashes(entry.crashes));
+                entry.not_before =
+                    Some(now + policy.delay_after_crashes(&entry.item.id, entry.crashes));
             }
         }
         None
