Items are not held back for crashes of targets, nor do crashes under them count against parts of prompts

What callers saw (a report of a system like this one; not seen here): sound items that were never placed again after a burst of crashes.

Cause: three crashes under an item quarantined its own part, and an item with a quarantined part waited for one of two trials, 1 and 30 s after the quarantine began. If the burst crashed these as well, or only callers' requests could have made them, it waited for up to an hour.

Evidence: a test in which targets crash for 6 s under the items of a job that share a part with callers' requests: no item was finished 10 s after that.

The fix: items never crash targets by themselves, so their crashes are no evidence, and a host sends one item with a quarantined part each 4 s, whatever the trials. Its response clears the part for all. The others wait 2 s at a time.

Seen to fail before: items_under_which_targets_crashed_are_finished_soon_after (callers have sent requests with one of their parts; without such requests it passed before as well). items_with_a_part_that_crashes_targets_are_held_back_and_kept stays as it is and passes.

--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -45,7 +45,7 @@
         JobPolicy {
             initial_run_time: Duration::from_secs(5),
             failure_delay: Duration::from_millis(150),
-            held_delay: Duration::from_secs(5),
+            held_delay: Duration::from_secs(2),
             crash_delay: Duration::from_secs(1),
             crash_threshold: 3,
             route_end_delay: Duration::from_secs(5),
--- a/crates/cuminramp-fleet/src/prompt_parts/policy.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/policy.rs
@@ -25,6 +25,9 @@
     /// Time after a trial is due from which any host may begin it: the one that ranks first may get no request with
     /// the part.
     pub any_host_delay: Duration,
+    /// Interval at which a host sends an item with a quarantined part, the first one this long after the quarantine
+    /// began.
+    pub item_interval: Duration,
     /// Time after the last crash for which a part without quarantine is remembered.
     pub suspicion_lifetime: Duration,
     /// Time after the last crash for which a quarantine lasts.
@@ -44,6 +47,7 @@
             max_begun_trials: 4,
             trial_timeout: Duration::from_secs(10),
             any_host_delay: Duration::from_secs(20),
+            item_interval: Duration::from_secs(4),
             suspicion_lifetime: Duration::from_secs(3_600),
             quarantine_lifetime: Duration::from_secs(3_600),
             report_lifetime: Duration::from_secs(2),
--- a/crates/cuminramp-fleet/src/prompt_parts/record.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/record.rs
@@ -57,6 +57,8 @@
     pub(super) begun_trials: u8,
     /// When the last trial of this host began, if its outcome is open.
     pub(super) trial_at: Option<Instant>,
+    /// When this host last sent an item with the part.
+    pub(super) item_sent_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -139,7 +141,14 @@
     /// Begins the quarantine at `began_at`, unless it is in force, and learns of trials. One beside another part
     /// becomes one of the part alone.
     pub(super) fn quarantine(&mut self, trials: u8, beside: Option<PoolPart>, began_at: Instant) {
-        let new = Quarantine { began_at, beside, trials, begun_trials: 0, trial_at: None };
+        let new = Quarantine {
+            began_at,
+            beside,
+            trials,
+            begun_trials: 0,
+            trial_at: None,
+            item_sent_at: None,
+        };
         let quarantine = self.quarantine.get_or_insert(new);
         quarantine.trials = quarantine.trials.max(trials);
         quarantine.beside = quarantine.beside.and(beside);
--- a/crates/cuminramp-fleet/src/prompt_parts/table.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table.rs
@@ -125,6 +125,34 @@
         decision
     }
 
+    /// Returns whether an item with these parts may be sent, which it is at once then.
+    ///
+    /// Items never crash targets by themselves, so that no item is held back for long: this host sends one with a
+    /// quarantined part at an interval. It is no trial, and its crash counts for nothing; a response that goes beyond
+    /// its begin clears the part.
+    pub fn admit_item(&mut self, parts: &[PoolPart], now: Instant) -> PartDecision {
+        let held: Vec<PoolPart> =
+            parts.iter().filter(|part| self.is_held(**part, parts)).copied().collect();
+        let Some(first) = held.first() else { return PartDecision::Admit };
+        let interval = self.policy.item_interval;
+        let is_due = |part: &PoolPart| {
+            self.quarantine_of(*part).is_none_or(|quarantine| {
+                let last = quarantine.item_sent_at.unwrap_or(quarantine.began_at);
+                now.saturating_duration_since(last) >= interval
+            })
+        };
+        if !held.iter().all(is_due) {
+            return PartDecision::Hold(*first);
+        }
+        for part in &held {
+            let record = self.records.get_mut(part);
+            if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+                quarantine.item_sent_at = Some(now);
+            }
+        }
+        PartDecision::Trial(*first)
+    }
+
     /// Returns whether the quarantine of a part holds for a request with `parts`.
     fn is_held(&self, part: PoolPart, parts: &[PoolPart]) -> bool {
         let beside = self.quarantine_of(part).map(|quarantine| quarantine.beside);
--- a/crates/cuminramp-fleet/src/prompt_parts/table/tests.rs
+++ b/crates/cuminramp-fleet/src/prompt_parts/table/tests.rs
@@ -236,3 +236,29 @@
 
     assert_eq!(decisions, [PartDecision::Hold(parts[0]), PartDecision::Trial(parts[0])]);
 }
+
+/// Targets go on crashing until both trials have failed. Guards against items that are held back for an hour then, and
+/// against all of them being sent at once.
+#[test]
+fn an_item_with_a_quarantined_part_is_sent_at_intervals_whatever_the_trials() {
+    let own = part("own");
+    let mut table = PartTable::default();
+    let began_at = crash(&mut table, &[own], 0, 3, Instant::now());
+    let mut now = began_at;
+    for target in 3..5 {
+        now += Duration::from_secs(31);
+        assert!(matches!(table.admit(&[own], now, |_| Duration::ZERO), PartDecision::Trial(_)));
+        table.record_crash(&[own], target, now);
+    }
+
+    let mut sent = vec![];
+    for second in 0..20 {
+        let at = now + Duration::from_secs(second);
+        if !matches!(table.admit_item(&[own], at), PartDecision::Hold(_)) {
+            sent.push(second);
+        }
+    }
+
+    assert!(is_held(&table, &[own], now + Duration::from_secs(60)), "both trials have failed");
+    assert_eq!(sent, [0, 4, 8, 12, 16]);
+}
--- a/crates/cuminramp-gateway/src/jobs/item_stream.rs
+++ b/crates/cuminramp-gateway/src/jobs/item_stream.rs
@@ -10,9 +10,7 @@
 use tokio::time::Instant;
 
 use crate::interfaces::TargetHead;
-use crate::parts::{
-    SOUND_EVENTS, admit_parts, parts_in_pool, record_part_crash, record_sound_parts,
-};
+use crate::parts::{SOUND_EVENTS, admit_item_parts, parts_in_pool, record_sound_parts};
 use crate::state::{GatewayState, lock};
 use crate::targets::{
     EventOrder, EventSplitter, ResponseFraming, SendFailure, StreamEnd, TargetRequest,
@@ -56,19 +54,16 @@
     let Some(spec) = lock(&state.jobs).get(&start.job).map(|job| job.spec().clone()) else {
         return RunEnd::Failed(ItemFailure::Preempted, "the job was released".into());
     };
-    let target = run.target.clone();
-    let parts = parts_in_pool(&state.call_format.item_parts(&start.item), &target.pool);
-    if let PartDecision::Hold(part) = admit_parts(state, &parts) {
+    let parts = parts_in_pool(&state.call_format.item_parts(&start.item), &run.target.pool);
+    if let PartDecision::Hold(part) = admit_item_parts(state, &parts) {
         return RunEnd::Failed(ItemFailure::Held, format!("part {part} is quarantined"));
     }
     let resumed_after = progress.last_event;
     let end = send_to_target(state, start, &spec, run, progress).await;
     let events = events_until(progress.last_event) - events_until(resumed_after);
-    match &end {
-        _ if events >= SOUND_EVENTS => record_sound_parts(state, &parts),
-        RunEnd::Complete => record_sound_parts(state, &parts),
-        RunEnd::Failed(ItemFailure::Crashed, _) => record_part_crash(state, parts, &target),
-        RunEnd::Failed(..) => {}
+    // A crash counts for nothing: items never crash targets by themselves.
+    if events >= SOUND_EVENTS || matches!(end, RunEnd::Complete) {
+        record_sound_parts(state, &parts);
     }
     end
 }
--- a/crates/cuminramp-gateway/src/parts.rs
+++ b/crates/cuminramp-gateway/src/parts.rs
@@ -100,6 +100,15 @@
     decision
 }
 
+/// Returns whether an item with these parts may be sent, just before it is.
+pub(crate) fn admit_item_parts(state: &GatewayState, parts: &[PoolPart]) -> PartDecision {
+    let decision = lock(&state.parts.table).admit_item(parts, Instant::now());
+    if let PartDecision::Trial(part) = decision {
+        log::info!(part = &*part.to_string(); "item-sent-with-part");
+    }
+    decision
+}
+
 /// Returns the refusal of a request with a quarantined part.
 pub(crate) fn refuse_part(state: &GatewayState, part: PoolPart) -> Refusal {
     let remaining = lock(&state.parts.table).remaining(part, Instant::now());
