The daemon does not give up items under which targets crashed

What callers saw: an item of a batch ended with error 1601 after two targets had crashed while they ran only this item, whatever they crashed for.

Cause: an item that runs alone when a target crashes was taken for the cause, and given up after `batch.item-crashes`, 2. Items that are handed in for later never crash targets by themselves.

Evidence: a test that crashes the engines four times while they run a sound item: it had ended after the third crash.

The fix: the default of `batch.item-crashes` is 0, no bound, and the item runs again a second after each crash. A bound may still be set where callers submit items that crash targets; the test of a poison item sets it and is otherwise as before.

Seen to fail before: an_item_under_which_engines_crashed_is_completed.

--- a/crates/cuminramp-batch/src/chunk.rs
+++ b/crates/cuminramp-batch/src/chunk.rs
@@ -130,8 +130,8 @@
 
 /// Returns the row with the crash counts of items that were in flight when a target crashed.
 ///
-/// Because the counts are in the row, the next holder also runs these items one at a time, and each
-/// ends with an error after a bounded number of crashes over all holders.
+/// Because the counts are in the row, the next holder also runs these items one at a time, and a bound on the crashes of an
+/// item holds over all holders.
 pub fn record_crashes(
     row: &ChunkRow,
     lease: &HeldLease,
--- a/crates/cuminramp-daemon/src/batch/runner.rs
+++ b/crates/cuminramp-daemon/src/batch/runner.rs
@@ -30,6 +30,8 @@
 const MAX_UNOWNED_ITEMS: u32 = 1;
 /// Delay before an item that its target did not accept is queued again.
 const REQUEUE_DELAY: Duration = Duration::from_millis(100);
+/// Delay before an item that ran alone on a target that crashed is queued again.
+const CRASH_DELAY: Duration = Duration::from_secs(1);
 
 /// Updates the windows and starts items in them, until the task is stopped.
 pub(crate) async fn run_items(state: Arc<DaemonState>) {
@@ -312,9 +314,9 @@
 
 /// Handles an item whose target crashed.
 ///
-/// It is not known which of the target's items caused the crash, so from now on each of them runs alone.
-/// An item that crashes targets while it runs alone, as often as the configured limit, ends with an
-/// error. The count is written to the chunk's row before the item runs again.
+/// It is not known whether one of the target's items caused the crash, so from now on each of them runs alone.
+/// If the settings limit the crashes of an item that runs alone, it ends with an error after so many. The count is
+/// written to the chunk's row before the item runs again.
 async fn handle_crash(state: &Arc<DaemonState>, item: ItemRef, isolated: bool) {
     let crashes = {
         let mut items = lock(&item.chunk.items);
@@ -329,7 +331,11 @@
         "item-crash"
     );
     write_crash_counts(state, &item.chunk).await;
-    if crashes < state.settings.batch.item_crashes {
+    let limit = state.settings.batch.item_crashes;
+    if limit == 0 || crashes < limit {
+        if isolated {
+            tokio::time::sleep(CRASH_DELAY).await;
+        }
         return queue_item(state, item);
     }
     let message = format!("{crashes} targets crashed while running only this item");
--- a/crates/cuminramp-settings/src/check.rs
+++ b/crates/cuminramp-settings/src/check.rs
@@ -180,7 +180,6 @@
         ("batch.poll-ms", settings.batch.poll_ms),
         ("batch.min-chunk-items", settings.batch.min_chunk_items.into()),
         ("batch.item-attempts", settings.batch.item_attempts.into()),
-        ("batch.item-crashes", settings.batch.item_crashes.into()),
     ];
     for (place, value) in above_zero {
         if value == 0 {
--- a/crates/cuminramp-settings/src/settings/batch.rs
+++ b/crates/cuminramp-settings/src/settings/batch.rs
@@ -20,7 +20,8 @@
     pub takeover_after_ms: u64,
     /// Number of attempts after which an item ends with an error.
     pub item_attempts: u32,
-    /// Number of target crashes, with the item running alone, after which the item ends with an error.
+    /// Number of target crashes, with the item running alone, after which the item ends with an error; 0 if it is run
+    /// again however often that was.
     pub item_crashes: u32,
     /// Maximum share of the slots of an engine (a target that serves a model) that batch items may fill while
     /// nothing else runs.
@@ -41,7 +42,7 @@
             chunks_per_host: 8,
             takeover_after_ms: 5_000,
             item_attempts: 5,
-            item_crashes: 2,
+            item_crashes: 0,
             window_share: 1.0,
             yield_ms: 250,
             item_timeout_ms: 120_000,
