Targets that send bytes without end are given up

Interim responses without end kept a connection open for seconds after its request was gone, since up to 50 MB of them were parsed in one turn.

Cause: an incomplete event and a whole response were bounded, the rest by the time between two frames only, which bytes without end never exceed.

The fix, for each reader of a target's response a limit in bytes and one in time: - head: 64 KB (32 KB with fixed buffers) and the time for the head; longer or unparsable is "malformed-answer", not a crash; - event: 128 KB instead of 1 MB; lines that are no fields or comments end the response; - stream: 16 KB without a new event, and the failover timeout and 100 ms while another target may go on; - item: the same bytes, 5 s without a new event, no more events than its tokens, 1 MB of output, and its own expiry; output beyond that is discarded, and the item starts anew elsewhere; - whole response: 8 MB, and all of them together an eighth of the host's memory, but for the first megabyte of each. A body that is too long no longer counts as a crash of the request.

--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::interfaces::{CallFormat, FleetFormat, FleetStore};
 use crate::jobs::{JobsFollower, hand_over_jobs, run_items, save_progress, take_over_jobs};
 use crate::metrics::GatewayMetrics;
+use crate::online::ResponseBudget;
 use crate::parts::{exchange_parts, restore_quarantines};
 use crate::peers::{
     HostSocket, PauseDetector, PeerClients, broadcast_heartbeat, mark_silent_hosts,
@@ -180,6 +181,7 @@
         streams: Default::default(),
         crashes: CrashTable::new(MAX_REQUEST_CRASHES, QUARANTINE_TTL).into(),
         parts: Default::default(),
+        response_budget: ResponseBudget::new(settings.memory_mb).into(),
         failover_budget: RetryBudget::new(FAILOVER_SHARE, FAILOVER_BURST).into(),
         peers: PeerTable::new(known_host, PEER_POLICY).into(),
         jobs: JobTable::new(JobPolicy::default()).into(),
--- a/crates/cuminramp-gateway/src/jobs/item_stream.rs
+++ b/crates/cuminramp-gateway/src/jobs/item_stream.rs
@@ -21,6 +21,10 @@
 const TARGET_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Minimum interval between two records of a running item's progress.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Timeout after which an item whose target sends bytes, but no new event, is resumed on another target.
+const NO_EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum size in bytes of an item's output: a page of results holds a megabyte.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
 /// Deadline that a target receives with an item. It limits orphaned work of a host
 /// that is lost.
 const ITEM_DEADLINE: Duration = Duration::from_secs(15);
@@ -105,7 +109,11 @@
     match send_request(run, request).await {
         Ok(response) => {
             let recorder = ProgressRecorder::new(state, start, progress);
-            read_response(response, progress, recorder).await
+            let reading = read_response(response, progress, recorder);
+            match tokio::time::timeout_at(spec.expires, reading).await {
+                Ok(end) => end,
+                Err(_) => lost("the item has expired"),
+            }
         }
         Err(failure @ (SendFailure::NotSent(_) | SendFailure::Refused { .. })) => {
             RunEnd::Failed(ItemFailure::Preempted, failure.as_str().into())
@@ -143,12 +151,14 @@
     mut recorder: ProgressRecorder,
 ) -> RunEnd {
     let mut splitter = EventSplitter::default();
+    let (mut seen_events, mut progressed_at) = (0, Instant::now());
     loop {
-        let frame = match tokio::time::timeout(TARGET_SILENCE_TIMEOUT, response.body.frame()).await
-        {
+        let silent_at = Instant::now() + TARGET_SILENCE_TIMEOUT;
+        let deadline = silent_at.min(progressed_at + NO_EVENT_TIMEOUT);
+        let frame = match tokio::time::timeout_at(deadline, response.body.frame()).await {
             Err(_) => {
                 response.run.end_failed();
-                return lost("no data within the timeout");
+                return lost("no new event within the timeout");
             }
             Ok(Some(Err(error))) => {
                 response.run.end_failed();
@@ -170,6 +180,12 @@
                 EventOrder::Gap(reason) => return broken(reason),
                 EventOrder::Next => {}
             }
+            if recorder.exceeds_limits(progress, id) {
+                // What came before is no more the item's output than this.
+                *progress = ItemProgress::default();
+                response.run.end_failed();
+                return broken("more output than the item can have");
+            }
             if progress.last_event.is_some() {
                 progress.text.push('\n');
             }
@@ -177,10 +193,13 @@
             progress.last_event = Some(id);
         }
         recorder.record(progress);
-        if let Some(reason) = splitter.size_error() {
+        if let Some(reason) = splitter.error() {
             response.run.end_failed();
             return broken(reason);
         }
+        if seen_events != splitter.progress() {
+            (seen_events, progressed_at) = (splitter.progress(), Instant::now());
+        }
     }
 }
 
@@ -203,6 +222,8 @@
     state: Arc<GatewayState>,
     job: Name,
     index: usize,
+    /// Number of tokens of the item's prompt and output; 0 if it is not known.
+    tokens: u64,
     started_at: Instant,
     /// Time that earlier runs of the item took.
     run_time_before: Duration,
@@ -217,12 +238,20 @@
             state: state.clone(),
             job: start.job.clone(),
             index: start.index,
+            tokens: start.item.tokens,
             started_at: now,
             run_time_before: progress.run_time,
             recorded: now,
         }
     }
 
+    /// Returns whether an event with this number would be more output than the item can have: an event stands for one
+    /// token at least.
+    fn exceeds_limits(&self, progress: &ItemProgress, event: u64) -> bool {
+        let has_too_many = self.tokens > 0 && event > self.tokens;
+        has_too_many || progress.text.len() > MAX_OUTPUT_BYTES
+    }
+
     fn record(&mut self, progress: &ItemProgress) {
         if self.recorded.elapsed() < PROGRESS_INTERVAL {
             return;
--- a/crates/cuminramp-gateway/src/online/forward.rs
+++ b/crates/cuminramp-gateway/src/online/forward.rs
@@ -3,17 +3,15 @@
 use cuminramp_core::Refusal;
 use cuminramp_targets::FailureStage;
 use http::Response;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use super::RequestOutcome;
+use super::buffer::{ReadFailure, read_complete};
 use super::serve::RequestDispatch;
 use super::stream::stream_body;
 use crate::entry::ResponseBody;
 use crate::targets::{TargetResponse, describe_error, is_path_cut};
 
-/// Maximum size in bytes of a response that is buffered until it is complete.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Returns the head of the caller's response, made from the head of the target's response.
 fn response_head(dispatch: &RequestDispatch, target_response: &TargetResponse) -> Response<()> {
     let mut response = Response::new(());
@@ -40,7 +38,7 @@
     loop {
         let deadline = dispatch.deadline();
         let head = response_head(&dispatch, &response);
-        let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect();
+        let body = read_complete(response.body, &dispatch.state.response_budget);
         let failure = match tokio::time::timeout_at(deadline, body).await {
             Ok(Ok(_)) if response.parts.status.is_server_error() && dispatch.may_run_again() => {
                 format!("the target answered {}", response.parts.status)
@@ -58,11 +56,13 @@
                 let outcome =
                     if is_failed { RequestOutcome::TargetFailed } else { RequestOutcome::Answered };
                 dispatch.record.end(outcome);
-                return Ok(head.map(|()| ResponseBody::Complete(Full::new(body.to_bytes()))));
+                return Ok(head.map(|()| ResponseBody::Complete(Full::new(body))));
             }
-            Ok(Err(error)) => {
-                let reason = describe_error(&*error);
-                if !is_path_cut(&*error) {
+            // A body without end is the target's fault, not the request's.
+            Ok(Err(ReadFailure::TooLong)) => "the response is too long".to_owned(),
+            Ok(Err(ReadFailure::Broken(error))) => {
+                let reason = describe_error(&error);
+                if !is_path_cut(&error) {
                     dispatch.record_crash(&response.run.target, &reason);
                 }
                 reason
--- a/crates/cuminramp-gateway/src/online/stream.rs
+++ b/crates/cuminramp-gateway/src/online/stream.rs
@@ -27,6 +27,9 @@
 /// two targets at once for 400 ms at most.
 const FIRST_DATA_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time without a new event, beyond the failover timeout, after which a target that sends bytes is given up.
+const STALL_MARGIN: Duration = Duration::from_millis(100);
+
 /// State of a stream that is passed on to a caller.
 struct StreamForwarder {
     dispatch: RequestDispatch,
@@ -43,6 +46,9 @@
     is_silent: bool,
     /// Whether the current response has gone beyond its begin.
     is_sound: bool,
+    /// Progress of the current response, and when it changed last.
+    progress: u64,
+    progressed_at: Instant,
 }
 
 /// Result of a read from the current response.
@@ -88,6 +94,8 @@
         recorded_at: None,
         is_silent: false,
         is_sound: false,
+        progress: 0,
+        progressed_at: Instant::now(),
     };
     unfold(Some(forwarder), |forwarder| async move {
         let mut forwarder = forwarder?;
@@ -158,7 +166,7 @@
             if !taken.bytes.is_empty() {
                 return StreamStep::Events(taken.bytes.freeze());
             }
-            if let Some(reason) = self.read_error.take() {
+            if let Some(reason) = self.read_error.take().or_else(|| self.stall()) {
                 return StreamStep::Interrupted(reason);
             }
             let frame = match self.read_frame().await {
@@ -180,6 +188,18 @@
         }
     }
 
+    /// Returns an error text if the target sends bytes, but no new event for so long that another one is to resume the
+    /// stream. A target that sends nothing is kept beside the other one, since it may go on.
+    fn stall(&mut self) -> Option<String> {
+        if self.progress != self.splitter.progress() || self.is_silent {
+            self.progress = self.splitter.progress();
+            self.progressed_at = Instant::now();
+        }
+        let timeout = self.dispatch.read_timeout() + STALL_MARGIN;
+        let is_stalled = self.dispatch.may_run_again() && self.progressed_at.elapsed() > timeout;
+        is_stalled.then(|| format!("bytes without a new event for {} ms", timeout.as_millis()))
+    }
+
     /// Returns whether the stream is complete where the body ended.
     fn end_body(&mut self) -> StreamStep {
         let Some(response) = &self.response else {
@@ -270,6 +290,8 @@
         self.resumed_after = self.dispatch.last_event;
         self.is_silent = false;
         self.is_sound = false;
+        self.progress = 0;
+        self.progressed_at = Instant::now();
     }
 
     /// Records that the target broke the response off. It counts as a crash unless the response has brought
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::interfaces::{CallFormat, FleetFormat, FleetStore};
 use crate::jobs::{JobDirectory, JobWriters, RunningItems};
 use crate::metrics::GatewayMetrics;
+use crate::online::ResponseBudget;
 use crate::parts::PartState;
 use crate::peers::{HostSocket, PeerClients};
 use crate::readers::ReaderBudget;
@@ -87,6 +88,8 @@
     pub(crate) parts: PartState,
     /// Limits sends beside those whose targets are silent.
     pub(crate) failover_budget: Mutex<RetryBudget>,
+    /// Bounds the memory of responses that are buffered until they are complete.
+    pub(crate) response_budget: Arc<ResponseBudget>,
     pub(crate) peers: Mutex<PeerTable>,
     pub(crate) jobs: Mutex<JobTable>,
     pub(crate) directory: JobDirectory,
--- a/crates/cuminramp-gateway/src/targets/connections.rs
+++ b/crates/cuminramp-gateway/src/targets/connections.rs
@@ -27,6 +27,8 @@
 /// Time before the keep-alive timeout at which an idle connection is no longer reused: the target may close
 /// it while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum size in bytes of the head of a response, and of the buffer into which a response is read.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to each target.
 const MAX_IDLE_PER_TARGET: usize = 4;
 
@@ -108,6 +110,7 @@
         stream.set_nodelay(true)?;
         set_unacknowledged_timeout(&stream, unacknowledged_timeout)?;
         let mut builder = Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
         if self.has_fixed_buffers {
             bound_target_socket(&stream)?;
             builder.max_buf_size(TARGET_READ_BYTES);
--- a/crates/cuminramp-gateway/src/targets/events.rs
+++ b/crates/cuminramp-gateway/src/targets/events.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::ResponseFraming;
+use super::progress::{StreamProgress, is_event};
 
 /// A complete event of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -75,9 +76,9 @@
     BrokenOff(String),
 }
 
-/// Maximum size of an event in bytes. Targets send events of a few hundred bytes. A target that never ended
-/// an event would fill the memory of the host, which is 160 MB in total on the smallest hosts.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event in bytes. Targets send events of a few hundred bytes. Targets that never ended an event would
+/// fill the memory of the host, which is 160 MB in total on the smallest hosts, with a few hundred streams.
+const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// Splits a stream into complete events.
 ///
@@ -91,6 +92,9 @@
     scanned: usize,
     /// Whether a complete event was returned.
     has_events: bool,
+    /// Whether the bytes that come next are no event.
+    is_malformed: bool,
+    progress: StreamProgress,
 }
 
 impl EventSplitter {
@@ -99,14 +103,23 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event; `None` until more bytes are pushed.
+    /// Removes and returns the next complete event; `None` until more bytes are pushed, or if they are no event.
     pub(crate) fn next_event(&mut self) -> Option<StreamEvent> {
+        if self.is_malformed {
+            return None;
+        }
         let end = self.find_end()?;
+        if !is_event(&self.buffer[..end]) {
+            self.is_malformed = true;
+            return None;
+        }
         self.scanned = 0;
         self.has_events = true;
         let raw = self.buffer.split_to(end).freeze();
         let id = parse_id(&raw);
-        Some(StreamEvent { raw, id })
+        let event = StreamEvent { raw, id };
+        self.progress.record(&event);
+        Some(event)
     }
 
     fn find_end(&mut self) -> Option<usize> {
@@ -147,14 +160,23 @@
             *last = event.id.or(*last);
             taken.bytes.extend_from_slice(&event.raw);
         }
-        taken.stop_reason = self.size_error();
+        taken.stop_reason = self.error();
         taken
     }
 
-    /// Returns an error text if the incomplete event is longer than [`MAX_EVENT_BYTES`].
-    pub(crate) fn size_error(&self) -> Option<String> {
+    /// Returns an error text if the bytes are no events, or without end.
+    pub(crate) fn error(&self) -> Option<String> {
+        if self.is_malformed {
+            return Some("bytes that are no event".to_owned());
+        }
         let is_too_long = self.buffer.len() > MAX_EVENT_BYTES;
-        is_too_long.then(|| format!("an event of over {MAX_EVENT_BYTES} bytes"))
+        let size_error = is_too_long.then(|| format!("an event of over {MAX_EVENT_BYTES} bytes"));
+        size_error.or_else(|| self.progress.error())
+    }
+
+    /// Returns the number of events that brought the stream forward.
+    pub(crate) fn progress(&self) -> u64 {
+        self.progress.events()
     }
 
     /// Returns whether the stream is complete if its body ends here without an error.
--- a/crates/cuminramp-gateway/src/targets/mod.rs
+++ b/crates/cuminramp-gateway/src/targets/mod.rs
@@ -4,6 +4,7 @@
 mod errors;
 mod events;
 mod framing;
+mod progress;
 mod send;
 
 pub(crate) use connections::{TargetConnection, TargetConnections, UNACKNOWLEDGED_TIMEOUT};
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -54,6 +54,8 @@
     Silent(Duration),
     /// The response doesn't belong to this request or isn't signed by a target.
     Foreign,
+    /// The bytes that arrived are no head of a response, or one that is too long.
+    Malformed(String),
 }
 
 impl SendFailure {
@@ -67,6 +69,7 @@
             SendFailure::Cut(_) => "cut",
             SendFailure::Silent(_) => "silent",
             SendFailure::Foreign => "foreign-answer",
+            SendFailure::Malformed(_) => "malformed-answer",
         }
     }
 
@@ -192,6 +195,9 @@
                 None if is_path_cut(error.error()) => {
                     return Err(SendFailure::Cut(describe_error(error.error())));
                 }
+                None if error.error().is_parse() => {
+                    return Err(SendFailure::Malformed(describe_error(error.error())));
+                }
                 None => return Err(SendFailure::Broken(describe_error(error.error()))),
             },
         }
@@ -267,7 +273,11 @@
         _ => placement.record_failure(&target.id, now),
     }
     drop(placement);
-    if matches!(failure, SendFailure::Broken(_) | SendFailure::Cut(_) | SendFailure::Silent(_)) {
+    let breaks_connections = !matches!(
+        failure,
+        SendFailure::NotSent(_) | SendFailure::Refused { .. } | SendFailure::Foreign
+    );
+    if breaks_connections {
         state.connections.close_idle(&target.address);
     }
 }
