--- a/crates/cuminramp-gateway/src/targets/connections.rs
+++ b/crates/cuminramp-gateway/src/targets/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to targets, and a pool of idle ones for reuse.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::head_limit::{HeadLimit, MAX_HEAD_BYTES, TargetStream};
 use crate::readers::{TARGET_READ_BYTES, bound_target_socket};
 use crate::state::lock;
 
@@ -27,8 +28,6 @@
 /// Time before the keep-alive timeout at which an idle connection is no longer reused: the target may close
 /// it while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
-/// Maximum size in bytes of the head of a response, and of the buffer into which a response is read.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to each target.
 const MAX_IDLE_PER_TARGET: usize = 4;
 
@@ -47,6 +46,7 @@
     address: Name,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    head_limit: Arc<HeadLimit>,
     /// Whether the connection was taken from the idle ones.
     pub(crate) is_reused: bool,
 }
@@ -60,6 +60,11 @@
 }
 
 impl TargetConnection {
+    /// Returns the limit of what is read until a head is complete.
+    pub(super) fn head_limit(&self) -> Arc<HeadLimit> {
+        self.head_limit.clone()
+    }
+
     /// Returns the sender of the connection; `None` once it was put back.
     pub(crate) fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
         self.sender.as_mut()
@@ -70,6 +75,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_limit: Arc<HeadLimit>,
     usable_until: Instant,
 }
 
@@ -115,8 +121,10 @@
             bound_target_socket(&stream)?;
             builder.max_buf_size(TARGET_READ_BYTES);
         }
+        let head_limit = Arc::new(HeadLimit::default());
+        let stream = TokioIo::new(TargetStream::new(stream, head_limit.clone()));
         let (sender, connection) =
-            builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+            builder.handshake(stream).await.map_err(std::io::Error::other)?;
         // Errors of the connection reach the request on it, which logs them.
         let task = tokio::spawn(async move {
             let _ = connection.await;
@@ -125,6 +133,7 @@
             address: address.clone(),
             sender: Some(sender),
             task: task.abort_handle(),
+            head_limit,
             is_reused: false,
         };
         Ok(opened)
@@ -140,6 +149,7 @@
                     address: address.clone(),
                     sender: Some(connection.sender),
                     task: connection.task,
+                    head_limit: connection.head_limit,
                     is_reused: true,
                 });
             }
@@ -161,7 +171,8 @@
             return;
         }
         let task = connection.task.clone();
-        connections.push(IdleConnection { sender, task, usable_until });
+        let head_limit = connection.head_limit.clone();
+        connections.push(IdleConnection { sender, task, head_limit, usable_until });
     }
 
     /// Closes the idle connections to a target that timed out or broke a connection. Its other connections
--- a/crates/cuminramp-gateway/src/targets/mod.rs
+++ b/crates/cuminramp-gateway/src/targets/mod.rs
@@ -4,6 +4,7 @@
 mod errors;
 mod events;
 mod framing;
+mod head_limit;
 mod progress;
 mod send;
 
--- a/crates/cuminramp-gateway/src/targets/send.rs
+++ b/crates/cuminramp-gateway/src/targets/send.rs
@@ -178,13 +178,18 @@
     let (response, is_reused) = loop {
         let acquired = connection.map_err(|error| SendFailure::NotSent(error.to_string()))?;
         let is_reused = acquired.is_reused;
+        let head_limit = acquired.head_limit();
+        head_limit.begin();
         run.connection = Some(acquired);
         let Some(sender) = run.connection.as_mut().and_then(TargetConnection::sender) else {
             return Err(SendFailure::NotSent("the connection is closed".into()));
         };
         match tokio::time::timeout_at(deadline, sender.try_send_request(http_request)).await {
             Err(_) => return Err(SendFailure::Silent(request.head_timeout)),
-            Ok(Ok(response)) => break (response, is_reused),
+            Ok(Ok(response)) => {
+                head_limit.end();
+                break (response, is_reused);
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 // The idle connection was closed before a byte of the request was sent.
                 Some(unsent) if is_reused => {
@@ -195,7 +200,7 @@
                 None if is_path_cut(error.error()) => {
                     return Err(SendFailure::Cut(describe_error(error.error())));
                 }
-                None if error.error().is_parse() => {
+                None if error.error().is_parse() || head_limit.is_exceeded() => {
                     return Err(SendFailure::Malformed(describe_error(error.error())));
                 }
                 None => return Err(SendFailure::Broken(describe_error(error.error()))),
