--- a/crates/cuminramp-gateway/src/peers/heartbeats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -258,17 +258,27 @@
     if is_applied {
         exchange.run(state, now).await;
     }
+    discover_known_hosts(state, known_hosts, &address, now).await;
+    renew_incarnation(state);
+}
+
+/// Records the hosts that a heartbeat of the host `source` names, and sends a join request to each new one.
+async fn discover_known_hosts(
+    state: &Arc<GatewayState>,
+    known_hosts: Vec<KnownHost>,
+    source: &Name,
+    now: Instant,
+) {
     // A response with as many hosts as fit is one of a larger fleet. Its hosts learn of this one by its row and its
     // heartbeats; join requests to all that each response names would be most of the traffic at a start.
     let is_complete = known_hosts.len() < MAX_HOSTS_JOIN_RESPONSE;
     for host in known_hosts {
         let is_new = lock(&state.peers).discover(&host, now);
         if is_new && is_complete && !lock(&state.peers).uses_probes() {
-            log::info!(peer = &*host.address, incarnation = host.incarnation, source = &*address; "host-known");
+            log::info!(peer = &*host.address, incarnation = host.incarnation, source = &**source; "host-known");
             send_join_request(state, &host.address).await;
         }
     }
-    renew_incarnation(state);
 }
 
 /// Applies a heartbeat to the state of this host. Returns `false` if the heartbeat is outdated, or is this
@@ -294,22 +304,7 @@
     }
     let was_silent = was_alive != Some(true);
     if was_silent {
-        let (state, address) = (state.clone(), id.address.clone());
-        tokio::spawn(async move { report_parts_to(&state, &address).await });
-    }
-    if was_silent {
-        if !uses_probes {
-            // In a large fleet the statuses of others tell so first, and the load line has the sum.
-            log::info!(peer = &*id.address, incarnation = id.incarnation; "host-heard");
-            update_alive_share(state);
-        }
-        let needs_full = !uses_probes || lock(&state.quota).needs_full_heartbeat(&id);
-        if !received.is_full && needs_full {
-            // The quota needs a full heartbeat as the baseline of the host's counts. The response to a
-            // join request is one.
-            let (state, address) = (state.clone(), id.address.clone());
-            tokio::spawn(async move { send_join_request(&state, &address).await });
-        }
+        welcome_host(state, &id, received.is_full, uses_probes);
     }
     // Drains are applied before newer declarations are requested: once declarations are in force, requests
     // are sent to targets.
@@ -322,19 +317,41 @@
         lock(&state.crashes).merge(count.fingerprint, count.crashes, now);
     }
     if is_behind(state, &received) {
-        let permit = state.update_request_permit.try_acquire();
-        if let Ok(permit) = permit {
-            permit.forget();
-            let state = state.clone();
-            tokio::spawn(async move {
-                request_updates(state.clone(), id.address).await;
-                state.update_request_permit.add_permits(1);
-            });
-        }
+        request_newer_tables(state, id.address);
     }
     true
 }
 
+/// Exchanges what a host needs that is heard for the first time, or again. `is_full` tells whether it sent a full
+/// heartbeat.
+fn welcome_host(state: &Arc<GatewayState>, id: &HostId, is_full: bool, uses_probes: bool) {
+    let (reporting, address) = (state.clone(), id.address.clone());
+    tokio::spawn(async move { report_parts_to(&reporting, &address).await });
+    if !uses_probes {
+        // In a large fleet the statuses of others tell so first, and the load line has the sum.
+        log::info!(peer = &*id.address, incarnation = id.incarnation; "host-heard");
+        update_alive_share(state);
+    }
+    let needs_full = !uses_probes || lock(&state.quota).needs_full_heartbeat(id);
+    if !is_full && needs_full {
+        // The quota needs a full heartbeat as the baseline of the host's counts. The response to a join request is
+        // one.
+        let (state, address) = (state.clone(), id.address.clone());
+        tokio::spawn(async move { send_join_request(&state, &address).await });
+    }
+}
+
+/// Requests newer declarations or targets from a host, unless such a request is under way.
+fn request_newer_tables(state: &Arc<GatewayState>, address: Name) {
+    let Ok(permit) = state.update_request_permit.try_acquire() else { return };
+    permit.forget();
+    let state = state.clone();
+    tokio::spawn(async move {
+        request_updates(state.clone(), address).await;
+        state.update_request_permit.add_permits(1);
+    });
+}
+
 /// Marks hosts that fell silent, so that the quota reserves their part of each rate, and logs each of them.
 ///
 /// `silent` holds the silent hosts of the previous call, sorted, and is replaced by the present ones.
