--- a/crates/cuminramp-fleet/src/jobs.rs
+++ b/crates/cuminramp-fleet/src/jobs.rs
@@ -29,8 +29,8 @@
     pub failure_delay: Duration,
     /// Delay before an item is tried again that was held back.
     pub held_delay: Duration,
-    /// Delay before an item is retried after `crash_threshold` crashes, of which each item waits three to five quarters.
-    /// Targets that crash in a wave are back by then, and their items do not all return in the same instant. It does
+    /// Mean delay before an item is retried after `crash_threshold` crashes. Targets that crash in a wave are back by
+    /// then. Items wait 0.75 to 1.25 times as long, so that they do not all return in the same instant. The delay does
     /// not grow with further crashes: items never crash targets by themselves.
     pub crash_delay: Duration,
     /// Number of consecutive crashes without a new event after which `crash_delay` applies.
--- a/crates/cuminramp-fleet/src/peers.rs
+++ b/crates/cuminramp-fleet/src/peers.rs
@@ -132,7 +132,7 @@
     /// incarnation is new, that is, higher than the recorded one.
     pub fn discover(&mut self, host: &KnownHost, now: Instant) -> bool {
         if host.address == self.local.address {
-            self.note_own_run(host.incarnation);
+            self.record_own_run(host.incarnation);
             return false;
         }
         let held = self.peers.get(&host.address);
--- a/crates/cuminramp-fleet/src/peers/renewal.rs
+++ b/crates/cuminramp-fleet/src/peers/renewal.rs
@@ -9,8 +9,8 @@
 use super::PeerTable;
 use crate::heartbeat::{HostStatus, KnownHost};
 
-/// Range of what the incarnation of a run exceeds that of the run before by, in microseconds. Two runs that follow the
-/// same one, of which the first did not write its row, get different incarnations.
+/// Maximum difference between the incarnations of a run and of the one before it, in microseconds, where the clock does
+/// not decide. It is drawn at random: two runs after the same one, of which the first did not write its row, differ.
 const INCARNATION_SPREAD: usize = 1_000_000;
 
 /// Returns an incarnation for the run that follows an earlier one.
@@ -26,8 +26,8 @@
 }
 
 impl PeerTable {
-    /// Records that the store or another host names a run of the local host.
-    pub fn note_own_run(&mut self, incarnation: Incarnation) {
+    /// Records the incarnation of a run of the local host that the store or another host names.
+    pub fn record_own_run(&mut self, incarnation: Incarnation) {
         self.latest_own_run = self.latest_own_run.max(incarnation);
     }
 
--- a/crates/cuminramp-fleet/src/peers/statuses.rs
+++ b/crates/cuminramp-fleet/src/peers/statuses.rs
@@ -263,7 +263,7 @@
         let mut has_news = false;
         for status in statuses {
             if status.host.address == self.local.address {
-                self.note_own_run(status.host.incarnation);
+                self.record_own_run(status.host.incarnation);
                 has_news |= self.refute(status);
             } else {
                 has_news |= self.merge_status(status, is_change, now);
--- a/crates/cuminramp-gateway/src/jobs/directory.rs
+++ b/crates/cuminramp-gateway/src/jobs/directory.rs
@@ -228,7 +228,7 @@
     let names_this_host = *job.holder_address == *state.local_host.address;
     if names_this_host && job.phase() == JobPhase::Open {
         // The row of the host may name neither of two runs, and others would take the holder for the present one.
-        lock(&state.peers).note_own_run(job.holder_incarnation);
+        lock(&state.peers).record_own_run(job.holder_incarnation);
         renew_incarnation(state);
     }
     let is_holder = names_this_host && job.holder_incarnation == state.incarnation();
--- a/crates/cuminramp-gateway/src/jobs/item_stream.rs
+++ b/crates/cuminramp-gateway/src/jobs/item_stream.rs
@@ -181,7 +181,7 @@
                 EventOrder::Next => {}
             }
             if recorder.exceeds_limits(progress, id) {
-                // What came before is no more the item's output than this.
+                // The events before this one are not the item's output either.
                 *progress = ItemProgress::default();
                 response.run.end_failed();
                 return broken("more output than the item can have");
--- a/crates/cuminramp-gateway/src/peers/heartbeats.rs
+++ b/crates/cuminramp-gateway/src/peers/heartbeats.rs
@@ -304,7 +304,7 @@
     }
     let was_silent = was_alive != Some(true);
     if was_silent {
-        welcome_host(state, &id, received.is_full, uses_probes);
+        exchange_state_with(state, &id, received.is_full, uses_probes);
     }
     // Drains are applied before newer declarations are requested: once declarations are in force, requests
     // are sent to targets.
@@ -324,7 +324,7 @@
 
 /// Exchanges what a host needs that is heard for the first time, or again. `is_full` tells whether it sent a full
 /// heartbeat.
-fn welcome_host(state: &Arc<GatewayState>, id: &HostId, is_full: bool, uses_probes: bool) {
+fn exchange_state_with(state: &Arc<GatewayState>, id: &HostId, is_full: bool, uses_probes: bool) {
     let (reporting, address) = (state.clone(), id.address.clone());
     tokio::spawn(async move { report_parts_to(&reporting, &address).await });
     if !uses_probes {
--- a/crates/cuminramp-gateway/src/targets/progress.rs
+++ b/crates/cuminramp-gateway/src/targets/progress.rs
@@ -4,7 +4,7 @@
 
 /// Maximum number of bytes in a row that bring a stream no further: comments, and events that were sent before. Targets
 /// send a few comments while a request waits.
-const MAX_FILLER_BYTES: usize = 16 << 10;
+const MAX_BYTES_WITHOUT_EVENT: usize = 16 << 10;
 
 /// Progress of the response of one target.
 #[derive(Debug, Default)]
@@ -14,7 +14,7 @@
     /// Number of events that brought the stream forward.
     events: u64,
     /// Bytes since the last of these.
-    filler_bytes: usize,
+    bytes_without_event: usize,
 }
 
 impl StreamProgress {
@@ -29,9 +29,9 @@
         if is_new && has_data(&event.raw) {
             self.last_event = event.id;
             self.events += 1;
-            self.filler_bytes = 0;
+            self.bytes_without_event = 0;
         } else {
-            self.filler_bytes += event.raw.len();
+            self.bytes_without_event += event.raw.len();
         }
     }
 
@@ -42,8 +42,8 @@
 
     /// Returns an error text if too many bytes have brought the stream no further.
     pub(crate) fn error(&self) -> Option<String> {
-        let is_too_long = self.filler_bytes > MAX_FILLER_BYTES;
-        is_too_long.then(|| format!("over {MAX_FILLER_BYTES} bytes without a new event"))
+        let is_too_long = self.bytes_without_event > MAX_BYTES_WITHOUT_EVENT;
+        is_too_long.then(|| format!("over {MAX_BYTES_WITHOUT_EVENT} bytes without a new event"))
     }
 }
 
--- a/crates/cuminramp-gateway/src/targets/progress/tests.rs
+++ b/crates/cuminramp-gateway/src/targets/progress/tests.rs
@@ -1,6 +1,6 @@
 use test_case::test_case;
 
-use super::{MAX_FILLER_BYTES, StreamProgress, is_event};
+use super::{MAX_BYTES_WITHOUT_EVENT, StreamProgress, is_event};
 use crate::targets::EventSplitter;
 
 fn progress_of(stream: &str) -> StreamProgress {
@@ -28,7 +28,7 @@
 #[test_case(": waiting\n\n")]
 fn bytes_without_a_new_event_are_bounded(part: &str) {
     let few = progress_of(&part.repeat(100));
-    let many = progress_of(&part.repeat(MAX_FILLER_BYTES / part.len() + 2));
+    let many = progress_of(&part.repeat(MAX_BYTES_WITHOUT_EVENT / part.len() + 2));
 
     assert_eq!(few.error(), None);
     assert!(many.error().is_some());
