--- a/crates/cuminramp-daemon/tests/clock_steps.rs
+++ b/crates/cuminramp-daemon/tests/clock_steps.rs
@@ -15,7 +15,8 @@
 /// Compiles the library that steps clocks, for processes to load.
 fn build_library() -> PathBuf {
     let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let path = directory.join("libclocks.so");
+    // Processes of other runs may have loaded theirs.
+    let path = directory.join(format!("libclocks-{}.so", std::process::id()));
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/clocks/library.rs");
     let status = Command::new("rustc")
         .args(["--edition", "2024", "--crate-type", "cdylib", "-O", "-o"])
