Review: inputs of refused jobs fill the store and accepted jobs stay unlisted

Cause: the input of a large job is stored before the limit of waiting tokens is checked, and is not deleted when the job is refused. At 400 MB the store refuses long results as well.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -131,14 +131,14 @@
 /// Callers that kept an answer of the directory send streams to a host that got SIGTERM.
 pub fn late_in_drain(has_trouble: bool) -> Played {
     let pause = Duration::from_millis(150);
-    let work = Work { events: 26, pause, plain_bytes: 0 };
+    let work = Work { events: 26, pause, padding: 0, plain_bytes: 0 };
     let mut fleet = fleet::start(&[route("book", "streaming", 1, false)], work)?;
     play_drain(&mut fleet, has_trouble, "/book/", &[500, 2_000, 3_600, 3_800, 4_000, 4_200], None)
 }
 
 /// Callers that kept an answer of the directory ask a host that got SIGTERM for long answers.
 pub fn answer_in_drain(has_trouble: bool) -> Played {
-    let work = Work { events: 1, pause: Duration::ZERO, plain_bytes: 6 << 20 };
+    let work = Work { events: 1, pause: Duration::ZERO, padding: 0, plain_bytes: 6 << 20 };
     let mut fleet = fleet::start(&[route("read", "idempotent", 2, false)], work)?;
     // A link of 30 Mbit/s.
     let rate = Some(30e6 / 8.0);
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -13,6 +13,8 @@
     /// Events of a stream, and the time between two of them.
     pub events: u64,
     pub pause: Duration,
+    /// Bytes by which the data of each event is longer than its number needs.
+    pub padding: usize,
     /// Length of an answer that is no stream.
     pub plain_bytes: usize,
 }
@@ -30,8 +32,8 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
-pub fn event(path: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {path} token {number}\n\n")
+fn event(path: &str, number: u64, padding: usize) -> String {
+    format!("id: {number}\ndata: {path} token {number}{}\n\n", "x".repeat(padding))
 }
 
 /// Starts an engine and returns its address.
@@ -104,7 +106,7 @@
     writer.write_all(answer.as_bytes())?;
     let resumed = head.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
     for number in resumed.map_or(0, |last| last + 1)..work.events {
-        let text = event(head.path(), number);
+        let text = event(head.path(), number, work.padding);
         writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         runs.lock().unwrap()[index].events = number + 1;
         std::thread::sleep(work.pause);
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -16,6 +16,8 @@
 const PROGRAM: &str = "target/release/cuminrampd";
 pub const ROUTE_HOST: &str = "desk.example";
 pub const KEY: &str = "key-1";
+/// Key of another tenant.
+pub const OTHER_KEY: &str = "key-2";
 pub const SERVICE: &str = "desk-llm";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -65,6 +67,7 @@
 
 pub struct Fleet {
     pub hosts: Vec<Host>,
+    pub store: Store,
     pub runs: Runs,
     folder: PathBuf,
 }
@@ -108,7 +111,7 @@
 fn config(routes: &[String]) -> String {
     let routes = routes.join(",");
     format!(
-        r#"{{"version":1,"routes":[{routes}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":180}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"parish","apiKeys":["{KEY}"],"priority":1,"ratePerS":0,"burst":0}}]}}"#
+        r#"{{"version":1,"routes":[{routes}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":180}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"parish","apiKeys":["{KEY}"],"priority":1,"ratePerS":0,"burst":0}},{{"name":"market","apiKeys":["{OTHER_KEY}"],"priority":1,"ratePerS":0,"burst":0}}]}}"#
     )
 }
 
@@ -132,7 +135,7 @@
     }
     let ips: Vec<IpAddr> = (0..3).map(|n| IpAddr::V4(Ipv4Addr::new(127, 0, 0, 21 + n))).collect();
     let ports = free_ports(&ips, 5)?;
-    let mut fleet = Fleet { hosts: Vec::new(), runs, folder };
+    let mut fleet = Fleet { hosts: Vec::new(), store, runs, folder };
     for (index, ip) in ips.iter().enumerate() {
         let at = |port: usize| SocketAddr::new(*ip, ports[port]);
         let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{}\"", ports[3])).collect();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod refused_jobs;
 mod store;
 
 use std::process::ExitCode;
@@ -23,6 +24,7 @@
     let played = match case.as_str() {
         "late-in-drain" => cases::late_in_drain(has_trouble),
         "answer-in-drain" => cases::answer_in_drain(has_trouble),
+        "refused-jobs" => refused_jobs::play(has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match played {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -14,6 +14,11 @@
 /// Limits of one answer.
 const MAX_ROWS: usize = 500;
 const MAX_BYTES: usize = 1_000_000;
+/// Time for a call on an object, and the bytes that all such calls move in a second.
+const OBJECT_ANSWER: Duration = Duration::from_millis(25);
+const OBJECT_BYTES_PER_S: f64 = 80e6;
+/// Bytes of all objects together beyond which writes are refused.
+const MAX_OBJECT_BYTES: usize = 400_000_000;
 
 type Key = (String, String, String);
 
@@ -30,6 +35,8 @@
     rows: BTreeMap<Key, Row>,
     changes: Vec<(Key, Row)>,
     objects: BTreeMap<String, Vec<u8>>,
+    object_bytes: usize,
+    refused_objects: usize,
     version: u64,
 }
 
@@ -194,11 +201,19 @@
     }
 
     fn object(&self, method: &str, path: &str, body: &[u8]) -> Reply {
-        std::thread::sleep(Duration::from_millis(21));
+        std::thread::sleep(OBJECT_ANSWER - ANSWER);
         let name = path.rsplit('/').next().unwrap_or("").to_owned();
         let mut content = self.content.0.lock().unwrap();
         match method {
             "PUT" => {
+                let before = content.objects.get(&name).map_or(0, Vec::len);
+                if content.object_bytes - before + body.len() > MAX_OBJECT_BYTES {
+                    content.refused_objects += 1;
+                    return Reply::new(507, "{}");
+                }
+                // All calls share the bandwidth, so the others wait meanwhile.
+                std::thread::sleep(Duration::from_secs_f64(body.len() as f64 / OBJECT_BYTES_PER_S));
+                content.object_bytes = content.object_bytes - before + body.len();
                 content.objects.insert(name, body.to_vec());
                 Reply::new(200, "{}")
             }
@@ -207,9 +222,21 @@
                 None => Reply::new(404, "{}"),
             },
             _ => {
-                content.objects.remove(&name);
+                let removed = content.objects.remove(&name).map_or(0, |object| object.len());
+                content.object_bytes -= removed;
                 Reply::new(200, "{}")
             }
         }
     }
+
+    /// Returns the number of objects, their bytes, and how many writes of objects were refused.
+    pub fn objects(&self) -> (usize, usize, usize) {
+        let content = self.content.0.lock().unwrap();
+        (content.objects.len(), content.object_bytes, content.refused_objects)
+    }
+
+    /// Returns the names of all objects.
+    pub fn names(&self) -> Vec<String> {
+        self.content.0.lock().unwrap().objects.keys().cloned().collect()
+    }
 }
