--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -3,7 +3,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Head, read_body, read_head};
 
@@ -24,6 +24,7 @@
 pub struct Run {
     pub request: String,
     pub engine: String,
+    pub ended: Option<Instant>,
     /// Whether the whole answer was written.
     pub is_whole: bool,
     /// Events written.
@@ -68,6 +69,7 @@
             runs.push(Run {
                 request: request.clone(),
                 engine: id.to_owned(),
+                ended: None,
                 is_whole: false,
                 events: 0,
             });
@@ -76,6 +78,7 @@
         let outcome = answer(&mut writer, &head, &request, work, runs, index);
         {
             let mut runs = runs.lock().unwrap();
+            runs[index].ended = Some(Instant::now());
             runs[index].is_whole = outcome.is_ok();
         }
         outcome?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod lost_majority;
 mod refused_jobs;
 mod store;
 
@@ -25,6 +26,8 @@
         "late-in-drain" => cases::late_in_drain(has_trouble),
         "answer-in-drain" => cases::answer_in_drain(has_trouble),
         "refused-jobs" => refused_jobs::play(has_trouble),
+        "lost-majority" => lost_majority::play(has_trouble),
+        "same-hash" => cases::same_hash(has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match played {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -108,7 +108,8 @@
         let Some(body) = parse(body) else { return Reply::new(400, "{}") };
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
-        let held = |key: &Key, content: &Content| content.rows.get(key).map_or(0, |row| row.version);
+        let held =
+            |key: &Key, content: &Content| content.rows.get(key).map_or(0, |row| row.version);
         let fits = body
             .list("expectRev")
             .iter()
@@ -159,7 +160,9 @@
         let (rows, version) = (rows.join(","), content.version);
         Reply::new(
             200,
-            format!(r#"{{"rows":[{rows}],"hasMore":{has_more},"recordVersion":{version},"nowMs":0}}"#),
+            format!(
+                r#"{{"rows":[{rows}],"hasMore":{has_more},"recordVersion":{version},"nowMs":0}}"#
+            ),
         )
     }
 
