Log responses that a host cuts off when it exits

Cause: a response that was still open when a drained host exited was logged as outcome=caller-left, as if its caller had closed the connection, and the line left did not say how many there were. Change: outcome cut-by-exit on request-ended and in the metric of requests; open_calls on left.

--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -290,7 +290,7 @@
         broadcast_heartbeat(state).await;
         log::info!(
             host = state.settings.name.as_str(), whole = is_complete,
-            took_ms = started_at.elapsed().as_millis() as u64;
+            open_calls = state.tasks.len(), took_ms = started_at.elapsed().as_millis() as u64;
             "left"
         );
         state.stop.cancel();
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -26,6 +26,8 @@
     CallerLeft,
     /// This host closed the connection, because the caller did not read.
     EndedUnread,
+    /// This host exited before the response was complete.
+    CutByExit,
 }
 
 impl RequestOutcome {
@@ -37,6 +39,7 @@
             RequestOutcome::StreamBroken => "broken-off",
             RequestOutcome::CallerLeft => "caller-left",
             RequestOutcome::EndedUnread => "ended-unread",
+            RequestOutcome::CutByExit => "cut-by-exit",
         }
     }
 }
@@ -185,6 +188,9 @@
 
     /// Returns the outcome of a request whose response was dropped before its end.
     fn dropped_outcome(&self) -> RequestOutcome {
+        if self.state.stop.is_cancelled() {
+            return RequestOutcome::CutByExit;
+        }
         let is_ended = self.reader.as_ref().is_some_and(|reader| reader.end().is_cancelled());
         if is_ended { RequestOutcome::EndedUnread } else { RequestOutcome::CallerLeft }
     }
