A draining host sends no request that may outlast it

Seen by callers: those that kept a steering response and came 3.6 to 4.2 s after SIGTERM got status 200 and most of a stream, and were cut off when the host exited at 7.3 s. Any request that came late enough, or waited for a slot until then, was cut off. Cause: nothing compared the time that a request may take with the time that the host had left. Evidence: left whole=false open_calls=4 and four lines outcome=cut-by-exit, sent with 3.1 to 3.7 s left; the streams need 3.9 s, as without SIGTERM (took_ms=3904 for two that ran within the drain). Change: before a request is sent for the first time, a draining host asks whether it ends before the exit: by its deadline, or by twice the longest recent time of its route if 100 or more requests ended lately. If not, it is refused with 1401, which is true, since nothing was sent; the caller goes to another host. Asked before a token is taken, while the request waits for a slot, and just before the send. Why this works: what is sent ends before the exit, by its deadline if its route is not known to be faster.

--- a/crates/cuminramp-fleet/src/lib.rs
+++ b/crates/cuminramp-fleet/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`PlacementTable`] tracks the work in flight at targets, and which targets fail;
 //! - [`DrainTable`] contains the availability zones that operators have drained, and [`RegionMap`] the
 //!   zones in which the work of a route or team may run;
+//! - [`ExitCheck`] decides which requests a host still sends to targets before it exits, from how long those
+//!   of each route took ([`RouteDurations`]);
 //! - [`SlotLedger`] grants the slots of a group of targets, which one host owns, and decides which items
 //!   are preempted; [`SlotSearch`] sends slot requests to owners, which [`OwnerTable`] determines;
 //! - [`AdmissionQueue`] orders the requests that wait for a slot of a group while all of its slots are taken;
@@ -31,6 +33,7 @@
 mod declarations;
 mod demand;
 mod drains;
+mod exits;
 #[cfg(test)]
 mod fixtures;
 mod heartbeat;
@@ -65,6 +68,7 @@
 };
 pub use demand::{ItemDemand, MAX_DEMAND_GROUPS, allocate_slots};
 pub use drains::{DrainTable, ZoneDrain};
+pub use exits::{ExitCheck, RouteDurations};
 pub use heartbeat::{
     CrashCount, EndedJob, HostHeartbeat, HostStatus, KnownHost, ReportedLoad, TargetLoad,
     TeamUsage, name_hash,
--- a/crates/cuminramp-fleet/src/peers/routing.rs
+++ b/crates/cuminramp-fleet/src/peers/routing.rs
@@ -35,6 +35,19 @@
         Some(relay.host.address.clone())
     }
 
+    /// Returns the other hosts that are alive and accept requests.
+    fn ready_peers(&self, now: Instant) -> impl Iterator<Item = &PeerRecord> {
+        self.peers.values().filter(move |record| {
+            let is_ready = record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_ready);
+            is_ready && !record.has_left && self.is_alive(record, now)
+        })
+    }
+
+    /// Returns whether another host is alive and accepts requests.
+    pub fn has_ready_peer(&self, now: Instant) -> bool {
+        self.ready_peers(now).next().is_some()
+    }
+
     /// Returns the caller addresses that the area selects among the alive hosts that accept requests.
     ///
     /// Silent hosts whose last heartbeat or discovery is recent are added in two cases. If there is at most
@@ -52,12 +65,7 @@
         if is_local_ready {
             live.push(&self.local);
         }
-        for record in self.peers.values() {
-            let is_ready = record.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_ready);
-            if is_ready && !record.has_left && self.is_alive(record, now) {
-                live.push(&record.host);
-            }
-        }
+        live.extend(self.ready_peers(now).map(|record| &record.host));
         let is_alone = live.len() <= 1;
         if is_alone || !self.has_at_least_half(now) {
             let candidates = self.peers.values().filter(|record| !record.has_left);
--- a/crates/cuminramp-gateway/src/entry/calls.rs
+++ b/crates/cuminramp-gateway/src/entry/calls.rs
@@ -16,7 +16,7 @@
 use super::{ResponseBody, refusal_response};
 use crate::interfaces::{CallHead, CallerKey, CallerOperation};
 use crate::jobs::{JobCaller, accept_job, end_job, read_item, read_results};
-use crate::online::{AdmittedRequest, RequestRecord, serve_request};
+use crate::online::{AdmittedRequest, RequestRecord, check_exit, serve_request, time_allowed};
 use crate::readers::CallerReader;
 use crate::state::GatewayState;
 use crate::tokens::{acquire_token, limits_retries};
@@ -154,6 +154,9 @@
         let caller = JobCaller { team: team.name, head: head.clone() };
         return accept_job(state, &route, caller, body, version).await;
     }
+    // Before the request takes one of its team's tokens.
+    check_exit(state, &route.name, arrived_at + time_allowed(head, &route))
+        .inspect_err(|refusal| log_refusal(head, Some(&route), version, refusal))?;
     enforce_rate(state, head, &route, team.as_ref(), version).await?;
     let request = admit(state, parts, head, body, route, team.as_ref(), version)?;
     let mut record = RequestRecord::new(
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -206,7 +206,8 @@
         heartbeat_requested: Notify::new(),
         item_slots_requested: Notify::new(),
         started_at: now,
-        is_draining: AtomicBool::new(false),
+        exit_at: OnceLock::new(),
+        route_durations: Default::default(),
         has_left: AtomicBool::new(false),
         tasks: TaskTracker::new(),
         drain: CancellationToken::new(),
@@ -267,25 +268,25 @@
 
     /// Drains the host and stops the gateway.
     ///
-    /// Steering responses stop naming the host at once. Callers on open connections are still served. Held
-    /// jobs are handed over with their progress, and requests in flight are completed within the grace
-    /// period.
+    /// Steering responses stop naming the host at once. Callers that still choose it are served if their
+    /// requests are expected to end in time, and refused otherwise. Held jobs are handed over with their
+    /// progress, and requests in flight are completed within the grace period.
     pub async fn shut_down(self) {
         let state = &self.state;
         let started_at = Instant::now();
         let grace = state.settings.grace();
         log::info!(host = state.settings.name.as_str(), grace_ms = grace.as_millis() as u64; "leaving");
-        state.is_draining.store(true, Ordering::Relaxed);
+        let exit_at = started_at + grace.saturating_sub(DRAIN_MARGIN);
+        let exit_at = *state.exit_at.get_or_init(|| exit_at);
         state.drain.cancel();
         broadcast_heartbeat(state).await;
         hand_over_jobs(state).await;
         withdraw_host(state).await;
         let close_idle_at = started_at + grace.mul_f64(CLOSE_IDLE_GRACE_SHARE);
-        let drain_deadline = started_at + grace.saturating_sub(DRAIN_MARGIN);
         tokio::time::sleep_until(close_idle_at).await;
         state.drain_idle.cancel();
         state.tasks.close();
-        let is_complete = tokio::time::timeout_at(drain_deadline, state.tasks.wait()).await.is_ok();
+        let is_complete = tokio::time::timeout_at(exit_at, state.tasks.wait()).await.is_ok();
         state.has_left.store(true, Ordering::Relaxed);
         broadcast_heartbeat(state).await;
         log::info!(
--- a/crates/cuminramp-gateway/src/jobs/accept.rs
+++ b/crates/cuminramp-gateway/src/jobs/accept.rs
@@ -18,6 +18,7 @@
 use super::names::{input_key, input_object, jobs_prefix};
 use super::{JobCaller, writer};
 use crate::entry::{ResponseBody, complete_response};
+use crate::online::{OTHER_HOST_RETRY_AFTER, refuse_draining};
 use crate::state::{GatewayState, lock};
 
 /// Timeout after which a host stops trying to make a job durable. Callers wait 4 s and then retry at
@@ -28,8 +29,6 @@
 /// Delay after which callers should retry a job that was refused because the team's limit of waiting tokens
 /// was reached or the store was unavailable.
 const RETRY_AFTER: Duration = Duration::from_millis(700);
-/// Delay after which callers should retry a job that another host can accept at once.
-const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Maximum number of rows that one scan of a partition reads.
 const MAX_SCAN_ROWS: usize = 5_000;
 
@@ -93,8 +92,7 @@
         return Ok("known");
     }
     if state.is_draining() {
-        let refusal = Refusal::not_run(ResultCode::HostDraining, "the host is draining");
-        return Err(refusal.with_retry_after(OTHER_HOST_RETRY_AFTER));
+        return Err(refuse_draining(state, "the host is draining"));
     }
     if state.is_cut_off().await {
         let reason = "this host is cut off from most hosts and from the store";
--- a/crates/cuminramp-gateway/src/online/record.rs
+++ b/crates/cuminramp-gateway/src/online/record.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use cuminramp_core::{Name, Refusal};
-use cuminramp_fleet::{FleetTarget, PromptPart, RejectionReason, ShareReport};
+use cuminramp_fleet::{ExitCheck, FleetTarget, PromptPart, RejectionReason, ShareReport};
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::readers::CallerReader;
 use crate::slots::{AdmissionResult, PlacedBy};
-use crate::state::GatewayState;
+use crate::state::{GatewayState, lock};
 use crate::targets::ResponseFraming;
 
 /// How a request ended.
@@ -131,6 +131,8 @@
     /// End of the body; `None` if it was not read to its end, or is no stream.
     stream_end: Option<StreamEndRecord>,
     sends: u32,
+    /// When the request was sent to a target for the first time.
+    sent_at: Option<Instant>,
     target: Option<Name>,
     /// Software version of the target.
     target_version: Option<Name>,
@@ -169,6 +171,7 @@
             first_event: None,
             stream_end: None,
             sends: 0,
+            sent_at: None,
             target: None,
             target_version: None,
             placed_by: None,
@@ -225,6 +228,7 @@
     /// Records a send to a target.
     pub(crate) fn record_send(&mut self, target: &FleetTarget) {
         self.sends += 1;
+        self.sent_at.get_or_insert_with(Instant::now);
         self.set_target(target);
     }
 
@@ -243,6 +247,19 @@
         );
     }
 
+    /// Logs whether a draining host sends the request, with the times that decide it.
+    pub(crate) fn log_exit_check(&self, check: &ExitCheck) {
+        let expected_ms = check.expected.map(|expected| expected.as_millis().to_string());
+        log::info!(
+            request_id = &*self.request_id, route = &*self.route,
+            decision = if check.fits() { "send" } else { "refuse" },
+            time_left_ms = check.time_left.as_millis() as u64,
+            expected_ms = expected_ms.as_deref().unwrap_or("-"),
+            until_deadline_ms = check.until_deadline.as_millis() as u64;
+            "exit-checked"
+        );
+    }
+
     /// Returns whether the request was sent to any target.
     pub(crate) fn has_sent(&self) -> bool {
         self.sends > 0
@@ -354,6 +371,10 @@
         let elapsed = self.started_at.elapsed();
         self.state.metrics.count_request(outcome.as_str());
         self.state.metrics.record_answer(elapsed);
+        if let Some(sent_at) = self.sent_at {
+            let now = Instant::now();
+            lock(&self.state.route_durations).record(&self.route, now - sent_at, now);
+        }
         self.log_long_wait();
         log::info!(
             request_id = &*self.request_id, route = &*self.route, team = &*self.team,
--- a/crates/cuminramp-gateway/src/online/sends.rs
+++ b/crates/cuminramp-gateway/src/online/sends.rs
@@ -152,8 +152,9 @@
     async fn find_target(&mut self) -> Result<FleetTarget, Refusal> {
         loop {
             self.check_quarantine()?;
-            match self.place().await {
+            match self.place_before_exit().await? {
                 PlacementDecision::Send(target) => {
+                    self.admit_before_exit()?;
                     self.admit()?;
                     return Ok(target);
                 }
--- a/crates/cuminramp-gateway/src/online/serve.rs
+++ b/crates/cuminramp-gateway/src/online/serve.rs
@@ -33,6 +33,12 @@
 /// Time subtracted from a caller's deadline, so that the final response still arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
+/// Returns the time from the arrival of a request until its final response.
+pub(crate) fn time_allowed(head: &CallHead, route: &RouteRule) -> Duration {
+    let until_deadline = head.deadline.map(|deadline| deadline.saturating_sub(DEADLINE_MARGIN));
+    until_deadline.map_or(route.timeout, |until_deadline| until_deadline.min(route.timeout))
+}
+
 /// A request that passed admission.
 pub(crate) struct AdmittedRequest {
     pub(crate) parts: request::Parts,
@@ -78,11 +84,7 @@
 
 impl RequestDispatch {
     fn new(state: Arc<GatewayState>, request: AdmittedRequest, record: RequestRecord) -> Self {
-        let mut timeout = request.route.timeout;
-        if let Some(deadline) = request.head.deadline {
-            timeout = timeout.min(deadline.saturating_sub(DEADLINE_MARGIN));
-        }
-        let deadline = record.started_at() + timeout;
+        let deadline = record.started_at() + time_allowed(&request.head, &request.route);
         let last_event = request.head.last_event;
         let stream = stream_of(&request);
         let parts = parts_in_pool(&request.head.shared_parts, &request.pool);
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -7,7 +7,7 @@
 use cuminramp_core::{AvailabilityZone, HostId, Incarnation, Name, RandomSource};
 use cuminramp_fleet::{
     DeclarationStore, DrainTable, FleetDeclarations, FleetKnowledge, JobTable, KnownHost,
-    LocalReadiness, PeerTable, PlacementTable, QuotaTable, RegionMap, TeamWeights,
+    LocalReadiness, PeerTable, PlacementTable, QuotaTable, RegionMap, RouteDurations, TeamWeights,
 };
 use cuminramp_settings::{GatewaySettings, QueueMode};
 use cuminramp_targets::{CrashTable, RetryBudget};
@@ -129,7 +129,10 @@
     /// Notified when slots are to be requested for waiting items.
     pub(crate) item_slots_requested: Notify,
     pub(crate) started_at: Instant,
-    pub(crate) is_draining: AtomicBool,
+    /// When a draining host breaks off what is still open; empty until it drains.
+    pub(crate) exit_at: OnceLock<Instant>,
+    /// How long recent requests took.
+    pub(crate) route_durations: Mutex<RouteDurations>,
     /// Whether the drain has ended; the last heartbeats report it.
     pub(crate) has_left: AtomicBool,
     /// Tracks calls and requests in progress, so that the drain can wait for them.
@@ -212,7 +215,12 @@
 
     /// Returns whether the host drains before it leaves.
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.exit_at.get().is_some()
+    }
+
+    /// Returns the time until a draining host breaks off what is still open; `None` if the host does not drain.
+    pub(crate) fn time_until_exit(&self) -> Option<Duration> {
+        self.exit_at.get().map(|exit_at| exit_at.saturating_duration_since(Instant::now()))
     }
 
     /// Sends heartbeats to the other hosts soon, to report a change.
