Callers that connect late in a drain are served

Seen by callers: from 55% of the grace period on, a new connection to a host that still serves others was closed before its request was read, although the request would have ended in time. Callers keep steering responses for longer than that. Cause: the close of idle connections also applied to those accepted after it, which are idle until their first request is read. Evidence: 350 ms before the exit the caller gets "connection closed before message completed" after 1.4 ms; the host logs no request. Change: a connection accepted after the close of idle ones still brings one request. Its response closes it, as all responses of a drain do. Result: a_caller_that_connects_late_in_a_drain_is_served failed before and passes.

--- a/crates/cuminramp-gateway/src/entry/connections.rs
+++ b/crates/cuminramp-gateway/src/entry/connections.rs
@@ -59,6 +59,8 @@
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
+    // A connection accepted after that still brings one request; its response closes it.
+    let is_late = state.drain_idle.is_cancelled();
     let drain_idle = state.drain_idle.cancelled();
     tokio::pin!(drain_idle);
     let idle_check = sleep_until(reader.idle_at(idle_timeout(&state)));
@@ -83,7 +85,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = &mut drain_idle, if !is_closing => {
+            () = &mut drain_idle, if !is_closing && !is_late => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
