Calls that wait for results end before their host exits

Seen by callers: a call that waits up to a second for a job's results, sent within a second of the exit of a draining host, was cut off without a response. Cause: as for requests, the wait did not look at the time that the host has left. Evidence: the test's call at 350 ms before the exit gets "connection closed before message completed" when the host exits. Change: the wait ends 0.3 s before the exit; what is listed is returned. Result: a_call_that_waits_for_results_is_answered_before_its_host_exits failed before and passes.

--- a/crates/cuminramp-gateway/src/jobs/read.rs
+++ b/crates/cuminramp-gateway/src/jobs/read.rs
@@ -28,6 +28,8 @@
 /// Time reserved for the last read of the table after the wait. Callers wait only a little longer than the
 /// time that they request.
 const WAIT_MARGIN: Duration = Duration::from_millis(60);
+/// Time reserved for that read before a draining host exits, which breaks the call off.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
 /// Returns the refusal for a failed call to the store.
 fn store_refusal(error: &StoreError) -> Refusal {
@@ -70,7 +72,9 @@
     let mut changes = state.directory.subscribe();
     let known = find_job(state, caller, job).await?;
     let total = known.row.total;
-    let wait = wait.min(MAX_WAIT).saturating_sub(WAIT_MARGIN);
+    let until_exit =
+        state.time_until_exit().map_or(MAX_WAIT, |time| time.saturating_sub(EXIT_MARGIN));
+    let wait = wait.min(MAX_WAIT).saturating_sub(WAIT_MARGIN).min(until_exit);
     if known.row.listed <= from && from < total && !wait.is_zero() {
         let result_listed = async {
             while changes.changed().await.is_ok() {
