A leaving daemon accepts no request that may outlast it

Seen by callers: a daemon accepts requests for a second after SIGTERM, also those whose route allows them more time than drain-timeout-ms; their responses were broken off when it stopped. Cause: as in gateways, nothing compared the time that a request may take with the time that the host has left. Evidence: a stream of three seconds that comes 0.4 s after SIGTERM, with drain-timeout-ms 500, ends with a broken connection. Change: such a request is refused with 1401 before it takes a token. Result: a_leaving_host_refuses_a_request_that_may_outlast_it failed before and passes.

--- a/crates/cuminramp-daemon/src/daemon.rs
+++ b/crates/cuminramp-daemon/src/daemon.rs
@@ -176,6 +176,9 @@
         let state = &self.state;
         log::info!(host = &*state.me.id.address, decision = "leaving"; "drain");
         lock(&state.members).leave(Instant::now());
+        let drain_timeout = state.settings.limits.drain_timeout();
+        // Can't fail: a daemon leaves once.
+        let _ = state.exit_at.set(Instant::now() + DRAIN_DELAY + drain_timeout);
         state.drain.cancel();
         if state.settings.platform.announce {
             announce_host(state).await;
@@ -185,14 +188,13 @@
         release_chunks(state).await;
         tokio::time::sleep(DRAIN_DELAY).await;
         self.drain_callers.cancel();
-        let timeout = state.settings.limits.drain_timeout();
         let mut callers = self.callers;
         state.tasks.close();
         let finished = async {
             let _ = (&mut callers).await;
             state.tasks.wait().await;
         };
-        let in_time = tokio::time::timeout(timeout, finished).await.is_ok();
+        let in_time = tokio::time::timeout(drain_timeout, finished).await.is_ok();
         state.stop.cancel();
         log::info!(host = &*state.me.id.address, whole = in_time, decision = "left"; "drain");
     }
@@ -259,6 +261,7 @@
         own_contact: TableContact::new(now),
         tasks: TaskTracker::new(),
         drain: CancellationToken::new(),
+        exit_at: Default::default(),
         stop: CancellationToken::new(),
         ready: AtomicBool::new(false),
         next_number: AtomicU64::new(1),
--- a/crates/cuminramp-daemon/src/dispatch/online.rs
+++ b/crates/cuminramp-daemon/src/dispatch/online.rs
@@ -59,7 +59,7 @@
         if self.is_stream {
             state.settings.targets.first_byte_timeout()
         } else {
-            Duration::from_millis(self.route.timeout_ms.into())
+            self.route.timeout()
         }
     }
 
--- a/crates/cuminramp-daemon/src/entry/auth.rs
+++ b/crates/cuminramp-daemon/src/entry/auth.rs
@@ -1,6 +1,7 @@
 //! Authentication of callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::extract::FromRequestParts;
 use axum::http::HeaderMap;
@@ -14,6 +15,8 @@
 use crate::entry::responses::refusal_response;
 use crate::state::DaemonState;
 
+/// Retry-After of requests that another host can serve now.
+const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Prefix of the key in the `Authorization` header.
 const BEARER_PREFIX: &str = "Bearer ";
 
@@ -56,12 +59,12 @@
     if in_force.configuration.generation == 0 {
         let message = "this host has no configuration in force yet";
         let refusal = Refusal::not_run(ResultCode::ConfigurationUnknown, message);
-        return Err(refusal.with_retry_after(std::time::Duration::from_secs(1)));
+        return Err(refusal.with_retry_after(Duration::from_secs(1)));
     }
     if !state.is_confirmed(Instant::now()) {
         let message = "this host can't confirm which keys are in force; use another host";
         let refusal = Refusal::not_run(ResultCode::KeysUnconfirmed, message);
-        return Err(refusal.with_retry_after(std::time::Duration::from_secs(1)));
+        return Err(refusal.with_retry_after(Duration::from_secs(1)));
     }
     let digest = KeyDigest::of_key(key.trim());
     let unknown =
@@ -71,6 +74,22 @@
     Ok(AuthenticatedCaller { team: team.clone(), key: digest })
 }
 
+/// Refuses a request at a draining host if its deadline, which is `timeout` from now, comes after the host exits: its
+/// response could be broken off.
+pub(crate) fn check_exit(state: &DaemonState, timeout: Duration) -> Result<(), Refusal> {
+    let exit_at = state.exit_at.get().copied();
+    let until_exit = exit_at.map(|exit_at| exit_at.saturating_duration_since(Instant::now()));
+    match until_exit {
+        Some(until_exit) if timeout > until_exit => {
+            let (left, needed) = (until_exit.as_millis(), timeout.as_millis());
+            let reason = format!("the host exits in {left} ms, the request may need {needed} ms");
+            let refusal = Refusal::not_run(ResultCode::HostDraining, reason);
+            Err(refusal.with_retry_after(OTHER_HOST_RETRY_AFTER))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Refuses requests once the host is stopping.
 ///
 /// A draining host still accepts requests: steering names other hosts at once, but callers cache its
@@ -78,7 +97,7 @@
 pub(crate) fn check_not_stopping(state: &DaemonState) -> Result<(), Refusal> {
     if state.stop.is_cancelled() {
         let refusal = Refusal::not_run(ResultCode::HostDraining, "this host is stopping");
-        return Err(refusal.with_retry_after(std::time::Duration::from_secs(1)));
+        return Err(refusal.with_retry_after(Duration::from_secs(1)));
     }
     Ok(())
 }
--- a/crates/cuminramp-daemon/src/entry/calls.rs
+++ b/crates/cuminramp-daemon/src/entry/calls.rs
@@ -15,7 +15,7 @@
 
 use crate::admission::{admit_request, request_cost};
 use crate::dispatch::{OnlineRequest, dispatch_online};
-use crate::entry::auth::{authenticate, check_not_stopping};
+use crate::entry::auth::{authenticate, check_exit, check_not_stopping};
 use crate::entry::body::read_bounded;
 use crate::entry::chat::{RequestAttributes, build_online_request, find_route, saved_answer};
 use crate::entry::responses::respond;
@@ -43,6 +43,7 @@
     let caller = authenticate(state, &head.headers)?;
     let (route, pool) = find_route(state, RouteQuery::Path(head.uri.path()))?;
     let body = read_bounded(state, body, state.settings.limits.max_body_bytes).await?;
+    check_exit(state, route.timeout())?;
     admit_request(state, &caller.team, request_cost(&caller.team, None)).await?;
     state.metrics.count_request(&route.name);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
--- a/crates/cuminramp-daemon/src/entry/chat.rs
+++ b/crates/cuminramp-daemon/src/entry/chat.rs
@@ -1,7 +1,6 @@
 //! Chat completions and the list of models.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use axum::Json;
 use axum::body::Body;
@@ -18,7 +17,7 @@
 
 use crate::admission::{admit_request, request_cost};
 use crate::dispatch::OnlineRequest;
-use crate::entry::auth::{AuthenticatedCaller, authenticate, check_not_stopping};
+use crate::entry::auth::{AuthenticatedCaller, authenticate, check_exit, check_not_stopping};
 use crate::entry::body::read_bounded;
 use crate::entry::calls::run_with_mark;
 use crate::entry::responses::respond;
@@ -57,6 +56,7 @@
     let body = read_bounded(state, body, state.settings.limits.max_body_bytes).await?;
     let fields = read_fields(&body)?;
     let (route, pool) = find_route(state, RouteQuery::Model(&fields.model))?;
+    check_exit(state, route.timeout())?;
     let max_tokens = fields.max_completion_tokens.or(fields.max_tokens);
     admit_request(state, &caller.team, request_cost(&caller.team, max_tokens)).await?;
     state.metrics.count_request(&route.name);
@@ -142,7 +142,7 @@
     request: TargetRequest,
     attributes: RequestAttributes,
 ) -> OnlineRequest {
-    let deadline = Instant::now() + Duration::from_millis(route.timeout_ms.into());
+    let deadline = Instant::now() + route.timeout();
     let id: Name = format!("{:x}-{}", state.me.id.incarnation, state.next_number()).into();
     let (team, key) = (caller.team, caller.key);
     let RequestAttributes { prefix, fingerprint, is_stream } = attributes;
--- a/crates/cuminramp-daemon/src/state.rs
+++ b/crates/cuminramp-daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the parts of a daemon.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use cuminramp_core::{Host, RandomSource};
@@ -55,6 +55,8 @@
     pub(crate) tasks: TaskTracker,
     /// Cancelled when the host begins to leave.
     pub(crate) drain: CancellationToken,
+    /// When a draining host breaks off what is still open, at the earliest; empty until it drains.
+    pub(crate) exit_at: OnceLock<Instant>,
     /// Cancelled when the daemon stops.
     pub(crate) stop: CancellationToken,
     pub(crate) ready: AtomicBool,
--- a/crates/cuminramp-routes/src/declarations.rs
+++ b/crates/cuminramp-routes/src/declarations.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cuminramp_core::{AvailabilityZone, Name};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,18 @@
 }
 
 impl Route {
+    /// Returns the timeout of a request as a whole.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let text = r#"{"name": "r", "path-prefix": "/bookings", "pool": "p", "timeout-ms": 3000}"#;
+    /// let route: cuminramp_routes::Route = serde_json::from_str(text).unwrap();
+    /// assert_eq!(route.timeout(), Duration::from_secs(3));
+    /// ```
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms.into())
+    }
+
     /// Returns whether the route's requests may be repeated on another target.
     ///
     /// ```
--- a/tests/testsuite/tests/testsuite/online.rs
+++ b/tests/testsuite/tests/testsuite/online.rs
@@ -5,7 +5,7 @@
 use cuminramp_standin::{EngineSettings, expected_answer};
 use http::StatusCode;
 
-use crate::support::{Fleet, FleetPlan};
+use crate::support::{Fleet, FleetPlan, test_settings};
 
 #[test]
 fn every_host_returns_complete_answers_streamed_or_not() {
@@ -84,6 +84,33 @@
     assert_eq!(answer.streamed(), (expected_answer("evening", 60), true));
 }
 
+/// Guards against a request that a leaving host accepts although its route allows it more time than the host has left: its
+/// response would be broken off.
+#[test]
+fn a_leaving_host_refuses_a_request_that_may_outlast_it() {
+    let mut settings = test_settings(0);
+    settings.limits.drain_timeout_ms = 500;
+    let engine = EngineSettings { step_base_us: 50_000, ..FleetPlan::default().engine };
+    let plan = FleetPlan { engine, ..FleetPlan::default() };
+    let mut fleet = Fleet::start_one_with(plan, settings, |_| {});
+    fleet.wait("all shards are owned", Fleet::all_shards_owned);
+    let mut host = fleet.hosts.remove(0);
+    let caller = host.addresses.caller;
+    let fleet = &fleet;
+
+    let answer = std::thread::scope(|scope| {
+        let late = scope.spawn(move || {
+            std::thread::sleep(Duration::from_millis(400));
+            fleet.stream_from(caller, "evening", 60)
+        });
+        host.leave();
+        late.join().unwrap()
+    });
+
+    assert_eq!((answer.status.as_u16(), answer.code()), (503, 1401));
+    assert_eq!(answer.execution(), "not run");
+}
+
 // Some engines have no load report at the usual path. If they were treated as silent, all of them would be
 // ejected and the requests in flight on them cancelled.
 #[test]
