A draining host exits when its responses are written and taken

Seen by callers: a caller on a slow link got two thirds of a response of 6 MB; the host exited 4.4 s after SIGTERM with 3.6 s of its grace period left and logged left whole=true. Cause: the drain waits for calls, and a call ended when its response was handed to the HTTP library, not when it was written. Change: with no call in progress, connections of callers and of the service endpoints close when their responses are written, and the host waits for that until the end of its drain; after the last response also until the caller has closed its side, if bytes moved within the last second. open_connections on left. Why this works: the wait ends with the work itself, and the end of the drain bounds it. All tests of the adapter pass.

--- a/crates/cuminramp-gateway/src/entry/connections.rs
+++ b/crates/cuminramp-gateway/src/entry/connections.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cuminramp_http::accept_next;
+use futures_util::FutureExt;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -28,12 +29,14 @@
 /// idle timeouts; [`serve_connection`] applies these.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time after the last byte of a response by which its caller has taken it, if it reads.
+const MAX_TAKING_TIME: Duration = Duration::from_secs(1);
+
 /// Serves callers until the gateway stops. A draining host still accepts connections: callers that have not
 /// received new steering responses yet would otherwise fail.
 pub(crate) async fn serve_callers(state: Arc<GatewayState>, listener: TcpListener) {
-    while let Some(stream) = accept_next(&listener, &state.stop).await {
-        let state = state.clone();
-        tokio::spawn(serve_connection(state, stream));
+    while let Some(stream) = accept_next(&listener, &state.closing).await {
+        state.connection_tasks.spawn(serve_connection(state.clone(), stream));
     }
 }
 
@@ -51,18 +54,17 @@
     let socket = CallerSocket::new(stream, reader.clone(), budget);
     let (service_state, service_reader) = (state.clone(), reader.clone());
     let service = service_fn(move |request| {
-        answer_request(service_state.clone(), service_reader.clone(), request)
+        answer_request(service_state.clone(), service_reader.clone(), request).boxed()
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT.max(limits.idle_timeout + IDLE_MARGIN))
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    // A connection accepted after that still brings one request; its response closes it.
+    // A connection accepted after idle ones were closed still brings one request; its response closes it.
     let is_late = state.drain_idle.is_cancelled();
-    let drain_idle = state.drain_idle.cancelled();
-    tokio::pin!(drain_idle);
+    let close_idle = if is_late { &state.closing } else { &state.drain_idle }.cancelled();
+    tokio::pin!(close_idle);
     let idle_check = sleep_until(reader.idle_at(idle_timeout(&state)));
     tokio::pin!(idle_check);
     let mut is_closing = false;
@@ -71,8 +73,9 @@
             outcome = &mut connection => {
                 if let Err(error) = outcome {
                     log::debug!(reason = error.to_string().as_str(); "connection-ended");
+                    return;
                 }
-                return;
+                break;
             }
             () = state.stop.cancelled() => return,
             () = reader.end().cancelled() => return,
@@ -82,15 +85,30 @@
                     idle_check.as_mut().reset(idle_at);
                 } else {
                     is_closing = true;
-                    connection.as_mut().graceful_shutdown();
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
-            () = &mut drain_idle, if !is_closing && !is_late => {
+            () = &mut close_idle, if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
         }
     }
+    if state.is_draining() && reader.idle_at(MAX_TAKING_TIME) > Instant::now() {
+        wait_until_taken(&state, &reader, connection.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Waits until the caller has taken the last response of its connection, which it shows by closing its side: the host may
+/// exit right after.
+async fn wait_until_taken(state: &GatewayState, reader: &CallerReader, mut socket: CallerSocket) {
+    let mut discarded = tokio::io::sink();
+    let taking = tokio::io::copy(&mut socket, &mut discarded);
+    tokio::select! {
+        _ = taking => {}
+        () = state.stop.cancelled() => {}
+        () = reader.end().cancelled() => {}
+    }
 }
 
 /// Handles one request. While this host drains, asks the caller to close the connection.
--- a/crates/cuminramp-gateway/src/entry/service_endpoints.rs
+++ b/crates/cuminramp-gateway/src/entry/service_endpoints.rs
@@ -34,10 +34,11 @@
     listener: TcpListener,
     answer: fn(&GatewayState, &Request<Incoming>) -> EndpointResponse,
 ) {
-    while let Some(stream) = accept_next(&listener, &state.stop).await {
+    while let Some(stream) = accept_next(&listener, &state.closing).await {
+        let tracker = state.connection_tasks.clone();
         let state = state.clone();
-        let stop = state.stop.clone();
-        tokio::spawn(async move {
+        let (closing, stop) = (state.closing.clone(), state.stop.clone());
+        tracker.spawn(async move {
             let service = service_fn(move |request| {
                 let response = answer(&state, &request);
                 async move { Ok::<_, Infallible>(response) }
@@ -46,11 +47,19 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                outcome = serving => if let Err(error) = outcome {
-                    log::debug!(reason = error.to_string().as_str(); "connection-ended");
-                },
-                () = stop.cancelled() => {}
+            tokio::pin!(serving);
+            let outcome = tokio::select! {
+                outcome = &mut serving => outcome,
+                () = closing.cancelled() => {
+                    serving.as_mut().graceful_shutdown();
+                    tokio::select! {
+                        outcome = &mut serving => outcome,
+                        () = stop.cancelled() => return,
+                    }
+                }
+            };
+            if let Err(error) = outcome {
+                log::debug!(reason = error.to_string().as_str(); "connection-ended");
             }
         });
     }
--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -212,6 +212,8 @@
         tasks: TaskTracker::new(),
         drain: CancellationToken::new(),
         drain_idle: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        connection_tasks: TaskTracker::new(),
         stop: CancellationToken::new(),
         settings,
         local_host,
@@ -286,12 +288,18 @@
         tokio::time::sleep_until(close_idle_at).await;
         state.drain_idle.cancel();
         state.tasks.close();
-        let is_complete = tokio::time::timeout_at(exit_at, state.tasks.wait()).await.is_ok();
+        let is_answered = tokio::time::timeout_at(exit_at, state.tasks.wait()).await.is_ok();
+        let open_calls = state.tasks.len();
+        state.closing.cancel();
+        state.connection_tasks.close();
+        let writing = state.connection_tasks.wait();
+        let is_written = tokio::time::timeout_at(exit_at, writing).await.is_ok();
         state.has_left.store(true, Ordering::Relaxed);
         broadcast_heartbeat(state).await;
         log::info!(
-            host = state.settings.name.as_str(), whole = is_complete,
-            open_calls = state.tasks.len(), took_ms = started_at.elapsed().as_millis() as u64;
+            host = state.settings.name.as_str(), whole = is_answered && is_written,
+            open_calls = open_calls, open_connections = state.connection_tasks.len(),
+            took_ms = started_at.elapsed().as_millis() as u64;
             "left"
         );
         state.stop.cancel();
@@ -299,6 +307,7 @@
 
     /// Stops the gateway at once without draining, like a crash that leaves the process running.
     pub fn kill(self) {
+        self.state.closing.cancel();
         self.state.stop.cancel();
     }
 }
--- a/crates/cuminramp-gateway/src/state.rs
+++ b/crates/cuminramp-gateway/src/state.rs
@@ -141,6 +141,10 @@
     pub(crate) drain: CancellationToken,
     /// Cancelled during the drain, to close callers' connections from then on as soon as they are idle.
     pub(crate) drain_idle: CancellationToken,
+    /// Cancelled when a draining host has no call in progress: connections close once their responses are written.
+    pub(crate) closing: CancellationToken,
+    /// Tracks connections, so that the drain can wait until their responses are written.
+    pub(crate) connection_tasks: TaskTracker,
     /// Cancelled when the gateway stops.
     pub(crate) stop: CancellationToken,
 }
