Drain and upkeep of a gateway in modules of their own

Change: drain.rs and upkeep.rs; no logic changes. A comment said that callers no longer choose a host when it closes idle connections; some still do.

--- a/crates/cuminramp-gateway/src/gateway.rs
+++ b/crates/cuminramp-gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Starts, drains and stops a gateway.
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -19,50 +19,29 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::drain::shut_down;
 use crate::entry::{serve_callers, serve_metrics, serve_readiness, serve_steering};
 use crate::interfaces::{CallFormat, FleetFormat, FleetStore};
-use crate::jobs::{JobsFollower, hand_over_jobs, run_items, save_progress, take_over_jobs};
+use crate::jobs::{JobsFollower, run_items, save_progress, take_over_jobs};
 use crate::metrics::GatewayMetrics;
 use crate::online::ResponseBudget;
 use crate::parts::{exchange_parts, restore_quarantines};
-use crate::peers::{
-    HostSocket, PauseDetector, PeerClients, broadcast_heartbeat, mark_silent_hosts,
-    receive_datagrams, send_heartbeats, serve_calls,
-};
-use crate::readers::{ReaderBudget, expire_unread};
-use crate::slots::{
-    SlotState, log_pace_changes, maintain_owned_groups, return_targets, send_reports,
-};
-use crate::state::{GatewayState, LocalHost, lock};
+use crate::peers::{HostSocket, PeerClients, receive_datagrams, send_heartbeats, serve_calls};
+use crate::readers::ReaderBudget;
+use crate::slots::{SlotState, maintain_owned_groups, send_reports};
+use crate::state::{GatewayState, LocalHost};
 use crate::sync::{
     DeclarationsFollower, RelayedStore, TargetsFollower, announce_host, check_fleet_size,
-    drop_missing_targets, follow_hosts, follow_table, read_earlier_run, withdraw_host,
+    follow_hosts, follow_table, read_earlier_run,
 };
 use crate::targets::TargetConnections;
+use crate::upkeep::run_upkeep;
 
 /// Minimum silence after which the jobs of a host are taken over. It is long enough for a process to be
 /// killed and started again, and for a host to be frozen briefly.
 const PEER_POLICY: PeerPolicy = PeerPolicy { lost_timeout: Duration::from_millis(1_500) };
-/// Interval at which pauses of this host, silent hosts, missing targets and expired idle connections are handled.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of upkeep intervals between two log lines with the load: one line every two seconds.
-const LOAD_LOG_TURNS: u32 = 20;
-/// Number of upkeep intervals between two log lines with the datagrams between hosts: one line every ten seconds.
-const TRAFFIC_LOG_TURNS: u32 = 100;
-/// Number of upkeep intervals between two log lines with the token buckets of active teams.
-const RATE_LOG_TURNS: u32 = 10;
-/// Maximum number of teams that are logged each time; those with the lowest levels come first.
-const MAX_LOGGED_TEAMS: usize = 8;
 /// Maximum wait for the row of an earlier run of this host. A start must not take longer if the store does not answer.
 const MAX_EARLIER_RUN_WAIT: Duration = Duration::from_millis(300);
-/// Share of the grace period after which callers' connections are closed as soon as they are idle. By then
-/// callers no longer choose this host: they cache steering responses for two seconds, some of them for
-/// three times as long. Callers on open connections receive `connection: close` with each response of the
-/// drain.
-const CLOSE_IDLE_GRACE_SHARE: f64 = 0.55;
-/// Part of the grace period reserved for the last responses and heartbeats.
-const DRAIN_MARGIN: Duration = Duration::from_millis(700);
-
 /// Why a gateway did not start.
 #[derive(Debug)]
 pub enum GatewayError {
@@ -274,35 +253,7 @@
     /// requests are expected to end in time, and refused otherwise. Held jobs are handed over with their
     /// progress, and requests in flight are completed within the grace period.
     pub async fn shut_down(self) {
-        let state = &self.state;
-        let started_at = Instant::now();
-        let grace = state.settings.grace();
-        log::info!(host = state.settings.name.as_str(), grace_ms = grace.as_millis() as u64; "leaving");
-        let exit_at = started_at + grace.saturating_sub(DRAIN_MARGIN);
-        let exit_at = *state.exit_at.get_or_init(|| exit_at);
-        state.drain.cancel();
-        broadcast_heartbeat(state).await;
-        hand_over_jobs(state).await;
-        withdraw_host(state).await;
-        let close_idle_at = started_at + grace.mul_f64(CLOSE_IDLE_GRACE_SHARE);
-        tokio::time::sleep_until(close_idle_at).await;
-        state.drain_idle.cancel();
-        state.tasks.close();
-        let is_answered = tokio::time::timeout_at(exit_at, state.tasks.wait()).await.is_ok();
-        let open_calls = state.tasks.len();
-        state.closing.cancel();
-        state.connection_tasks.close();
-        let writing = state.connection_tasks.wait();
-        let is_written = tokio::time::timeout_at(exit_at, writing).await.is_ok();
-        state.has_left.store(true, Ordering::Relaxed);
-        broadcast_heartbeat(state).await;
-        log::info!(
-            host = state.settings.name.as_str(), whole = is_answered && is_written,
-            open_calls = open_calls, open_connections = state.connection_tasks.len(),
-            took_ms = started_at.elapsed().as_millis() as u64;
-            "left"
-        );
-        state.stop.cancel();
+        shut_down(&self.state).await;
     }
 
     /// Stops the gateway at once without draining, like a crash that leaves the process running.
@@ -343,68 +294,3 @@
     spawn_loop(state, save_progress(state.clone()));
     spawn_loop(state, run_upkeep(state.clone()));
 }
-
-async fn run_upkeep(state: Arc<GatewayState>) {
-    let mut silent = Vec::new();
-    let mut pauses = PauseDetector::new(UPKEEP_INTERVAL);
-    let mut turn = 0u32;
-    loop {
-        tokio::time::sleep(UPKEEP_INTERVAL).await;
-        pauses.check(&state);
-        mark_silent_hosts(&state, &mut silent);
-        drop_missing_targets(&state, Instant::now());
-        log_pace_changes(&state);
-        state.connections.close_expired();
-        expire_unread(&state);
-        turn = turn.wrapping_add(1);
-        if turn.is_multiple_of(LOAD_LOG_TURNS) {
-            log_load(&state);
-        }
-        if turn.is_multiple_of(TRAFFIC_LOG_TURNS)
-            && let Some(socket) = state.socket.get()
-        {
-            socket.traffic().log();
-        }
-        if turn.is_multiple_of(RATE_LOG_TURNS) {
-            return_targets(&state, Instant::now());
-            log_rates(&state);
-        }
-    }
-}
-
-/// Logs the token buckets of active teams, which shows which host spent tokens that others do not count.
-fn log_rates(state: &GatewayState) {
-    let now = Instant::now();
-    let (alive_hosts, known_hosts) = lock(&state.peers).count_alive(now);
-    let mut quota = lock(&state.quota);
-    let active = quota.active_teams(UPKEEP_INTERVAL * RATE_LOG_TURNS, MAX_LOGGED_TEAMS, now);
-    let (counted_hosts, is_settled) = (quota.count_baselines(), quota.is_settled(now));
-    drop(quota);
-    for status in active {
-        log::info!(
-            team = &*status.team, level = status.level, admitted = status.admitted,
-            alone = status.admitted_alone, granted = status.granted, deducted = status.deducted,
-            heard_hosts = alive_hosts, known_hosts = known_hosts, counted_hosts = counted_hosts,
-            settled = is_settled;
-            "team-rate"
-        );
-    }
-}
-
-/// Logs the load as recorded by this host, which explains its decisions.
-fn log_load(state: &GatewayState) {
-    let now = Instant::now();
-    let (alive_hosts, known_hosts) = lock(&state.peers).count_alive(now);
-    let (online, batch, own_online, own_batch, slots) = lock(&state.placement).load();
-    let jobs = lock(&state.jobs);
-    let (held_jobs, waiting_items) = (jobs.jobs().count(), jobs.waiting(now));
-    drop(jobs);
-    let parts = state.parts.counts();
-    log::info!(
-        online = online, batch = batch, own_online = own_online, own_batch = own_batch,
-        slots = slots, held_jobs = held_jobs, waiting_items = waiting_items,
-        heard_hosts = alive_hosts, known_hosts = known_hosts,
-        suspected_parts = parts.suspected, quarantined_parts = parts.quarantined;
-        "load"
-    );
-}
--- a/crates/cuminramp-gateway/src/lib.rs
+++ b/crates/cuminramp-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! Implementations of [`CallFormat`] and [`FleetFormat`] define the formats of callers' calls, of requests to
 //! targets and of rows in the store.
 
+mod drain;
 mod entry;
 mod gateway;
 mod interfaces;
@@ -30,6 +31,7 @@
 mod sync;
 mod targets;
 mod tokens;
+mod upkeep;
 
 pub use gateway::{Gateway, GatewayError};
 pub use interfaces::{
