--- a/crates/cuminramp-fleet/src/exits.rs
+++ b/crates/cuminramp-fleet/src/exits.rs
@@ -5,7 +5,7 @@
 use cuminramp_core::{Name, SortedMap};
 use tokio::time::Instant;
 
-/// Time for which a duration counts at least; it counts for twice as long at most.
+/// Time for which a duration counts at least; it counts for three times as long at most.
 const PERIOD: Duration = Duration::from_secs(30);
 /// Minimum number of requests of a route whose durations say how long the next one takes.
 const MIN_REQUESTS: u32 = 100;
